--- /dev/null
+++ b/ryestack/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The bench's wire: codec and instances. No decisions here."""
--- /dev/null
+++ b/ryestack/benchlink/host.py
@@ -0,0 +1,78 @@
+"""Hosts the instances of one process: a module each, sharing nothing."""
+
+from .. import interface as it
+from ..brain import Brain
+from .codec import EVENTS, SCOPES, BadLine, Fields, read_line, read_rows, read_settings, write, write_line
+
+
+class Host:
+    def __init__(self):
+        self.brains: dict[int, Brain] = {}
+        self.lists: dict[int, tuple[it.Endpoint, ...]] = {}
+        self.pending: dict[int, list[it.Event]] = {}
+
+    def event(self, fields: Fields) -> None:
+        if fields.name == "Catalog":
+            ref = fields.next("ref", int)
+            self.lists[ref] = read_rows(fields)
+            return
+        relay = fields.next("relay", int)
+        if fields.name == "Up":
+            seed, options = fields.next("entropy", int), fields.next("options", dict)
+            self.brains[relay] = Brain(read_settings(options, fields), seed)
+            self.pending[relay] = []
+        elif relay not in self.brains:
+            raise fields.bad(f"unknown instance {relay}")
+        elif fields.name == "Retire":
+            del self.brains[relay]
+            self.pending.pop(relay, None)
+        elif fields.name == "Sync":
+            self.pending.setdefault(relay, []).append(self.list_update(fields))
+        elif fields.name in EVENTS:
+            event = EVENTS[fields.name](fields)
+            self.pending.setdefault(relay, []).extend([event] if event else [])
+        else:
+            raise fields.bad("unknown event")
+
+    def list_update(self, fields: Fields) -> it.ListUpdate:
+        scope = fields.next("scope", int)
+        if scope not in SCOPES:
+            raise fields.bad(f"unknown scope {scope}")
+        if scope == 3:
+            return it.ListUpdate(failed=True)
+        fields.next("stamp", int)
+        ref = fields.next("ref", int)
+        if ref not in self.lists:
+            raise fields.bad(f"unknown list {ref}")
+        return it.ListUpdate(self.lists[ref], whole=scope in (1, 2))
+
+    def end(self, now: float) -> list[str]:
+        lines = []
+        for relay, events in self.pending.items():
+            try:
+                lines += [write(relay, action) for action in self.brains[relay].round(now, events)]
+            except Exception as problem:  # the wire has a word for it: the day ends with this text
+                lines.append(write_line("Fatal", relay, f"{type(problem).__name__}: {problem}"))
+        self.pending = {}
+        return lines
+
+
+def serve(source, sink) -> None:
+    """Read batches from source until it ends, and answer each on sink."""
+    host, now, number = Host(), 0.0, None
+    for count, text in enumerate(source, 1):
+        if not text.strip():
+            continue
+        fields = read_line(text, count)
+        if fields.name == "Round":
+            if number is not None:
+                raise fields.bad("the batch before has no End")
+            now, number = fields.seconds("clock"), fields.next("batch", int)
+        elif number is None:
+            raise BadLine(f"line {count}: {fields.name} outside a batch")
+        elif fields.name == "End":
+            sink.write("".join(line + "\n" for line in [*host.end(now), write_line("Eor", number)]))
+            sink.flush()
+            number = None
+        else:
+            host.event(fields)
--- /dev/null
+++ b/ryestack/interface.py
@@ -0,0 +1,240 @@
+"""What the decision module is told and what it asks for: types only.
+
+Times are seconds with fractions, ids are kept as they came. Nothing here knows a protocol: an
+adapter turns its own messages into the events below and the actions into its own messages.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Effect(Enum):
+    """What a repeat of a notification does."""
+
+    REPEATABLE = "repeatable"
+    COLLAPSIBLE = "collapsible"
+    ONCE_ONLY = "once-only"
+
+
+class Late(Enum):
+    """How benefit falls after the latency objective."""
+
+    LINE = "line"
+    HALVES = "halves"
+
+
+class Result(Enum):
+    """How a push ended."""
+
+    DELIVERED = "delivered"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    NO_CONNECTION = "no connection"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not sent"
+
+
+class Listed(Enum):
+    """What the list says of an endpoint."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class TopicType:
+    """A topic type's terms; group names what a repeat of a collapsible one may reach."""
+
+    name: str
+    effect: Effect
+    objective: float
+    ttl: float
+    benefit: float = 1.0
+    late_share: float = 0.0
+    group: str = "all"
+    window: float = 0.0
+    keep_order: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer and what the whole fleet takes of it within its share, a second."""
+
+    name: str
+    quota: float
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of destination."""
+
+    name: str
+    apart: bool = False
+    batch: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """The figures of the six rules."""
+
+    cold_share: float
+    cold_time: float
+    overload_factor: float
+    fall_time: float
+    drain_grace: float = 0.0
+    answer_grace: float = 0.0
+    ask_within: float = 0.0
+    key_rest: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """All that a relay is told when it starts."""
+
+    topic_types: tuple[TopicType, ...]
+    kinds: tuple[Kind, ...]
+    rules: Rules
+    slots: int
+    max_open: int
+    customers: tuple[Customer, ...] = ()
+    relays: int = 1
+    over_share_benefit: float = 1.0
+    late: Late = Late.LINE
+    told_rates: bool = True
+    rough_rates: bool = False
+    max_pushes: int = 1
+    second_copies: bool = False
+    may_cancel: bool = False
+    may_probe: bool = False
+    max_come_back: float = 0.0
+    connect_timeout: float = 1.0
+    asks_for_list: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One line of the list; rate is the calls a second its destination (or route) takes in all."""
+
+    id: str
+    zone: str
+    kind: str
+    destination: int
+    listed: Listed = Listed.READY
+    rate: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ListUpdate:
+    """The list, or a change to it; whole: what is missing is gone; failed: an asking came to nothing."""
+
+    endpoints: tuple[Endpoint, ...] = ()
+    whole: bool = False
+    failed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Notification:
+    """A notification to deliver by due, a time of the clock."""
+
+    id: str
+    due: float
+    destination: int
+    topic_type: str
+    customer: str = ""
+    key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a push ended; ended: the notification has its final answer already."""
+
+    id: str
+    push: int
+    endpoint: str
+    result: Result
+    elapsed: float = 0.0
+    ended: bool = False
+    wait: float = 0.0
+    left: float | None = None
+    limit: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """How a probe ended."""
+
+    endpoint: str
+    result: Result
+    elapsed: float = 0.0
+    left: float | None = None
+    limit: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The client has taken the notification back."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    """A time asked for has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class Push:
+    """Send the notification to the endpoint; timeout in seconds."""
+
+    id: str
+    endpoint: str
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Stop waiting for a push."""
+
+    id: str
+    push: int
+
+
+@dataclass(frozen=True, slots=True)
+class Throttle:
+    """End the notification undelivered: trying again is harmless, after come_back if that is not 0."""
+
+    id: str
+    come_back: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Expire:
+    """End the notification; nothing is promised of its effect."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Check an endpoint."""
+
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """Call again after so long."""
+
+    after: float
+
+
+@dataclass(frozen=True, slots=True)
+class AskForList:
+    """Ask the registry for changes from now on, the whole list first if this relay is behind."""
+
+
+Event = ListUpdate | Notification | Outcome | Probed | Withdrawn | Woken
+Action = Push | Cancel | Throttle | Expire | Probe | Wake | AskForList
--- /dev/null
+++ b/tests/test_brain.py
@@ -0,0 +1,90 @@
+import unittest
+
+from ryestack import interface as it
+from ryestack.interface import Result
+
+from .helpers import brain, end, kinds, pushes, take
+
+
+class Path(unittest.TestCase):
+    def test_first_route_in_id_order(self):
+        b = brain(routes=("b", "a"))
+        self.assertEqual(pushes(b.round(1.0, [take("n")])), [("n", "a")])
+
+    def test_hops_past_a_refusing_route_and_later_ones_skip_it(self):
+        b = brain()
+        b.round(1.0, [take("n")])
+        hopped = pushes(b.round(1.1, [end("n", "a", Result.FULL), take("m")]))
+        self.assertEqual(hopped, [("n", "b"), ("m", "b")])
+
+    def test_three_failures_open_the_circuit(self):
+        b = brain(routes=("a",))
+        b.round(1.0, [take(f"n{i}") for i in range(3)])
+        b.round(1.1, [end(f"n{i}", "a", Result.ERROR) for i in range(3)])
+        self.assertEqual(pushes(b.round(1.5, [take("m")])), [])
+        self.assertEqual(b.routes["a"].state, "open")
+
+    def test_share_cap(self):
+        b = brain(rate=1000.0)
+        self.assertEqual(len(pushes(b.round(1.0, [take(f"n{i}") for i in range(20)]))), 9)
+
+    def test_a_batch_takes_one_slot(self):
+        b = brain(kind="bulk")
+        self.assertEqual(len(pushes(b.round(1.0, [take(f"n{i}") for i in range(20)]))), 20)
+        self.assertEqual(b.slots, 11)
+
+
+class Rules(unittest.TestCase):
+    def test_once_only_ends_at_once_after_it_may_have_run(self):
+        b = brain()
+        b.round(1.0, [take("n", "once")])
+        self.assertEqual(kinds(b.round(2.0, [end("n", "a", Result.BROKEN)]), it.Expire), ["n"])
+
+    def test_once_only_hops_when_it_never_ran(self):
+        b = brain()
+        b.round(1.0, [take("n", "once")])
+        self.assertEqual(pushes(b.round(2.0, [end("n", "a", Result.NO_CONNECTION)])), [("n", "b")])
+
+    def test_collapsible_not_pushed_after_its_window(self):
+        b = brain()
+        b.round(1.0, [take("n", "merge")])
+        self.assertEqual(kinds(b.round(7.5, [end("n", "a", Result.TIMED_OUT)]), it.Throttle), ["n"])
+
+    def test_drained_route_gets_nothing(self):
+        b = brain(routes=("a",))
+        gone = it.Endpoint("a", "z", "shared", 7, it.Listed.DRAINING)
+        self.assertEqual(pushes(b.round(1.0, [it.ListUpdate((gone,)), take("n")])), [])
+
+    def test_a_wait_binds_all_shared_routes(self):
+        b = brain()
+        b.round(1.0, [take("n")])
+        self.assertEqual(pushes(b.round(1.1, [end("n", "a", Result.FULL, wait=1.0)])), [])
+        self.assertEqual(pushes(b.round(2.0, [it.Woken()])), [])
+
+    def test_a_wait_binds_one_route_apart(self):
+        b = brain(kind="apart")
+        b.round(1.0, [take("n")])
+        self.assertEqual(pushes(b.round(1.1, [end("n", "a", Result.FULL, wait=1.0)])), [("n", "b")])
+
+    def test_key_order_and_rest(self):
+        b = brain()
+        self.assertEqual(pushes(b.round(1.0, [take("n", "turns", key="k"), take("m", "turns", key="k")])),
+                         [("n", "a")])
+        b.round(1.1, [end("n", "a", Result.TIMED_OUT), it.Withdrawn("n")])
+        self.assertEqual(pushes(b.round(1.5, [it.Woken()])), [])
+        self.assertEqual(pushes(b.round(2.2, [it.Woken()])), [("m", "a")])
+
+    def test_final_answer_before_the_time_is_up(self):
+        b = brain(routes=())
+        b.round(1.0, [take("n", due=3.0)])
+        self.assertEqual(kinds(b.round(2.99, [it.Woken()]), it.Throttle), ["n"])
+
+    def test_cold_budget_after_an_outage(self):
+        b = brain(rate=3.0)
+        pacer = b.routes["a"].pacer
+        pacer.bad(10.0, 10.0, False)
+        self.assertAlmostEqual(pacer.rate(11.0), 3.0 * 2.0 * 0.2 * pacer.COLD_PART)
+
+
+if __name__ == "__main__":
+    unittest.main()
