--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -20,38 +20,23 @@
 # After these the push may still be running: a key in order rests.
 STILL_RUNS = {Result.TIMED_OUT, Result.BROKEN, Result.CANCELLED}
 
-# One table for a route: (state, input) -> (next state, effect). What is not listed changes nothing.
-ROUTE = {
-    ("closed", "failed"): ("closed", "count"),
-    ("closed", "full"): ("skipping", "skip"),
-    ("closed", "wait"): ("waiting", "heed"),
-    ("closed", "tripped"): ("open", "rest"),
-    ("skipping", "due"): ("closed", None),
-    ("skipping", "failed"): ("skipping", "count"),
-    ("skipping", "wait"): ("waiting", "heed"),
-    ("skipping", "tripped"): ("open", "rest"),
-    ("waiting", "due"): ("closed", None),
-    ("waiting", "failed"): ("waiting", "count"),
-    ("waiting", "wait"): ("waiting", "heed"),
-    ("waiting", "tripped"): ("open", "rest"),
-    ("open", "due"): ("trial", None),
-    ("open", "delivered"): ("warming", "warm"),
-    ("open", "wait"): ("open", "heed"),
-    ("trial", "delivered"): ("warming", "warm"),
-    ("trial", "failed"): ("open", "rest"),
-    ("trial", "full"): ("open", "skip"),
-    ("trial", "wait"): ("open", "heed"),
-    ("warming", "due"): ("closed", None),
-    ("warming", "failed"): ("warming", "count"),
-    ("warming", "full"): ("warming", "skip"),
-    ("warming", "wait"): ("waiting", "heed"),
-    ("warming", "tripped"): ("open", "rest"),
-    **{
-        (state, "drain"): ("draining", None)
-        for state in ("closed", "skipping", "waiting", "open", "trial", "warming")
-    },
-    ("draining", "ready"): ("closed", None),
-}
+# One table for a route: (states, input, next state, effect); = stays; what is not listed changes nothing.
+ROUTE_ROWS = (
+    ("closed skipping waiting warming", "failed", "=", "count"),
+    ("closed skipping waiting warming", "tripped", "open", "rest"),
+    ("closed", "full", "skipping", "skip"),
+    ("warming", "full", "=", "skip"),
+    ("closed skipping waiting warming", "wait", "waiting", "heed"),
+    ("skipping waiting warming", "due", "closed", None),
+    ("open", "due", "trial", None),
+    ("open trial", "wait", "open", "heed"),
+    ("trial", "failed", "open", "rest"),
+    ("trial", "full", "open", "skip"),
+    ("open trial", "delivered", "warming", "warm"),
+    ("closed skipping waiting open trial warming", "drain", "draining", None),
+    ("draining", "ready", "closed", None),
+)
+ROUTE = {(s, heard): (s if to == "=" else to, do) for ss, heard, to, do in ROUTE_ROWS for s in ss.split()}
 
 # One table for a notification; the effects are methods of Brain.
 NTF = {
@@ -343,8 +328,8 @@
         rest = min(self.REST_MOST, self.REST * 2 ** (route.trips - 1))
         self.until(route, rest * self.random.uniform(0.7, 1.3))
 
-    def do_heed(self, route, wait):
-        self.until(route, wait)
+    def do_heed(self, route, span):
+        self.until(route, span)
 
     def do_warm(self, route):
         # House habit: a random wait before the first sending to what has just come back.
@@ -455,6 +440,11 @@
         first = call.left == call.items - 1
         self.touch(route.dest)
         route.pacer.heard(o.limit)
+        if o.wait > 0.0:  # each item of a call may tell a later end
+            route.pacer.wait_until = max(route.pacer.wait_until, self.now + o.wait + 0.002)
+            self.at(route.pacer.wait_until, Brain.touch, route.dest)
+            for each in [route] if route.dest.kind.apart else route.dest.order:
+                self.turn(each, "wait", span=o.wait + 0.002)
         if first:
             self.judge(route, call, o)
         elif o.result is Result.DELIVERED:
@@ -489,12 +479,7 @@
             self.turn(route, "delivered")
         elif result is Result.FULL:
             pacer.bad(self.now, self.now + o.wait, True)
-            if o.wait > 0.0:
-                pacer.wait_until = max(pacer.wait_until, self.now + o.wait + 0.002)
-                self.at(pacer.wait_until, Brain.touch, route.dest)
-                for each in route.dest.order if not route.dest.kind.apart else [route]:
-                    self.turn(each, "wait", wait=o.wait + 0.002)
-            else:
+            if not o.wait:
                 route.room = max(1.0, route.calls * 0.8)
                 self.turn(route, "full")
         elif result is not Result.NOT_SENT and result is not Result.CANCELLED and not call.late:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -61,6 +61,13 @@
         self.assertEqual(pushes(b.round(1.1, [end("n", "a", Result.FULL, wait=1.0)])), [])
         self.assertEqual(pushes(b.round(2.0, [it.Woken()])), [])
 
+    def test_each_item_of_a_call_may_tell_a_later_wait(self):
+        b = brain(kind="bulk", routes=("a",))
+        b.round(1.0, [take("n"), take("m")])
+        b.round(1.1, [end("n", "a", Result.FULL, wait=1.0)])
+        b.round(1.2, [end("m", "a", Result.FULL, wait=1.0)])
+        self.assertEqual(pushes(b.round(2.15, [it.Woken()])), [])
+
     def test_a_wait_binds_one_route_apart(self):
         b = brain(kind="apart")
         b.round(1.0, [take("n")])
