Spill before a route's queue grows, instead of a ceiling learned from refusals

Cause: the first route of each order took all it would queue, calls took three times their usual time and every slot was gone. A route now counts as refusing once it holds twice what its part of the rate keeps busy.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -84,7 +84,7 @@
     """What one destination, or one route apart, may be sent: told rate, waits, refusals, warm-up."""
 
     # Our part of the rate at first: relays are seldom even, so somewhat over the even part.
-    GAIN, GAIN_MIN, GAIN_MAX = 1.3, 0.5, 3.0
+    GAIN, GAIN_MIN, GAIN_MAX = 1.5, 0.5, 12.0
     # Calls that may go at once, in seconds of our part: a clump's beginning.
     BURST = 1.0
     # Without a delivery for so long (and a failure or refusal in it) a destination may have been
@@ -143,7 +143,8 @@
         self.recent = [*self.recent[1:], 0]
         self.seen = self.seen * 0.5 ** ((now - self.seen_at) / 5.0) + 0.14  # calls a second, over some 5 s
         self.seen_at = now
-        self.gain = min(self.GAIN_MAX, self.gain + 0.02)
+        if self.tokens < 1.0:  # only what we use up is too little
+            self.gain = min(self.GAIN_MAX, self.gain * 1.05)
         self.last_good = max(self.last_good, sent)
         if self.cold == inf:
             self.cold = now
@@ -197,7 +198,7 @@
     def __init__(self, endpoint, dest, pacer):
         self.id, self.zone, self.dest, self.pacer = endpoint.id, endpoint.zone, dest, pacer
         self.state, self.until, self.row, self.trips = "closed", 0.0, 0, 0
-        self.calls, self.room, self.silent = 0, inf, False
+        self.calls, self.silent = 0, False
 
 
 class Dest:
@@ -222,6 +223,8 @@
     SHARE, SHARE_SICK = 0.75, 0.5
     # A push is overdue past this multiple of the time that nine in ten stay under.
     OVERDUE, OVERDUE_LEAST = 2.5, 1.0
+    # Twice what the rate keeps busy lets answers of uneven length pass each other.
+    ROOM = 2.0
     # An expected time before anything was measured.
     USUAL = 0.5
 
@@ -474,13 +477,10 @@
             route.dest.times.add(o.elapsed)
             pacer.good(call.sent, self.now)
             route.row, route.silent = 0, False
-            if route.room < inf:
-                route.room += 1.0 / route.room  # a refused ceiling is tried again slowly
             self.turn(route, "delivered")
         elif result is Result.FULL:
             pacer.bad(self.now, self.now + o.wait, True)
             if not o.wait:
-                route.room = max(1.0, route.calls * 0.8)
                 self.turn(route, "full")
         elif result is not Result.NOT_SENT and result is not Result.CANCELLED and not call.late:
             self.sick(route, result is not Result.NO_CONNECTION)
@@ -558,7 +558,14 @@
             return False
         if route.state == "trial" and route.calls:
             return False
-        return route.calls < max(1.0, route.room) and route.pacer.ready_at(self.now) <= self.now
+        return route.calls < self.room(route) and route.pacer.ready_at(self.now) <= self.now
+
+    def room(self, route):
+        """Calls that a route keeps busy at its part of the rate, twice over: past that they only queue."""
+        pacer, dest = route.pacer, route.dest
+        routes = 1 if dest.kind.apart else sum(r.state != "draining" for r in dest.order) or 1
+        part = pacer.told / pacer.relays / routes if pacer.told else inf
+        return max(1.0, self.ROOM * pacer.gain * part * dest.times.quantile(0.5, self.USUAL))
 
     def joins(self, route):
         call = self.travel.get(route.id)
