Late calls together hold half the slots; failed connections are retried sooner

Covers hangs, silence and slow destinations at once; hurts when slow calls would have ended. Room counts on the faster answers, so that queueing does not feed itself.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -190,6 +190,7 @@
     items: int = 0
     left: int = 0
     late: bool = False
+    ntfs: list = field(default_factory=list)
 
 
 class Route:
@@ -197,7 +198,7 @@
 
     def __init__(self, endpoint, dest, pacer):
         self.id, self.zone, self.dest, self.pacer = endpoint.id, endpoint.zone, dest, pacer
-        self.state, self.until, self.row, self.trips = "closed", 0.0, 0, 0
+        self.state, self.until, self.row = "closed", 0.0, 0
         self.calls, self.silent = 0, False
 
 
@@ -213,8 +214,8 @@
 class Brain:
     """One relay's decisions."""
 
-    # Circuit: the design's three in a row; retried after its five seconds at first, then less often.
-    TRIP, REST, REST_MOST = 3, 5.0, 10.0
+    # Circuit: the design's three in a row and five seconds; less where a trial cannot hurt.
+    TRIP, REST, REST_SHORT = 3, 5.0, 1.5
     # A refusal as full: long enough to let a few calls end there, short beside any objective.
     SKIP = 0.3
     # Hops in one walk: one to start in the design; two reach the third route of the usual two or three.
@@ -237,7 +238,7 @@
         self.keys = {}  # key in order -> [ids in turn, rest until]
         self.slots, self.heap, self.seq, self.woken = settings.slots, [], 0, inf
         self.acts, self.touched, self.travel, self.starved = [], {}, {}, {}
-        self.out = {}  # (id, push) -> call
+        self.out, self.late = {}, []  # (id, push) -> call; calls past their time
         self.asked = not settings.asks_for_list
 
     # -- the loop ---------------------------------------------------------------------------------
@@ -327,8 +328,8 @@
         self.until(route, self.SKIP * self.random.uniform(0.7, 1.3))
 
     def do_rest(self, route):
-        route.trips += 1
-        rest = min(self.REST_MOST, self.REST * 2 ** (route.trips - 1))
+        # A failed connection reaches nobody and proves that nothing ran: it may be tried again soon.
+        rest = self.REST if route.silent else self.REST_SHORT
         self.until(route, rest * self.random.uniform(0.7, 1.3))
 
     def do_heed(self, route, span):
@@ -336,7 +337,7 @@
 
     def do_warm(self, route):
         # House habit: a random wait before the first sending to what has just come back.
-        route.trips = route.row = 0
+        route.row = 0
         self.until(route, self.set.rules.cold_time)
 
     def until(self, route, span):
@@ -493,9 +494,19 @@
 
     def overdue(self, call):
         """A push past its time is evidence before its time-out: it covers hangs, silence, slow routes."""
-        if call.left == call.items and not call.late:
-            call.late = True
-            self.sick(call.route, True)
+        if call.left < call.items or call.late:
+            return
+        call.late = True
+        self.sick(call.route, True)
+        self.late = [c for c in self.late if c.left] + [call]
+        if len(self.late) > max(1, int(self.set.slots * self.SHARE_SICK)) and self.set.may_cancel:
+            # All sick destinations together hold half the slots: what loses least by it is called off.
+            def loss(c):
+                return sum(self.worth(n, n.due - 0.01) for n, _ in c.ntfs if n.topic.effect is ONCE)
+
+            call = min(self.late, key=loss)
+            self.late.remove(call)
+            self.acts += [it.Cancel(n.id, push) for n, push in call.ntfs]
 
     def on_probed(self, event):
         route = self.routes.get(event.endpoint)
@@ -565,7 +576,7 @@
         pacer, dest = route.pacer, route.dest
         routes = 1 if dest.kind.apart else sum(r.state != "draining" for r in dest.order) or 1
         part = pacer.told / pacer.relays / routes if pacer.told else inf
-        return max(1.0, self.ROOM * pacer.gain * part * dest.times.quantile(0.5, self.USUAL))
+        return max(1.0, self.ROOM * pacer.gain * part * dest.times.quantile(0.3, self.USUAL))
 
     def joins(self, route):
         call = self.travel.get(route.id)
@@ -620,6 +631,7 @@
             self.at(self.now + late, Brain.overdue, call)
         call.items += 1
         call.left += 1
+        call.ntfs.append((ntf, ntf.pushes))
         self.out[ntf.id, ntf.pushes] = call
         ntf.out[ntf.pushes] = call
         ntf.pushes += 1
