Tell a limit's refusals from an outage by how long they span; trials cost less

Cause: one refusal after a quiet spell put a limited destination into the cold budget again and again; a failed connection used the cold budget though it reached nobody; batches were charged per item; trials burnt a few notifications' pushes. Could hurt: an outage shorter than three seconds, or one that a quiet relay saw only once.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -87,11 +87,11 @@
     GAIN, GAIN_MIN, GAIN_MAX = 1.5, 0.5, 12.0
     # Calls that may go at once, in seconds of our part: a clump's beginning.
     BURST = 1.0
-    # Without a delivery for so long (and a failure or refusal in it) a destination may have been
-    # out and come back cold; a shorter outage hardly empties anything.
+    # Failing or refusing for so long with no delivery between, a destination may come back cold;
+    # a limit's refusals are shorter, and a shorter outage hardly empties anything.
     OUT_AFTER = 3.0
     # Part of rule 4's budget that we use while cold: chance, and relays that carry more than their part.
-    COLD_PART = 0.6
+    COLD_PART = 0.8
 
     def __init__(self, settings, told, now):
         self.rules, self.relays = settings.rules, settings.relays
@@ -99,7 +99,7 @@
         self.rough = 1.5 if settings.rough_rates else 1.0
         self.told, self.seen, self.seen_at = told, 0.0, now
         self.gain, self.tokens, self.at = self.GAIN, 1.0, now
-        self.wait_until, self.last_good = 0.0, now
+        self.wait_until, self.bad_since = 0.0, inf
         self.recent = [0] * 8  # the last outcomes, 1 a failure
         self.cold = None  # None: warm; inf: not back yet; else since when it is back
 
@@ -133,7 +133,7 @@
 
     def took(self, first):
         # A further item in a call weighs a little at a cold destination, nothing at a warm one.
-        self.tokens -= 1.0 if first else 0.2 if self.cold is not None else 0.0
+        self.tokens -= 1.0 if first else 0.05 if self.cold is not None else 0.0
 
     def heard(self, limit):
         if limit:
@@ -145,16 +145,18 @@
         self.seen_at = now
         if self.tokens < 1.0:  # only what we use up is too little
             self.gain = min(self.GAIN_MAX, self.gain * 1.05)
-        self.last_good = max(self.last_good, sent)
+        if sent >= self.bad_since:
+            self.bad_since = inf
         if self.cold == inf:
             self.cold = now
 
-    def bad(self, now, until, refused):
-        """A failure or refusal; until: when it may be back."""
+    def bad(self, sent, until, refused):
+        """A failure or refusal of a push that went at sent; until: when the destination may be back."""
         self.recent = [*self.recent[1:], 0 if refused else 1]
+        self.bad_since = min(self.bad_since, sent)
         if refused:
             self.gain = max(self.GAIN_MIN, self.gain * 0.9)
-        out = until - self.last_good > self.OUT_AFTER
+        out = until - self.bad_since > self.OUT_AFTER
         if out or sum(self.recent) >= 4 or (self.cold is not None and not refused):
             self.cold = inf
             self.tokens = min(self.tokens, 0.0)
@@ -210,6 +212,10 @@
         self.routes, self.order, self.parked = {}, [], {}
         self.calls, self.times, self.wake = 0, Times(), inf
 
+    @property
+    def once(self):
+        return sum(n.topic.effect is ONCE for n in self.parked.values())
+
 
 class Brain:
     """One relay's decisions."""
@@ -480,16 +486,18 @@
             route.row, route.silent = 0, False
             self.turn(route, "delivered")
         elif result is Result.FULL:
-            pacer.bad(self.now, self.now + o.wait, True)
+            pacer.bad(call.sent, self.now + o.wait, True)
             if not o.wait:
                 self.turn(route, "full")
         elif result is not Result.NOT_SENT and result is not Result.CANCELLED and not call.late:
-            self.sick(route, result is not Result.NO_CONNECTION)
+            self.sick(route, call, result is not Result.NO_CONNECTION)
 
-    def sick(self, route, silent):
+    def sick(self, route, call, silent):
         route.row += 1
         route.silent = silent
-        route.pacer.bad(self.now, self.now, False)
+        route.pacer.bad(call.sent, self.now, False)
+        if not silent:  # it reached nobody
+            route.pacer.tokens = min(1.0, route.pacer.tokens + 1.0)
         self.turn(route, "failed")
 
     def overdue(self, call):
@@ -497,7 +505,7 @@
         if call.left < call.items or call.late:
             return
         call.late = True
-        self.sick(call.route, True)
+        self.sick(call.route, call, True)
         self.late = [c for c in self.late if c.left] + [call]
         if len(self.late) > max(1, int(self.set.slots * self.SHARE_SICK)) and self.set.may_cancel:
             # All sick destinations together hold half the slots: what loses least by it is called off.
@@ -564,11 +572,16 @@
             return True
         return ntf.topic.effect is not ONCE and ntf.topic.group == "all"
 
-    def eligible(self, route):
+    def eligible(self, route, ntf):
         if route.state in ("open", "waiting", "skipping", "draining"):
             return False
         if route.state == "trial" and route.calls:
             return False
+        if route.row:  # unproven: not with the last pushes, nor with what a silence would end
+            if ntf.pushes * 2 >= self.set.max_pushes:
+                return False
+            if route.silent and ntf.topic.effect is ONCE and len(route.dest.parked) > route.dest.once:
+                return False
         return route.calls < self.room(route) and route.pacer.ready_at(self.now) <= self.now
 
     def room(self, route):
@@ -615,7 +628,7 @@
     def walk(self, dest, ntf):
         cap = dest.calls < self.cap(dest) and self.slots > 0
         for route in dest.order[ntf.start :]:
-            if (self.joins(route) or (cap and self.eligible(route))) and self.may_push(ntf, route):
+            if (self.joins(route) or (cap and self.eligible(route, ntf))) and self.may_push(ntf, route):
                 return route
         return None
 
