Condense the module; only a push from after an outage began starts its warm-up

Now the push must be younger than the first refusal, and the warm-up starts at the end of the wait; two tests. Could hurt: a late start of the warm-up where the outage was short.

--- a/ryestack/benchlink/codec.py
+++ b/ryestack/benchlink/codec.py
@@ -53,13 +53,9 @@
             raise self.bad(f"unknown code {code!r}")
         return RESULTS[code]
 
-    def report(self) -> dict:
-        pairs = self.next("pressure", dict, {})
-        return {
-            name: pairs[key]
-            for name, key in (("left", "x0"), ("limit", "x1"))
-            if isinstance(pairs.get(key), (int, float))
-        }
+    def limit(self) -> float:
+        told = self.next("pressure", dict, {}).get("x1")
+        return float(told) if isinstance(told, (int, float)) else 0.0
 
 
 def read_line(text: bytes, line: int) -> Fields:
@@ -122,9 +118,6 @@
             cold_time=span(rules, "coldMs", "rules"),
             overload_factor=need(rules, "overloadFactor", where="rules"),
             fall_time=span(rules, "fallMs", "rules"),
-            drain_grace=span(rules, "drainGraceMs", "rules", 0.0),
-            answer_grace=span(rules, "graceToAnswerMs", "rules", 0.0),
-            ask_within=span(rules, "askWithinMs", "rules", 0.0),
             key_rest=span(rules, "keyRestMs", "rules", 0.0),
         ),
         slots=need(specifics, "callSlots", int, "specifics"),
@@ -135,11 +128,8 @@
         told_rates=options.get("weights") in ("nominal", "rough"),
         rough_rates=options.get("weights") == "rough",
         max_pushes=need(allowed, "maxAttempts", int, "allowed"),
-        second_copies=allowed.get("secondCopies") is True,
         may_cancel=allowed.get("mayCancel") is True,
-        may_probe=allowed.get("probes") is True,
         max_come_back=span(allowed, "maxRetryAfterMs", "allowed", 0.0) if allowed.get("retryAfter") else 0.0,
-        connect_timeout=span(allowed, "connectTimeoutMs", "allowed", 1.0),
         asks_for_list=options.get("discovery") == "ask",
     )
 
@@ -175,12 +165,7 @@
     result, elapsed = f.result(), f.seconds("elapsedMs")
     ended, detail = f.next("noMore", bool, False), f.next("detail", int, 0)
     wait = detail / 1000.0 if result is it.Result.FULL else 0.0
-    return it.Outcome(name, push, endpoint, result, elapsed, ended, wait, **f.report())
-
-
-def read_sampled(f: Fields) -> it.Probed:
-    result, endpoint, elapsed = f.result(), f.next("endpoint", str), f.seconds("elapsedMs")
-    return it.Probed(endpoint, result, elapsed, **f.report())
+    return it.Outcome(name, push, endpoint, result, elapsed, ended, wait, f.limit())
 
 
 def _woken(f: Fields) -> it.Woken:
@@ -195,10 +180,10 @@
 EVENTS = {
     "Incoming": read_incoming,
     "Reply": read_reply,
-    "Sampled": read_sampled,
     "ClientGone": lambda f: it.Withdrawn(f.next("id", str)),
     "Timer": _woken,
     "Accepted": _pass_over,
+    "Sampled": _pass_over,
     "Whisper": _pass_over,
 }
 
@@ -207,7 +192,6 @@
     it.Cancel: lambda r, a: ["DropAttempt", r, a.id, a.push],
     it.Throttle: lambda r, a: ["Decline", r, a.id, round(a.come_back * 1000.0, 3)],
     it.Expire: lambda r, a: ["Error", r, a.id],
-    it.Probe: lambda r, a: ["SoundOut", r, a.endpoint],
     it.Wake: lambda r, a: ["Schedule", r, round(a.after * 1000.0, 3), 0],
     it.AskForList: lambda r, a: ["Subscribe", r, True],
 }
--- a/ryestack/interface.py
+++ b/ryestack/interface.py
@@ -84,9 +84,6 @@
     cold_time: float
     overload_factor: float
     fall_time: float
-    drain_grace: float = 0.0
-    answer_grace: float = 0.0
-    ask_within: float = 0.0
     key_rest: float = 0.0
 
 
@@ -106,11 +103,8 @@
     told_rates: bool = True
     rough_rates: bool = False
     max_pushes: int = 1
-    second_copies: bool = False
     may_cancel: bool = False
-    may_probe: bool = False
     max_come_back: float = 0.0
-    connect_timeout: float = 1.0
     asks_for_list: bool = False
 
 
@@ -149,7 +143,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """How a push ended; ended: the notification has its final answer already."""
+    """How a push ended.
+
+    ended: the notification has its final answer already; limit: the calls a second told, 0 if none.
+    """
 
     id: str
     push: int
@@ -158,19 +155,7 @@
     elapsed: float = 0.0
     ended: bool = False
     wait: float = 0.0
-    left: float | None = None
-    limit: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Probed:
-    """How a probe ended."""
-
-    endpoint: str
-    result: Result
-    elapsed: float = 0.0
-    left: float | None = None
-    limit: float | None = None
+    limit: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,13 +202,6 @@
     id: str
 
 
-@dataclass(frozen=True, slots=True)
-class Probe:
-    """Check an endpoint."""
-
-    endpoint: str
-
-
 @dataclass(frozen=True, slots=True)
 class Wake:
     """Call again after so long."""
@@ -236,5 +214,5 @@
     """Ask the registry for changes from now on, the whole list first if this relay is behind."""
 
 
-Event = ListUpdate | Notification | Outcome | Probed | Withdrawn | Woken
-Action = Push | Cancel | Throttle | Expire | Probe | Wake | AskForList
+Event = ListUpdate | Notification | Outcome | Withdrawn | Woken
+Action = Push | Cancel | Throttle | Expire | Wake | AskForList
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,7 +14,7 @@
 
 
 def brain(kind="shared", routes=("a", "b"), rate=50.0, **settings):
-    base = {"slots": 12, "max_open": 100, "max_pushes": 6, "second_copies": True, "max_come_back": 2.0}
+    base = {"slots": 12, "max_open": 100, "max_pushes": 6, "max_come_back": 2.0}
     made = Brain(it.Settings(TOPICS, KINDS, RULES, **{**base, **settings}), 1)
     listed = tuple(it.Endpoint(r, "z", kind, 7, rate=rate) for r in routes)
     made.round(0.0, [it.ListUpdate(listed, whole=True)])
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,4 +1,5 @@
 import unittest
+from math import inf
 
 from ryestack import interface as it
 from ryestack.interface import Result
@@ -92,6 +93,19 @@
         pacer.bad(6.0, 10.0, False)
         self.assertAlmostEqual(pacer.rate(11.0), 3.0 * 2.0 * 0.2 * pacer.COLD_PART)
 
+    def test_a_delivery_of_a_push_from_before_the_outage_starts_no_warm_up(self):
+        pacer = brain().routes["a"].pacer
+        pacer.bad(5.0, 25.0, True)
+        pacer.good(4.9, 6.0)
+        self.assertEqual(pacer.cold, inf)
+
+    def test_the_warm_up_starts_no_sooner_than_a_wait_ends(self):
+        pacer = brain().routes["a"].pacer
+        pacer.bad(5.0, 25.0, True)
+        pacer.wait_until = 25.0
+        pacer.good(5.1, 6.0)
+        self.assertEqual(pacer.cold, 25.0)
+
 
 if __name__ == "__main__":
     unittest.main()
