Return to a shut destination at a random time; nothing gathers in a wait

Cause: all relays were told the same end of the wait and each sent its gathered batch there. Covers any common end: restarts, told waits. Could hurt: a few seconds after a short wait while the destination counts as out.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -86,8 +86,8 @@
     COLD_ITEM = 0.05  # what a further item of a call weighs at a cold destination
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
 
-    def __init__(self, settings, now):
-        self.rules, self.relays = settings.rules, settings.relays
+    def __init__(self, settings, chance, now):
+        self.rules, self.relays, self.random = settings.rules, settings.relays, chance
         self.rough = self.ROUGH if settings.rough_rates else 1.0
         self.told, self.seen, self.seen_at = None, 0.0, now
         self.gain, self.tokens, self.at = self.GAIN, 1.0, now
@@ -109,10 +109,12 @@
 
     def ready_at(self, now):
         """When the next call may go."""
-        rate = self.rate(now)
-        most = 1.0 if self.cold is not None else max(1.0, rate * self.BURST)
-        self.tokens, self.at = min(most, self.tokens + rate * (now - self.at)), now
-        return max(self.wait_until, now + (1.0 - 1e-6 - self.tokens) / rate, now)
+        rate, since = self.rate(now), self.at
+        most = max(1.0, rate * self.BURST)
+        if self.cold is not None:  # nothing gathers in a wait, or all relays would send at its end
+            most, since = 1.0, max(self.at, self.wait_until)
+        self.tokens, self.at = min(most, self.tokens + rate * max(0.0, now - since)), now
+        return max(now, self.wait_until) + max(0.0, 1.0 - 1e-6 - self.tokens) / rate
 
     def took(self, first):
         self.tokens -= 1.0 if first else self.COLD_ITEM if self.cold is not None else 0.0
@@ -134,7 +136,9 @@
             self.gain = max(self.GAIN_MIN, self.gain * self.SHRINK)
         out = until - self.bad_since > self.OUT_AFTER or sum(self.recent) >= self.MANY
         if out or (self.cold is not None and not refused):
-            self.cold, self.tokens = inf, min(self.tokens, 0.0)
+            # The house's random wait: relays must not come back in step.
+            self.tokens = min(self.tokens, self.random.random()) if self.cold != inf else self.tokens
+            self.cold = inf
 
 
 @dataclass(slots=True, eq=False)
@@ -257,7 +261,7 @@
         dest = self.dests.setdefault(e.destination, Dest())
         dest.kind = dest.kind or self.kinds.get(e.kind) or it.Kind(e.kind)
         if dest.kind.apart or not dest.pacer:
-            dest.pacer = Pacer(self.set, self.now)
+            dest.pacer = Pacer(self.set, self.random, self.now)
         route = self.routes[e.id] = Route(e, dest, dest.pacer)
         for old in [r for r in dest.order if r.state == "draining" and not r.calls]:
             dest.order.remove(self.routes.pop(old.id))
@@ -273,8 +277,7 @@
             getattr(self, effect)(route, span)
 
     def count(self, route, _):
-        if route.row >= self.TRIP:
-            self.turn(route, "tripped")
+        self.turn(route, "tripped" if route.row >= self.TRIP else None)
 
     def rest(self, route, _):
         self.heed(route, (self.REST if route.silent else self.REST_SHORT) * self.random.uniform(0.7, 1.3))
@@ -543,9 +546,8 @@
         ntf.pushes += 1
         ntf.dest.parked.pop(ntf.id, None)
         self.step(ntf, "pushed")
-        left = ntf.due - self.now
-        longest = left if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, self.TIMEOUT * times)
-        self.acts.append(it.Push(ntf.id, route.id, min(left, longest)))
+        longest = inf if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, self.TIMEOUT * times)
+        self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest)))
 
     def plan(self, dest):
         """Wake when the next call may go to one of the destination's routes."""
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -106,6 +106,13 @@
         pacer.good(5.1, 6.0)
         self.assertEqual(pacer.cold, 25.0)
 
+    def test_nothing_gathers_in_a_wait_so_relays_do_not_return_in_step(self):
+        pacer = brain(rate=3.0).routes["a"].pacer
+        pacer.bad(5.0, 25.0, True)
+        pacer.wait_until = 25.0
+        self.assertGreater(pacer.ready_at(24.9), 25.0)
+        self.assertLess(pacer.tokens, 1.0)
+
 
 if __name__ == "__main__":
     unittest.main()
