--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -77,7 +77,7 @@
     # Our part of the rate, over the even part: relays are seldom even. What runs short grows, what is
     # refused shrinks; the ends keep one bad minute from lasting.
     GAIN, GAIN_MIN, GAIN_MAX, GROW, SHRINK = 1.5, 0.5, 12.0, 1.05, 0.9
-    BURST = 1.0  # seconds of our part that may go at once: the beginning of a clump
+    BURST = 1.0  # seconds of our part that may go at once: a clump's beginning; one where calls carry many
     # Failing or refusing for so long with no delivery between, a destination may come back cold;
     # a limit's refusals are shorter, and a shorter outage hardly empties anything.
     OUT_AFTER = 3.0
@@ -86,7 +86,8 @@
     COLD_ITEM = 0.05  # what a further item of a call weighs at a cold destination
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
 
-    def __init__(self, settings, chance, now):
+    def __init__(self, settings, kind, chance, now):
+        self.burst = self.BURST if kind.batch == 1 else 0.0
         self.rules, self.relays, self.random = settings.rules, settings.relays, chance
         self.rough = self.ROUGH if settings.rough_rates else 1.0
         self.told, self.seen, self.seen_at = None, 0.0, now
@@ -110,7 +111,7 @@
     def ready_at(self, now):
         """When the next call may go."""
         rate, since = self.rate(now), self.at
-        most = max(1.0, rate * self.BURST)
+        most = max(1.0, rate * self.burst)
         if self.cold is not None:  # nothing gathers in a wait, or all relays would send at its end
             most, since = 1.0, max(self.at, self.wait_until)
         self.tokens, self.at = min(most, self.tokens + rate * max(0.0, now - since)), now
@@ -261,7 +262,7 @@
         dest = self.dests.setdefault(e.destination, Dest())
         dest.kind = dest.kind or self.kinds.get(e.kind) or it.Kind(e.kind)
         if dest.kind.apart or not dest.pacer:
-            dest.pacer = Pacer(self.set, self.random, self.now)
+            dest.pacer = Pacer(self.set, dest.kind, self.random, self.now)
         route = self.routes[e.id] = Route(e, dest, dest.pacer)
         for old in [r for r in dest.order if r.state == "draining" and not r.calls]:
             dest.order.remove(self.routes.pop(old.id))
