--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -75,23 +75,23 @@
     """What one destination, or one route apart, may be sent: told rate, waits, refusals, warm-up."""
 
     # Our part of the rate, over the even part: relays are seldom even. What runs short grows, what is
-    # refused shrinks; the ends keep one bad minute from lasting.
-    GAIN, GAIN_MIN, GAIN_MAX, GROW, SHRINK = 1.5, 0.5, 12.0, 1.05, 0.9
-    BURST = 1.0  # seconds of our part that may go at once: a clump's beginning; one where calls carry many
-    # Failing or refusing for so long with no delivery between, a destination may come back cold;
-    # a limit's refusals are shorter, and a shorter outage hardly empties anything.
-    OUT_AFTER = 3.0
+    # refused shrinks, in balance at one refusal in ten; the ends keep one bad minute from lasting.
+    GAIN, GAIN_MIN, GAIN_MAX, GROW, SHRINK = 1.5, 0.5, 12.0, 1.01, 0.9
+    BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
+    # Failing or refusing so long with no delivery between, it may come back cold; a limit's refusals
+    OUT_AFTER = 3.0  # are shorter, and a shorter outage hardly empties anything
     LAST, MANY = 8, 4  # of so many outcomes so many failed: "most calls fail", seen from few
     COLD_PART = 0.8  # of rule 4's budget: the rest is for chance and for relays with more than their part
     COLD_ITEM = 0.05  # what a further item of a call weighs at a cold destination
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
 
     def __init__(self, settings, kind, chance, now):
-        self.burst = self.BURST if kind.batch == 1 else 0.0
+        # Where calls carry many, spaced ones gather what comes: no burst, and no more than our even part.
+        self.burst, self.most = (self.BURST, self.GAIN_MAX) if kind.batch == 1 else (0.0, 1.0)
         self.rules, self.relays, self.random = settings.rules, settings.relays, chance
         self.rough = self.ROUGH if settings.rough_rates else 1.0
         self.told, self.seen, self.seen_at = None, 0.0, now
-        self.gain, self.tokens, self.at = self.GAIN, 1.0, now
+        self.gain, self.tokens, self.at = min(self.GAIN, self.most), 1.0, now
         self.wait_until, self.bad_since, self.recent = 0.0, inf, [0] * self.LAST
         self.cold = None  # None: warm; inf: not back yet; else since when it is back
 
@@ -124,7 +124,7 @@
         self.recent = [*self.recent[1:], 0]
         self.seen = self.seen * 0.5 ** ((now - self.seen_at) / 5.0) + 0.14  # a second, over some 5 s
         self.seen_at = now
-        self.gain = min(self.GAIN_MAX, self.gain * self.GROW) if self.tokens < 1.0 else self.gain
+        self.gain = min(self.most, self.gain * self.GROW) if self.tokens < 1.0 else self.gain
         if sent >= self.bad_since or self.bad_since == inf:  # what went before the outage proves no return
             self.bad_since = inf
             self.cold = max(now, self.wait_until) if self.cold == inf else self.cold
@@ -379,9 +379,7 @@
         route, first = call.route, call.left == len(call.items)
         call.left -= 1
         if not call.left:
-            self.slots += 1
-            route.calls -= 1
-            route.dest.calls -= 1
+            self.slots, route.calls, route.dest.calls = self.slots + 1, route.calls - 1, route.dest.calls - 1
         self.touch(route.dest)
         if o.limit:
             route.pacer.told, route.pacer.rough = o.limit, 1.0
