--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -9,6 +9,7 @@
 import random
 from bisect import bisect_left
 from dataclasses import dataclass, field
+from itertools import accumulate
 from math import inf
 
 from . import interface as it
@@ -20,8 +21,7 @@
 
 # A route: (states, input, next state, effect); = stays; what is not listed changes nothing.
 ROUTE_ROWS = (
-    ("closed skipping waiting warming", "failed", "=", "count"),
-    ("closed skipping waiting warming", "tripped", "open", "rest"),
+    ("closed skipping waiting warming trial", "tripped", "open", "rest"),
     ("closed skipping warming", "full", "skipping", "skip"),
     ("closed skipping waiting warming", "wait", "waiting", "heed"),
     ("skipping waiting warming", "due", "closed", None),
@@ -38,8 +38,7 @@
 # A notification: (state, input) -> (next state, effect).
 NTF = {
     ("parked", "pushed"): ("out", None),
-    ("parked", "short"): ("over", "give_up"),
-    ("parked", "shed"): ("over", "give_up"),
+    ("parked", "given up"): ("over", "give_up"),
     ("parked", "ended"): ("over", "forget"),
     ("out", "ended"): ("over", "forget"),
     ("out", "came to nothing"): ("parked", "again"),
@@ -53,22 +52,22 @@
     FULL, LEAST = 64, 4  # halved at so many, to follow a change within minutes; fewer than four say nothing
 
     def __init__(self):
-        self.bins, self.count = [0.0] * (len(self.EDGES) + 1), 0.0
+        self.bins, self.count, self.found = [0.0] * (len(self.EDGES) + 1), 0.0, {}
 
     def add(self, seconds):
         self.bins[bisect_left(self.EDGES, seconds)] += 1.0
-        self.count += 1.0
+        self.count, self.found = self.count + 1.0, {}
         if self.count >= self.FULL:
             self.bins, self.count = [b / 2 for b in self.bins], self.count / 2
 
     def quantile(self, part, unknown):
         """The upper edge of the bin that holds this part."""
-        left = part * self.count
-        for edge, number in zip([*self.EDGES, self.EDGES[-1]], self.bins, strict=True):
-            left -= number
-            if left <= 0 and self.count >= self.LEAST:
-                return edge
-        return unknown
+        if self.count < self.LEAST:
+            return unknown
+        if part not in self.found:
+            reached = list(accumulate(self.bins))
+            self.found[part] = self.EDGES[min(bisect_left(reached, part * self.count), len(self.EDGES) - 1)]
+        return self.found[part]
 
 
 class Pacer:
@@ -136,7 +135,7 @@
         if refused:
             self.gain = max(self.GAIN_MIN, self.gain * self.SHRINK)
         out = until - self.bad_since > self.OUT_AFTER or sum(self.recent) >= self.MANY
-        if out or (self.cold is not None and not refused):
+        if out:
             # The house's random wait: relays must not come back in step.
             self.tokens = min(self.tokens, self.random.random()) if self.cold != inf else self.tokens
             self.cold = inf
@@ -179,6 +178,7 @@
     def __init__(self, endpoint, dest, pacer):
         self.id, self.zone, self.dest, self.pacer = endpoint.id, endpoint.zone, dest, pacer
         self.state, self.until, self.row, self.calls, self.silent = "closed", 0.0, 0, 0, False
+        self.free_at = 0.0
 
 
 class Dest:
@@ -200,6 +200,7 @@
     OVERDUE, OVERDUE_LEAST = 2.5, 1.0  # past so many times what nine in ten stay under, at least a second
     TIMEOUT, TIMEOUT_LEAST = 6.0, 3.0  # the same for giving a push up: long, as overdue ones tell already
     ROOM = 2.0  # times what the rate keeps busy at a route: answers of uneven length pass each other
+    SPACE = 0.8  # of the time between two calls at a route's part: it must not hold the pacer up
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
@@ -216,8 +217,6 @@
         if settings.asks_for_list:
             self.at(0.0, Brain.ask, None)
 
-    # -- the loop ---------------------------------------------------------------------------------
-
     def round(self, now, events):
         self.now, self.acts, self.travel = now, [], {}
         for event in events:
@@ -240,8 +239,6 @@
     def touch(self, dest):
         self.touched[id(dest)] = dest
 
-    # -- the list ---------------------------------------------------------------------------------
-
     def on_list(self, update):
         if update.failed:  # at a random time, so that relays do not ask in step
             self.at(self.now + self.random.uniform(0.5, 1.5), Brain.ask, None)
@@ -277,9 +274,6 @@
         if effect:
             getattr(self, effect)(route, span)
 
-    def count(self, route, _):
-        self.turn(route, "tripped" if route.row >= self.TRIP else None)
-
     def rest(self, route, _):
         self.heed(route, (self.REST if route.silent else self.REST_SHORT) * self.random.uniform(0.7, 1.3))
 
@@ -319,7 +313,7 @@
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf
         self.park(ntf)
         if len(self.held) > self.set.max_open * self.DOOR:
-            self.step(min((x for x in self.held.values() if x.state == "parked"), key=self.rank), "shed")
+            self.step(min((x for x in self.held.values() if x.state == "parked"), key=self.rank), "given up")
 
     def park(self, ntf):
         ntf.dest.parked[ntf.id] = ntf
@@ -328,7 +322,7 @@
 
     def runs_short(self, ntf):
         if self.now + self.expected(ntf.dest) >= ntf.due - 1e-6:
-            self.step(ntf, "short")
+            self.step(ntf, "given up")
         elif ntf.state == "parked":  # pushes have become faster since
             self.at(ntf.due - self.expected(ntf.dest), Brain.runs_short, ntf)
 
@@ -422,7 +416,7 @@
         route.pacer.bad(call.sent, self.now, False)
         if not silent:  # it reached nobody
             route.pacer.tokens = min(1.0, route.pacer.tokens + 1.0)
-        self.turn(route, "failed")
+        self.turn(route, "tripped" if route.row >= self.TRIP else "failed")
 
     def overdue(self, call):
         """A push past its time is evidence before its time-out: it covers hangs, silence, slow answers."""
@@ -480,22 +474,26 @@
         sick = any(r.row or r.state in ("open", "trial") for r in dest.order)
         return max(1, int(self.set.slots * (self.SHARE_SICK if sick else self.SHARE)))
 
+    def among(self, dest):
+        return 1 if dest.kind.apart else sum(r.state != "draining" for r in dest.order) or 1
+
     def room(self, route):
         """Calls that a route holds before more would only queue; past it the route counts as refusing."""
-        dest = route.dest
-        routes = 1 if dest.kind.apart else sum(r.state != "draining" for r in dest.order) or 1
         if not route.pacer.told:
             return inf
-        busy = route.pacer.part() / routes * dest.times.quantile(0.3, self.USUAL)
+        busy = route.pacer.part() / self.among(route.dest) * route.dest.times.quantile(0.3, self.USUAL)
         return max(1.0, self.ROOM * route.pacer.gain * busy)
 
+    def free_at(self, route):
+        return max(route.free_at, route.pacer.ready_at(self.now))
+
     def eligible(self, route, ntf, once):
         if route.state not in ("closed", "warming", "trial") or (route.state == "trial" and route.calls):
             return False
         loses = route.silent and ntf.topic.effect is ONCE and not once
         if route.row and (loses or ntf.pushes * 2 >= self.set.max_pushes):
             return False  # unproven: not with last pushes, nor with what a silence would end
-        return route.calls < self.room(route) and route.pacer.ready_at(self.now) <= self.now
+        return route.calls < self.room(route) and self.free_at(route) <= self.now
 
     def joins(self, route):
         call = self.travel.get(route.id)
@@ -503,6 +501,8 @@
 
     def serve(self):
         """Push what may go, the most valuable first: a slot goes where it wins most."""
+        if self.slots <= 0:
+            return  # the outcome that frees a slot comes back here
         dests, self.touched = self.touched.values(), {}
         ranked = [(d, sorted(d.parked.values(), key=self.rank, reverse=True)) for d in dests if d.parked]
         for dest, parked in sorted(ranked, key=lambda row: self.rank(row[1][0]), reverse=True):
@@ -534,9 +534,9 @@
         route.pacer.took(call is None)
         if call is None:
             call = self.travel[route.id] = Call(route, self.now)
-            self.slots -= 1
-            route.calls += 1
-            route.dest.calls += 1
+            self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
+            if route.dest.kind.batch > 1:  # heavy calls: a route takes no more than its part of the rate
+                route.free_at = self.now + self.SPACE * self.among(route.dest) / route.pacer.rate(self.now)
             self.at(self.now + max(self.OVERDUE_LEAST, self.OVERDUE * times), Brain.overdue, call)
         call.items.append((ntf, ntf.pushes))
         call.left += 1
@@ -550,7 +550,7 @@
 
     def plan(self, dest):
         """Wake when the next call may go to one of the destination's routes."""
-        when = min((r.pacer.ready_at(self.now) for r in dest.order if r.state != "draining"), default=inf)
+        when = min((self.free_at(r) for r in dest.order if r.state != "draining"), default=inf)
         if self.now < when < inf and not self.now < dest.wake <= when:
             dest.wake = when
             self.at(when, Brain.touch, dest)
