Late calls keep their slots only until another destination wants one

It takes the place of the fixed half for all late calls together. First tried with 'a destination without a failure' as the one that wants; with lost answers everywhere no destination is without, so any route that is not out counts.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -266,8 +266,6 @@
         dest.order = sorted([*dest.order, route], key=lambda r: r.id)
         return route
 
-    # -- a route's life ---------------------------------------------------------------------------
-
     def turn(self, route, heard, span=0.0):
         self.touch(route.dest)
         route.state, effect = ROUTE.get((route.state, heard), (route.state, None))
@@ -364,8 +362,6 @@
         if event.id in self.held:
             self.step(self.held[event.id], "ended")
 
-    # -- outcomes ---------------------------------------------------------------------------------
-
     def on_outcome(self, o):
         if (o.id, o.push) not in self.out:
             return
@@ -424,10 +420,14 @@
             return
         call.late = True
         self.sick(call, True)
-        self.late = [c for c in self.late if c.left] + [call]
-        if len(self.late) > max(1, int(self.set.slots * self.SHARE_SICK)) and self.set.may_cancel:
-            # All sick destinations together hold half the slots: what loses least is called off. Covers
-            # several hangs at once; hurts where slow answers would have come.
+        self.late.append(call)
+
+    def free_a_slot(self):
+        """Late calls hold slots until a route that is not out wants one: what loses least is called off.
+        Covers hangs, silence, lost answers anywhere; hurts where slow answers would have come."""
+        self.late = [c for c in self.late if c.left]
+        wanting = (r for d in self.touched.values() if d.parked for r in d.order)
+        if self.late and self.set.may_cancel and any(r.state in ("closed", "warming") for r in wanting):
             least = min(self.late, key=lambda c: sum(n.benefit for n, _ in c.items if n.topic.effect is ONCE))
             self.late.remove(least)
             self.acts += [it.Cancel(n.id, push) for n, push in least.items]
@@ -457,8 +457,6 @@
             return True
         return ntf.topic.effect is not ONCE and ntf.topic.group == "all"
 
-    # -- pushing ----------------------------------------------------------------------------------
-
     def rank(self, ntf):
         """Benefit still to be won by a push now; the older first among equals."""
         topic, done = ntf.topic, self.now + self.expected(ntf.dest)
@@ -502,7 +500,7 @@
     def serve(self):
         """Push what may go, the most valuable first: a slot goes where it wins most."""
         if self.slots <= 0:
-            return  # the outcome that frees a slot comes back here
+            return self.free_a_slot()  # the outcome that frees one comes back here
         dests, self.touched = self.touched.values(), {}
         ranked = [(d, sorted(d.parked.values(), key=self.rank, reverse=True)) for d in dests if d.parked]
         for dest, parked in sorted(ranked, key=lambda row: self.rank(row[1][0]), reverse=True):
