Calls carry half as many after one came to nothing; route spacing removed

Symptom: at two destinations that take many in a call, calls of twenty never answered, later broke at once, small ones were delivered. Not an outage (the same routes deliver all the time), not a limit (no refusals), not one relay (all alike). Covers one bad notification in a call, a size limit, a fate shared by many. Spacing calls a route earned nothing.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -178,14 +178,13 @@
     def __init__(self, endpoint, dest, pacer):
         self.id, self.zone, self.dest, self.pacer = endpoint.id, endpoint.zone, dest, pacer
         self.state, self.until, self.row, self.calls, self.silent = "closed", 0.0, 0, 0, False
-        self.free_at = 0.0
 
 
 class Dest:
     """One destination: its routes in order, what is parked for it, what its calls hold."""
 
     def __init__(self):
-        self.kind, self.pacer, self.order, self.parked = None, None, [], {}
+        self.kind, self.pacer, self.order, self.parked, self.carry = None, None, [], {}, 1000
         self.calls, self.times, self.wake = 0, Times(), inf
 
 
@@ -200,7 +199,7 @@
     OVERDUE, OVERDUE_LEAST = 2.5, 1.0  # past so many times what nine in ten stay under, at least a second
     TIMEOUT, TIMEOUT_LEAST = 6.0, 3.0  # the same for giving a push up: long, as overdue ones tell already
     ROOM = 2.0  # times what the rate keeps busy at a route: answers of uneven length pass each other
-    SPACE = 0.8  # of the time between two calls at a route's part: it must not hold the pacer up
+    CARRY_MORE = 2  # notifications more in a call after each delivered one, until its kind's most
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
@@ -397,7 +396,7 @@
         """What a call's outcome says of its route."""
         if o.result is Result.DELIVERED:
             route.pacer.good(call.sent, self.now)
-            route.row, route.silent = 0, False
+            route.row, route.silent, route.dest.carry = 0, False, route.dest.carry + self.CARRY_MORE
             self.turn(route, "delivered")
         elif o.result is Result.FULL:
             route.pacer.bad(call.sent, self.now + o.wait, True)
@@ -410,7 +409,9 @@
         route = call.route
         route.row, route.silent = route.row + 1, silent
         route.pacer.bad(call.sent, self.now, False)
-        if not silent:  # it reached nobody
+        if silent:  # one fate for all it carries: the next carry less, whatever is at fault
+            route.dest.carry = max(1, len(call.items) // 2)
+        else:  # it reached nobody
             route.pacer.tokens = min(1.0, route.pacer.tokens + 1.0)
         self.turn(route, "tripped" if route.row >= self.TRIP else "failed")
 
@@ -472,30 +473,26 @@
         sick = any(r.row or r.state in ("open", "trial") for r in dest.order)
         return max(1, int(self.set.slots * (self.SHARE_SICK if sick else self.SHARE)))
 
-    def among(self, dest):
-        return 1 if dest.kind.apart else sum(r.state != "draining" for r in dest.order) or 1
-
     def room(self, route):
         """Calls that a route holds before more would only queue; past it the route counts as refusing."""
+        dest = route.dest
         if not route.pacer.told:
             return inf
-        busy = route.pacer.part() / self.among(route.dest) * route.dest.times.quantile(0.3, self.USUAL)
+        routes = 1 if dest.kind.apart else sum(r.state != "draining" for r in dest.order) or 1
+        busy = route.pacer.part() / routes * dest.times.quantile(0.3, self.USUAL)
         return max(1.0, self.ROOM * route.pacer.gain * busy)
 
-    def free_at(self, route):
-        return max(route.free_at, route.pacer.ready_at(self.now))
-
     def eligible(self, route, ntf, once):
         if route.state not in ("closed", "warming", "trial") or (route.state == "trial" and route.calls):
             return False
         loses = route.silent and ntf.topic.effect is ONCE and not once
         if route.row and (loses or ntf.pushes * 2 >= self.set.max_pushes):
             return False  # unproven: not with last pushes, nor with what a silence would end
-        return route.calls < self.room(route) and self.free_at(route) <= self.now
+        return route.calls < self.room(route) and route.pacer.ready_at(self.now) <= self.now
 
     def joins(self, route):
         call = self.travel.get(route.id)
-        return call if call and len(call.items) < route.dest.kind.batch else None
+        return call if call and len(call.items) < min(route.dest.carry, route.dest.kind.batch) else None
 
     def serve(self):
         """Push what may go, the most valuable first: a slot goes where it wins most."""
@@ -533,8 +530,6 @@
         if call is None:
             call = self.travel[route.id] = Call(route, self.now)
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
-            if route.dest.kind.batch > 1:  # heavy calls: a route takes no more than its part of the rate
-                route.free_at = self.now + self.SPACE * self.among(route.dest) / route.pacer.rate(self.now)
             self.at(self.now + max(self.OVERDUE_LEAST, self.OVERDUE * times), Brain.overdue, call)
         call.items.append((ntf, ntf.pushes))
         call.left += 1
@@ -548,7 +543,7 @@
 
     def plan(self, dest):
         """Wake when the next call may go to one of the destination's routes."""
-        when = min((self.free_at(r) for r in dest.order if r.state != "draining"), default=inf)
+        when = min((r.pacer.ready_at(self.now) for r in dest.order if r.state != "draining"), default=inf)
         if self.now < when < inf and not self.now < dest.wake <= when:
             dest.wake = when
             self.at(when, Brain.touch, dest)
