--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -199,7 +199,6 @@
     OVERDUE, OVERDUE_LEAST = 2.5, 1.0  # past so many times what nine in ten stay under, at least a second
     TIMEOUT, TIMEOUT_LEAST = 6.0, 3.0  # the same for giving a push up: long, as overdue ones tell already
     ROOM = 2.0  # times what the rate keeps busy at a route: answers of uneven length pass each other
-    CARRY_MORE = 2  # notifications more in a call after each delivered one, until its kind's most
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
@@ -396,7 +395,7 @@
         """What a call's outcome says of its route."""
         if o.result is Result.DELIVERED:
             route.pacer.good(call.sent, self.now)
-            route.row, route.silent, route.dest.carry = 0, False, route.dest.carry + self.CARRY_MORE
+            route.row, route.silent, route.dest.carry = 0, False, min(1000, route.dest.carry * 2)
             self.turn(route, "delivered")
         elif o.result is Result.FULL:
             route.pacer.bad(call.sent, self.now + o.wait, True)
@@ -409,7 +408,7 @@
         route = call.route
         route.row, route.silent = route.row + 1, silent
         route.pacer.bad(call.sent, self.now, False)
-        if silent:  # one fate for all it carries: the next carry less, whatever is at fault
+        if silent:  # one fate for all it carries: half as many in the next, twice after each delivered one
             route.dest.carry = max(1, len(call.items) // 2)
         else:  # it reached nobody
             route.pacer.tokens = min(1.0, route.pacer.tokens + 1.0)
