--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -198,7 +198,7 @@
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
     OVERDUE, OVERDUE_LEAST = 2.5, 1.0  # past so many times what nine in ten stay under, at least a second
     TIMEOUT, TIMEOUT_LEAST = 6.0, 3.0  # the same for giving a push up: long, as overdue ones tell already
-    ROOM = 2.0  # times what the rate keeps busy at a route: answers of uneven length pass each other
+    ROOM = 1.2  # times what our gain's rate keeps busy at a route: two queue, 1.2 let uneven answers pass
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
