--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -113,6 +113,57 @@
         self.assertGreater(pacer.ready_at(24.9), 25.0)
         self.assertLess(pacer.tokens, 1.0)
 
+    def test_a_limits_short_refusals_leave_a_destination_warm(self):
+        pacer = brain().routes["a"].pacer
+        pacer.bad(5.0, 6.0, True)
+        self.assertIsNone(pacer.cold)
+
+    def test_a_lone_failure_in_the_warm_up_does_not_restart_it(self):
+        pacer = brain().routes["a"].pacer
+        pacer.bad(5.0, 9.0, False)
+        pacer.good(9.0, 10.0)
+        pacer.bad(11.0, 11.5, False)
+        self.assertEqual(pacer.cold, 10.0)
+
+
+class Symptoms(unittest.TestCase):
+    def test_overdue_pushes_open_the_circuit_before_any_outcome(self):
+        b = brain(routes=("a",))
+        b.round(1.0, [take(f"n{i}") for i in range(3)])
+        b.round(4.0, [it.Woken()])
+        self.assertEqual(b.routes["a"].state, "open")
+
+    def test_a_late_call_is_called_off_only_when_a_slot_is_wanted(self):
+        b = brain(routes=("a", "b"), slots=4, rate=500.0, may_cancel=True)
+        b.round(1.0, [take("n"), take("m", "once")])
+        self.assertEqual(kinds(b.round(4.0, [it.Woken()]), it.Cancel), [])
+        b.slots = 0
+        self.assertEqual(kinds(b.round(4.1, [take("x")]), it.Cancel), ["n"])
+
+    def test_a_call_that_came_to_nothing_halves_what_the_next_carries(self):
+        b = brain(kind="bulk", routes=("a",))
+        b.round(1.0, [take(f"n{i}") for i in range(8)])
+        b.round(2.0, [end("n0", "a", Result.BROKEN)])
+        self.assertEqual(b.routes["a"].dest.carry, 4)
+
+    def test_a_failed_connection_costs_no_warm_up_budget(self):
+        b = brain(routes=("a",), rate=2.0)
+        b.round(1.0, [take("n")])
+        before = b.routes["a"].pacer.tokens
+        b.round(1.0, [end("n", "a", Result.NO_CONNECTION)])
+        self.assertGreater(b.routes["a"].pacer.tokens, before)
+
+    def test_a_trial_spares_the_once_only_after_silence(self):
+        b = brain(routes=("a",))
+        route = b.routes["a"]
+        route.state, route.row, route.silent = "trial", 3, True
+        self.assertEqual(pushes(b.round(1.0, [take("m", "once"), take("n")])), [("n", "a")])
+
+    def test_under_pressure_the_least_valuable_is_throttled_at_once(self):
+        b = brain(routes=(), max_open=2)
+        acts = b.round(1.0, [take("n", "once"), take("m")])
+        self.assertEqual(kinds(acts, it.Throttle), ["m"])
+
 
 if __name__ == "__main__":
     unittest.main()
