--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -411,7 +411,7 @@
         if silent:  # one fate for all it carries: half as many in the next, twice after each delivered one
             route.dest.carry = max(1, len(call.items) // 2)
         else:  # it reached nobody
-            route.pacer.tokens = min(1.0, route.pacer.tokens + 1.0)
+            route.pacer.tokens = max(route.pacer.tokens, min(1.0, route.pacer.tokens + 1.0))
         self.turn(route, "tripped" if route.row >= self.TRIP else "failed")
 
     def overdue(self, call):
