--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -82,6 +82,7 @@
     LAST, MANY = 8, 4  # of so many outcomes so many failed: "most calls fail", seen from few
     COLD_PART = 0.8  # of rule 4's budget: the rest is for chance and for relays with more than their part
     COLD_ITEM = 0.05  # what a further item of a call weighs at a cold destination
+    UNTOLD, UNTOLD_COLD = 5.0, 0.5  # calls a second to begin with; few destinations take less than the second
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
 
     def __init__(self, settings, kind, chance, now):
@@ -95,8 +96,10 @@
         self.cold = None  # None: warm; inf: not back yet; else since when it is back
 
     def part(self):
-        """Our even part of the rate; of what was delivered where nothing is told."""
-        return self.told / self.relays if self.told else max(1.0, self.seen)
+        """Our even part of the rate; where none is told, what was delivered: twice that while all is well."""
+        if self.told:
+            return self.told / self.relays
+        return max(self.UNTOLD, 2 * self.seen) if self.cold is None else max(self.UNTOLD_COLD, self.seen)
 
     def rate(self, now):
         part, share = self.part(), self.rules.cold_share
@@ -121,7 +124,7 @@
 
     def good(self, sent, now):
         self.recent = [*self.recent[1:], 0]
-        self.seen = self.seen * 0.5 ** ((now - self.seen_at) / 5.0) + 0.14  # a second, over some 5 s
+        self.seen = self.seen * 0.5 ** ((now - self.seen_at) / 20.0) + 0.035  # a second, over some 20 s
         self.seen_at = now
         self.gain = min(self.most, self.gain * self.GROW) if self.tokens < 1.0 else self.gain
         if sent >= self.bad_since or self.bad_since == inf:  # what went before the outage proves no return
