--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -478,8 +478,6 @@
     def room(self, route):
         """Calls that a route holds before more would only queue; past it the route counts as refusing."""
         dest = route.dest
-        if not route.pacer.told:
-            return inf
         routes = 1 if dest.kind.apart else sum(r.state != "draining" for r in dest.order) or 1
         busy = route.pacer.part() / routes * dest.times.quantile(0.3, self.USUAL)
         return max(1.0, self.ROOM * route.pacer.gain * busy)
