--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -187,7 +187,7 @@
     """One destination: its routes in order, what is parked for it, what its calls hold."""
 
     def __init__(self):
-        self.kind, self.pacer, self.order, self.parked, self.carry = None, None, [], {}, 1000
+        self.kind, self.pacer, self.order, self.parked = None, None, [], {}
         self.calls, self.times, self.wake = 0, Times(), inf
 
 
@@ -398,7 +398,7 @@
         """What a call's outcome says of its route."""
         if o.result is Result.DELIVERED:
             route.pacer.good(call.sent, self.now)
-            route.row, route.silent, route.dest.carry = 0, False, min(1000, route.dest.carry * 2)
+            route.row, route.silent = 0, False
             self.turn(route, "delivered")
         elif o.result is Result.FULL:
             route.pacer.bad(call.sent, self.now + o.wait, True)
@@ -411,9 +411,7 @@
         route = call.route
         route.row, route.silent = route.row + 1, silent
         route.pacer.bad(call.sent, self.now, False)
-        if silent:  # one fate for all it carries: half as many in the next, twice after each delivered one
-            route.dest.carry = max(1, len(call.items) // 2)
-        else:  # it reached nobody
+        if not silent:  # it reached nobody
             route.pacer.tokens = max(route.pacer.tokens, min(1.0, route.pacer.tokens + 1.0))
         self.turn(route, "tripped" if route.row >= self.TRIP else "failed")
 
@@ -492,7 +490,7 @@
 
     def joins(self, route):
         call = self.travel.get(route.id)
-        return call if call and len(call.items) < min(route.dest.carry, route.dest.kind.batch) else None
+        return call if call and len(call.items) < route.dest.kind.batch else None
 
     def serve(self):
         """Push what may go, the most valuable first: a slot goes where it wins most."""
