An overdue push that a younger delivered one has passed is no evidence

Cause: one heavy notification or one lost answer opened circuits of routes that went on delivering. Covers heavy tails; could hurt where a route goes silent right after a quick answer: the next overdue push tells.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -181,6 +181,7 @@
     def __init__(self, endpoint, dest, pacer):
         self.id, self.zone, self.dest, self.pacer = endpoint.id, endpoint.zone, dest, pacer
         self.state, self.until, self.row, self.calls, self.silent = "closed", 0.0, 0, 0, False
+        self.good_at = 0.0  # when the youngest push went that was delivered
 
 
 class Dest:
@@ -398,7 +399,7 @@
         """What a call's outcome says of its route."""
         if o.result is Result.DELIVERED:
             route.pacer.good(call.sent, self.now)
-            route.row, route.silent = 0, False
+            route.row, route.silent, route.good_at = 0, False, max(route.good_at, call.sent)
             self.turn(route, "delivered")
         elif o.result is Result.FULL:
             route.pacer.bad(call.sent, self.now + o.wait, True)
@@ -420,7 +421,8 @@
         if call.left < len(call.items) or call.late:
             return
         call.late = True
-        self.sick(call, True)
+        if call.route.good_at <= call.sent:  # else younger ones came back: it is heavy, or its answer lost
+            self.sick(call, True)
         self.late.append(call)
 
     def free_a_slot(self):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -133,6 +133,14 @@
         b.round(4.0, [it.Woken()])
         self.assertEqual(b.routes["a"].state, "open")
 
+    def test_an_overdue_push_that_a_younger_one_passed_is_no_evidence(self):
+        b = brain(routes=("a",))
+        b.round(1.0, [take("n")])
+        b.round(1.5, [take("m")])
+        b.round(1.6, [end("m", "a", Result.DELIVERED, ended=True)])
+        b.round(4.0, [it.Woken()])
+        self.assertEqual(b.routes["a"].row, 0)
+
     def test_a_late_call_is_called_off_only_when_a_slot_is_wanted(self):
         b = brain(routes=("a", "b"), slots=4, rate=500.0, may_cancel=True)
         b.round(1.0, [take("n"), take("m", "once")])
