--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -202,7 +202,7 @@
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
     OVERDUE, OVERDUE_LEAST = 2.5, 1.0  # past so many times what nine in ten stay under, at least a second
     TIMEOUT, TIMEOUT_LEAST = 6.0, 3.0  # the same for giving a push up: long, as overdue ones tell already
-    ROOM = 1.2  # times what our gain's rate keeps busy at a route: two queue, 1.2 let uneven answers pass
+    ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
@@ -263,7 +263,8 @@
         if dest.kind.apart or not dest.pacer:
             dest.pacer = Pacer(self.set, dest.kind, self.random, self.now)
         route = self.routes[e.id] = Route(e, dest, dest.pacer)
-        for old in [r for r in dest.order if r.state == "draining" and not r.calls]:
+        idle = [r for r in dest.order if r.state == "draining" and not r.calls]
+        for old in [r for r in idle if r.pacer.wait_until <= self.now and r.pacer.cold is None]:
             dest.order.remove(self.routes.pop(old.id))
         dest.order = sorted([*dest.order, route], key=lambda r: r.id)
         return route
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -74,6 +74,13 @@
         b.round(1.0, [take("n")])
         self.assertEqual(pushes(b.round(1.1, [end("n", "a", Result.FULL, wait=1.0)])), [("n", "b")])
 
+    def test_a_wait_outlives_a_drained_route_that_is_listed_again(self):
+        b = brain(kind="apart", routes=("a",))
+        b.routes["a"].pacer.wait_until = 9.0
+        for name, listed in (("a", it.Listed.DRAINING), ("b", it.Listed.READY), ("a", it.Listed.READY)):
+            b.round(1.0, [it.ListUpdate((it.Endpoint(name, "z", "apart", 7, listed, 50.0),))])
+        self.assertEqual(pushes(b.round(2.0, [take("n")])), [("n", "b")])
+
     def test_key_order_and_rest(self):
         b = brain()
         self.assertEqual(pushes(b.round(1.0, [take("n", "turns", key="k"), take("m", "turns", key="k")])),
