--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -77,6 +77,9 @@
     # refused shrinks, in balance at one refusal in ten; the ends keep one bad minute from lasting.
     GAIN, GAIN_MIN, GAIN_MAX, GROW, SHRINK = 1.5, 0.5, 12.0, 1.01, 0.9
     BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
+    # On a large fleet an even part is a call in minutes and demand is never even: until it is refused any
+    # relay may send a call in so many seconds: twice as long after a refusal, down to its even part.
+    BACK, EASE = 0.5, 0.8  # about a refusal's skip; eased by a fifth a delivery: balance at a quarter refused
     # Failing or refusing so long with no delivery between, it may come back cold; a limit's refusals
     OUT_AFTER = 3.0  # are shorter, and a shorter outage hardly empties anything
     LAST, MANY = 8, 4  # of so many outcomes so many failed: "most calls fail", seen from few
@@ -85,7 +88,7 @@
     UNTOLD, UNTOLD_COLD = 5.0, 0.5  # calls a second to begin with; few destinations take less than the second
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
 
-    def __init__(self, settings, kind, chance, now):
+    def __init__(self, settings, kind, chance, now, dest):
         # Where calls carry many, spaced ones gather what comes: no burst, and no more than our even part.
         self.burst, self.most = (self.BURST, self.GAIN_MAX) if kind.batch == 1 else (0.0, 1.0)
         self.rules, self.relays, self.random = settings.rules, settings.relays, chance
@@ -94,6 +97,8 @@
         self.gain, self.tokens, self.at = min(self.GAIN, self.most), 1.0, now
         self.wait_until, self.bad_since, self.recent = 0.0, inf, [0] * self.LAST
         self.cold = None  # None: warm; inf: not back yet; else since when it is back
+        self.dest, self.batch, self.good_at, self.out, self.back = dest, kind.batch, -inf, False, self.BACK
+        self.row = 0
 
     def part(self):
         """Our even part of the rate; where none is told, what was delivered: twice that while all is well."""
@@ -104,11 +109,13 @@
     def rate(self, now):
         part, share = self.part(), self.rules.cold_share
         if self.cold is None:
-            return part * self.gain
+            return max(part * self.gain, 1.0 / self.back if self.batch == 1 else 0.0)
         share += (1.0 - share) * max(0.0, now - self.cold) / self.rules.cold_time
         if share >= 1.0:
             self.cold = None
-        return min(part, part / self.rough * self.rules.overload_factor * share * self.COLD_PART)
+        if self.told and self.batch == 1:  # by what we are asked for: even parts are idle at most relays
+            part = self.dest.asked(now) / (len(self.dest.order) if self.dest.kind.apart else 1)
+        return max(1e-3, min(part, part / self.rough * self.rules.overload_factor * share * self.COLD_PART))
 
     def ready_at(self, now):
         """When the next call may go."""
@@ -127,18 +134,27 @@
         self.seen = self.seen * 0.5 ** ((now - self.seen_at) / 20.0) + 0.035  # a second, over some 20 s
         self.seen_at = now
         self.gain = min(self.most, self.gain * self.GROW) if self.tokens < 1.0 else self.gain
+        self.back, self.good_at = max(self.BACK, self.back * self.EASE), now
+        self.row = 0
         if sent >= self.bad_since or self.bad_since == inf:  # what went before the outage proves no return
             self.bad_since = inf
-            self.cold = max(now, self.wait_until) if self.cold == inf else self.cold
+            if self.cold == inf:  # one failure alone, seen from few calls, was no outage
+                self.cold, self.out = max(now, self.wait_until) if self.out else None, False
 
-    def bad(self, sent, until, refused):
+    def bad(self, sent, until, refused, full=True):
         """A failure or refusal of a push that went at sent; until: when the destination may be back."""
         self.recent = [*self.recent[1:], 0 if refused else 1]
         self.bad_since = min(self.bad_since, sent)
         if refused:
             self.gain = max(self.GAIN_MIN, self.gain * self.SHRINK)
+            if full:
+                self.row += 1
+                self.back, self.tokens = self.back * 2**self.row, min(self.tokens, self.random.random())
+            else:
+                self.tokens += 1.0
         out = until - self.bad_since > self.OUT_AFTER or sum(self.recent) >= self.MANY
-        if out:
+        self.out = self.out or out
+        if out or (not refused and sent - self.good_at > self.OUT_AFTER):
             # The house's random wait: relays must not come back in step.
             self.tokens = min(self.tokens, self.random.random()) if self.cold != inf else self.tokens
             self.cold = inf
@@ -190,6 +206,12 @@
     def __init__(self):
         self.kind, self.pacer, self.order, self.parked = None, None, [], {}
         self.calls, self.times, self.wake = 0, Times(), inf
+        self.flow, self.flow_at = 0.0, 0.0
+
+    def asked(self, now, more=0.0):
+        """Notifications a second that come in for it here, over some 30 s."""
+        self.flow, self.flow_at = self.flow * 0.5 ** ((now - self.flow_at) / 20.0) + more * 0.035, now
+        return self.flow
 
 
 class Brain:
@@ -261,7 +283,8 @@
         dest = self.dests.setdefault(e.destination, Dest())
         dest.kind = dest.kind or self.kinds.get(e.kind) or it.Kind(e.kind)
         if dest.kind.apart or not dest.pacer:
-            dest.pacer = Pacer(self.set, dest.kind, self.random, self.now)
+            dest.pacer = Pacer(self.set, dest.kind, self.random, self.now, dest)
+            dest.asked(self.now, e.rate / self.set.relays / 0.035 if self.set.told_rates else 0.0)
         route = self.routes[e.id] = Route(e, dest, dest.pacer)
         idle = [r for r in dest.order if r.state == "draining" and not r.calls]
         for old in [r for r in idle if r.pacer.wait_until <= self.now and r.pacer.cold is None]:
@@ -309,6 +332,7 @@
                 benefit *= self.set.over_share_benefit
             else:
                 row[1] += 1.0
+        dest.asked(self.now, 1.0)
         ntf = self.held[n.id] = Ntf(n.id, n.due, dest, topic, benefit, n.key if topic.keep_order else "")
         if ntf.key:
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf
@@ -403,9 +427,10 @@
             route.row, route.silent, route.good_at = 0, False, max(route.good_at, call.sent)
             self.turn(route, "delivered")
         elif o.result is Result.FULL:
-            route.pacer.bad(call.sent, self.now + o.wait, True)
             if not o.wait:
                 self.turn(route, "full")
+            more = [r for r in route.dest.order if r.pacer is route.pacer and r.state in ("closed", "warming")]
+            route.pacer.bad(call.sent, self.now + o.wait, True, not more)
         elif o.result not in (Result.NOT_SENT, Result.CANCELLED) and not call.late:
             self.sick(call, o.result is not Result.NO_CONNECTION)
 
@@ -413,8 +438,6 @@
         route = call.route
         route.row, route.silent = route.row + 1, silent
         route.pacer.bad(call.sent, self.now, False)
-        if not silent:  # it reached nobody
-            route.pacer.tokens = max(route.pacer.tokens, min(1.0, route.pacer.tokens + 1.0))
         self.turn(route, "tripped" if route.row >= self.TRIP else "failed")
 
     def overdue(self, call):
