--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -79,7 +79,7 @@
     BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
     # On a large fleet an even part is a call in minutes and demand is never even: until it is refused any
     # relay may send a call in so many seconds: twice as long after a refusal, down to its even part.
-    BACK, EASE = 0.5, 0.8  # about a refusal's skip; eased by a fifth a delivery: balance at a quarter refused
+    BACK, EASE = 0.5, 0.925  # about a refusal's skip; eased by a fifth a delivery: balance at a quarter refused
     # Failing or refusing so long with no delivery between, it may come back cold; a limit's refusals
     OUT_AFTER = 3.0  # are shorter, and a shorter outage hardly empties anything
     LAST, MANY = 8, 4  # of so many outcomes so many failed: "most calls fail", seen from few
@@ -88,17 +88,17 @@
     UNTOLD, UNTOLD_COLD = 5.0, 0.5  # calls a second to begin with; few destinations take less than the second
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
 
-    def __init__(self, settings, kind, chance, now, dest):
+    def __init__(self, settings, kind, chance, now, dest, rate):
         # Where calls carry many, spaced ones gather what comes: no burst, and no more than our even part.
         self.burst, self.most = (self.BURST, self.GAIN_MAX) if kind.batch == 1 else (0.0, 1.0)
         self.rules, self.relays, self.random = settings.rules, settings.relays, chance
         self.rough = self.ROUGH if settings.rough_rates else 1.0
         self.told, self.seen, self.seen_at = None, 0.0, now
-        self.gain, self.tokens, self.at = min(self.GAIN, self.most), 1.0, now
+        self.gain, self.tokens, self.at = min(self.GAIN, self.most), chance.random() ** (1.0 / max(rate, 0.1)), now
         self.wait_until, self.bad_since, self.recent = 0.0, inf, [0] * self.LAST
         self.cold = None  # None: warm; inf: not back yet; else since when it is back
         self.dest, self.batch, self.good_at, self.out, self.back = dest, kind.batch, -inf, False, self.BACK
-        self.row = 0
+        self.row, self.hungry = 0, 0.0
 
     def part(self):
         """Our even part of the rate; where none is told, what was delivered: twice that while all is well."""
@@ -109,12 +109,12 @@
     def rate(self, now):
         part, share = self.part(), self.rules.cold_share
         if self.cold is None:
-            return max(part * self.gain, 1.0 / self.back if self.batch == 1 else 0.0)
+            return part * self.gain
         share += (1.0 - share) * max(0.0, now - self.cold) / self.rules.cold_time
         if share >= 1.0:
             self.cold = None
         if self.told and self.batch == 1:  # by what we are asked for: even parts are idle at most relays
-            part = self.dest.asked(now) / (len(self.dest.order) if self.dest.kind.apart else 1)
+            part = max(part, self.dest.asked(now) / (len(self.dest.order) if self.dest.kind.apart else 1))
         return max(1e-3, min(part, part / self.rough * self.rules.overload_factor * share * self.COLD_PART))
 
     def ready_at(self, now):
@@ -124,17 +124,21 @@
         if self.cold is not None:  # nothing gathers in a wait, or all relays would send at its end
             most, since = 1.0, max(self.at, self.wait_until)
         self.tokens, self.at = min(most, self.tokens + rate * max(0.0, now - since)), now
-        return max(now, self.wait_until) + max(0.0, 1.0 - 1e-6 - self.tokens) / rate
+        lack, start = max(0.0, 1.0 - 1e-6 - self.tokens), max(now, self.wait_until)
+        if self.cold is None and self.batch == 1:
+            return max(start, min(start + lack / rate, max(self.hungry, self.dest.hungry, self.wait_until) + lack * self.back))
+        return start + lack / rate
 
-    def took(self, first):
+    def took(self, first, now):
         self.tokens -= 1.0 if first else self.COLD_ITEM if self.cold is not None else 0.0
+        self.tokens, self.hungry = max(-1.0, self.tokens), now
 
     def good(self, sent, now):
         self.recent = [*self.recent[1:], 0]
         self.seen = self.seen * 0.5 ** ((now - self.seen_at) / 20.0) + 0.035  # a second, over some 20 s
         self.seen_at = now
         self.gain = min(self.most, self.gain * self.GROW) if self.tokens < 1.0 else self.gain
-        self.back, self.good_at = max(self.BACK, self.back * self.EASE), now
+        self.back, self.good_at = max(0.3, self.back * self.EASE), now
         self.row = 0
         if sent >= self.bad_since or self.bad_since == inf:  # what went before the outage proves no return
             self.bad_since = inf
@@ -206,7 +210,7 @@
     def __init__(self):
         self.kind, self.pacer, self.order, self.parked = None, None, [], {}
         self.calls, self.times, self.wake = 0, Times(), inf
-        self.flow, self.flow_at = 0.0, 0.0
+        self.flow, self.flow_at, self.hungry = 0.0, 0.0, 0.0
 
     def asked(self, now, more=0.0):
         """Notifications a second that come in for it here, over some 30 s."""
@@ -283,8 +287,7 @@
         dest = self.dests.setdefault(e.destination, Dest())
         dest.kind = dest.kind or self.kinds.get(e.kind) or it.Kind(e.kind)
         if dest.kind.apart or not dest.pacer:
-            dest.pacer = Pacer(self.set, dest.kind, self.random, self.now, dest)
-            dest.asked(self.now, e.rate / self.set.relays / 0.035 if self.set.told_rates else 0.0)
+            dest.pacer = Pacer(self.set, dest.kind, self.random, self.now, dest, e.rate)
         route = self.routes[e.id] = Route(e, dest, dest.pacer)
         idle = [r for r in dest.order if r.state == "draining" and not r.calls]
         for old in [r for r in idle if r.pacer.wait_until <= self.now and r.pacer.cold is None]:
@@ -341,6 +344,8 @@
             self.step(min((x for x in self.held.values() if x.state == "parked"), key=self.rank), "given up")
 
     def park(self, ntf):
+        if not ntf.dest.parked:
+            ntf.dest.hungry = self.now
         ntf.dest.parked[ntf.id] = ntf
         self.at(max(self.now, ntf.due - self.expected(ntf.dest)), Brain.runs_short, ntf)
         self.touch(ntf.dest)
@@ -550,7 +555,7 @@
 
     def push(self, ntf, route):
         call, times = self.joins(route), route.dest.times.quantile(0.9, 2 * self.USUAL)
-        route.pacer.took(call is None)
+        route.pacer.took(call is None, self.now)
         if call is None:
             call = self.travel[route.id] = Call(route, self.now)
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
