--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -539,7 +539,7 @@
             return self.free_a_slot()  # the outcome that frees one comes back here
         dests, self.touched = self.touched.values(), {}
         ranked = [(d, sorted(d.parked.values(), key=self.rank, reverse=True)) for d in dests if d.parked]
-        for dest, parked in sorted(ranked, key=lambda row: self.rank(row[1][0]), reverse=True):
+        for dest, parked in sorted(ranked, key=lambda row: self.rank(row[1][0])[0] / self.expected(row[0]), reverse=True):
             once = all(n.topic.effect is ONCE for n in parked)
             for ntf in parked:
                 if ntf.pushes and (ntf.hops > self.HOPS or ntf.past >= dest.order[-1].id):
