--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -49,10 +49,11 @@
     """How long delivered pushes took: a few coarse bins, halved now and then."""
 
     EDGES = [0.05 * 1.5**i for i in range(18)]  # half as far again each; the last is some 50 s
-    FULL, LEAST = 64, 4  # halved at so many, to follow a change within minutes; fewer than four say nothing
+    FULL = 64  # halved at so many, to follow a change within minutes
+    PRIOR = 3.0  # what all destinations took counts for so many: a few of its own show one's pace
 
-    def __init__(self):
-        self.bins, self.count, self.found = [0.0] * (len(self.EDGES) + 1), 0.0, {}
+    def __init__(self, prior=None):
+        self.bins, self.count, self.found, self.prior = [0.0] * (len(self.EDGES) + 1), 0.0, {}, prior
 
     def add(self, seconds):
         self.bins[bisect_left(self.EDGES, seconds)] += 1.0
@@ -62,11 +63,15 @@
 
     def quantile(self, part, unknown):
         """The upper edge of the bin that holds this part."""
-        if self.count < self.LEAST:
-            return unknown
         if part not in self.found:
-            reached = list(accumulate(self.bins))
-            self.found[part] = self.EDGES[min(bisect_left(reached, part * self.count), len(self.EDGES) - 1)]
+            bins, pool = self.bins, self.prior
+            if pool and pool.count:
+                bins = [b + p * self.PRIOR / pool.count for b, p in zip(bins, pool.bins, strict=True)]
+            reached = list(accumulate(bins))
+            if not reached[-1]:
+                return unknown
+            at = min(bisect_left(reached, part * reached[-1]), len(self.EDGES) - 1)
+            self.found[part] = self.EDGES[at]
         return self.found[part]
 
 
@@ -205,9 +210,9 @@
 class Dest:
     """One destination: its routes in order, what is parked for it, what its calls hold."""
 
-    def __init__(self):
+    def __init__(self, times):
         self.kind, self.order, self.parked = None, [], {}
-        self.calls, self.times, self.wake = 0, Times(), inf
+        self.calls, self.times, self.wake = 0, Times(times), inf
         self.flow, self.flow_at, self.hungry = 0.0, 0.0, 0.0
 
     def bound(self, route):
@@ -245,6 +250,7 @@
         self.topics = {t.name: t for t in settings.topic_types}
         self.kinds = {k.name: k for k in settings.kinds}
         self.quota = {c.name: [c.quota / settings.relays, 0.0, 0.0] for c in settings.customers}
+        self.times = Times()  # of all destinations
         self.dests, self.routes, self.held, self.out, self.late = {}, {}, {}, {}, []
         self.keys = {}  # key in order -> [ids in turn, rest until]
         self.slots, self.heap, self.seq, self.woken = settings.slots, [], 0, inf
@@ -290,8 +296,13 @@
     def ask(self, _):
         self.acts.append(it.AskForList())
 
+    def dest(self, name):
+        if name not in self.dests:
+            self.dests[name] = Dest(self.times)
+        return self.dests[name]
+
     def add_route(self, e):
-        dest = self.dests.setdefault(e.destination, Dest())
+        dest = self.dest(e.destination)
         dest.kind = dest.kind or self.kinds.get(e.kind) or it.Kind(e.kind)
         one = dest.order[0].pacer if dest.order and dest.kind.batch > 1 and not dest.kind.apart else None
         pacer = one or Pacer(self.set, dest.kind, self.random, self.now, dest, e.rate)
@@ -333,7 +344,7 @@
             getattr(self, effect)(ntf)
 
     def on_notification(self, n):
-        topic, dest = self.topics[n.topic_type], self.dests.setdefault(n.destination, Dest())
+        topic, dest = self.topics[n.topic_type], self.dest(n.destination)
         benefit = topic.benefit
         if n.customer in self.quota:
             row = self.quota[n.customer]
@@ -419,6 +430,7 @@
                 self.turn(each, "wait", span)
         if o.result is Result.DELIVERED:
             route.dest.times.add(o.elapsed)
+            self.times.add(o.elapsed)
         if first:
             self.judge(route, call, o)
         ntf.out -= 1
@@ -564,7 +576,8 @@
         return None
 
     def push(self, ntf, route):
-        call, times = self.joins(route), route.dest.times.quantile(0.9, 2 * self.USUAL)
+        call = self.joins(route)
+        times = route.dest.times.quantile(0.9, 2 * self.USUAL)
         route.pacer.took(call is None, self.now)
         if call is None:
             call = self.travel[route.id] = Call(route, self.now)
