--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -238,7 +238,7 @@
     SKIP = 0.3  # after a refusal as full: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
-    OVERDUE, OVERDUE_LEAST = 2.5, 1.0  # past so many times what nine in ten stay under, at least a second
+    OVERDUE, OVERDUE_LEAST = 2.5, 2.0  # past so many times what nine in ten stay under, at least two seconds
     TIMEOUT, TIMEOUT_LEAST = 6.0, 3.0  # the same for giving a push up: long, as overdue ones tell already
     ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
     USUAL = 0.5  # a push's time before anything was measured
