Give up where most are parked, least valuable first

Danger: one sick destination fills the hold and new notifications for well ones are turned away. Covers hangs, limits, long warm-ups.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -359,7 +359,9 @@
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf
         self.park(ntf)
         if len(self.held) > self.set.max_open * self.DOOR:
-            self.step(min((x for x in self.held.values() if x.state == "parked"), key=self.rank), "given up")
+            # Where most are parked the next has least to win: one sick destination must not fill the hold.
+            parked = (x for x in self.held.values() if x.state == "parked")
+            self.step(min(parked, key=lambda x: (-len(x.dest.parked), self.rank(x))), "given up")
 
     def park(self, ntf):
         if not ntf.dest.parked:
