--- a/ryestack/benchlink/codec.py
+++ b/ryestack/benchlink/codec.py
@@ -131,6 +131,7 @@
         may_cancel=allowed.get("mayCancel") is True,
         max_come_back=span(allowed, "maxRetryAfterMs", "allowed", 0.0) if allowed.get("retryAfter") else 0.0,
         asks_for_list=options.get("discovery") == "ask",
+        connection_idle=span(allowed, "connIdleMs", "allowed", 0.0),
     )
 
 
--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -87,6 +87,7 @@
     BACK, EASE = 0.5, 0.925  # about a refusal's skip; eased so little a delivery, balance is at one in ten
     # Failing or refusing so long with no delivery between, it may come back cold; a limit's refusals
     OUT_AFTER = 3.0  # are shorter, and a shorter outage hardly empties anything
+    THIN = 4.0  # calls in the time that an idle connection stays open
     LAST, MANY = 8, 4  # of so many outcomes so many failed: "most calls fail", seen from few
     COLD_PART = 0.8  # of rule 4's budget: the rest is for chance and for relays with more than their part
     COLD_ITEM = 0.05  # what a further item of a call weighs at a cold destination
@@ -96,6 +97,7 @@
     def __init__(self, settings, kind, chance, now, dest, rate):
         # Where calls carry many, spaced ones gather what comes: no burst, and no more than our even part.
         self.burst, self.most = (self.BURST, self.GAIN_MAX) if kind.batch == 1 else (0.0, 1.0)
+        self.idle = settings.connection_idle
         self.rules, self.relays, self.random = settings.rules, settings.relays, chance
         self.rough = self.ROUGH if settings.rough_rates else 1.0
         self.told, self.seen, self.seen_at = None, 0.0, now
@@ -129,13 +131,19 @@
         most = max(1.0, rate * self.burst)
         if self.cold is not None:  # nothing gathers in a wait, or all relays would send at its end
             most, since = 1.0, max(self.at, self.wait_until)
-        self.tokens, self.at = min(most, self.tokens + rate * max(0.0, now - since)), now
+        if not self.thin():
+            self.tokens = min(most, self.tokens + rate * max(0.0, now - since))
+        self.at = now
         lack, start = max(0.0, 1.0 - 1e-6 - self.tokens), max(now, self.wait_until)
         if self.cold is None and self.batch == 1:
             since = max(self.hungry, self.dest.hungry, self.wait_until)
             return max(start, min(start + lack / rate, since + lack * self.back))
         return start + lack / rate
 
+    def thin(self):
+        """Our part is so small that it lies at one route, drawn by chance, whose connection stays open."""
+        return self.cold is None and self.batch == 1 and 0.0 < self.part() * self.idle < self.THIN
+
     def took(self, first, now):
         self.tokens -= 1.0 if first else self.COLD_ITEM if self.cold is not None else 0.0
         self.tokens, self.hungry = max(-1.0, self.tokens), now
@@ -146,6 +154,7 @@
             self.seen = self.seen * 0.5 ** ((now - self.seen_at) / 20.0) + 0.035  # a second, over some 20 s
             self.gain = min(self.most, self.gain * self.GROW) if self.tokens < 1.0 else self.gain
             self.back, self.row, self.seen_at = max(0.1, self.back * self.EASE), 0, now
+            self.tokens = 1.0 if self.thin() else self.tokens
         if sent >= self.bad_since or self.bad_since == inf:  # what went before the outage proves no return
             self.bad_since = inf
             if self.cold == inf:  # one failure alone, seen from few calls, was no outage
--- a/ryestack/interface.py
+++ b/ryestack/interface.py
@@ -106,6 +106,7 @@
     may_cancel: bool = False
     max_come_back: float = 0.0
     asks_for_list: bool = False
+    connection_idle: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
