--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -214,6 +214,7 @@
         self.id, self.zone, self.dest, self.pacer = endpoint.id, endpoint.zone, dest, pacer
         self.state, self.until, self.row, self.calls, self.silent = "closed", 0.0, 0, 0, False
         self.good_at = 0.0  # when the youngest push went that was delivered
+        self.lanes = {}  # topic type -> [failures in a row, as good_at, shut until]
 
 
 class Dest:
@@ -244,6 +245,7 @@
 
     TRIP, REST = 3, 5.0  # the design's circuit: three in a row, five seconds
     REST_SHORT = 1.5  # after failed connections: a trial reaches nobody and proves that nothing ran
+    LANE_REST = 15.0  # three rests: a sister takes the topic type meanwhile, and a trial may cost a notification
     SKIP = 0.3  # after a refusal as full: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
@@ -461,6 +463,8 @@
             for pacer in route.dest.bound(route):
                 pacer.good(call.sent, self.now, pacer is route.pacer)
             route.row, route.silent, route.good_at = 0, False, max(route.good_at, call.sent)
+            for topic in {n.topic.name for n, _ in call.items}:
+                route.lanes[topic] = [0, max(call.sent, route.lanes.get(topic, (0, 0.0))[1]), 0.0]
             self.turn(route, "delivered")
         elif o.result is Result.FULL:
             if not o.wait:
@@ -471,6 +475,11 @@
 
     def sick(self, call, silent):
         route = call.route
+        for topic in {n.topic.name for n, _ in call.items}:
+            lane = route.lanes.setdefault(topic, [0, 0.0, 0.0])
+            lane[0] += 1
+            if lane[0] >= self.TRIP or (silent and call.sent - lane[1] > self.REST):
+                lane[2] = self.now + self.LANE_REST * self.random.uniform(0.7, 1.3)
         route.row, route.silent = route.row + 1, silent
         for pacer in route.dest.bound(route):
             pacer.bad(call.sent, self.now, False)
@@ -552,6 +561,14 @@
             return False  # unproven: not with last pushes, nor with what a silence would end
         return route.calls < self.room(route) and route.pacer.ready_at(self.now) <= self.now
 
+    def shuns(self, route, ntf):
+        """One topic type may fail where others are taken, whose deliveries close the circuit again: it goes
+        by a sister for a while. Covers one bad handler or table there; hurts where the sister is the worse."""
+        def shut(r):
+            return r.lanes and self.now < r.lanes.get(ntf.topic.name, (0, 0.0, 0.0))[2]
+
+        return shut(route) and any(r.state not in ("open", "draining") and not shut(r) for r in ntf.dest.order)
+
     def joins(self, route):
         call = self.travel.get(route.id)
         return call if call and len(call.items) < route.dest.kind.batch else None
@@ -582,7 +599,7 @@
         free = dest.calls < self.cap(dest) and self.slots > 0
         for route in dest.order:
             open_to = self.joins(route) or (free and self.eligible(route, ntf, once))
-            if route.id > ntf.past and open_to and self.may_push(ntf, route):
+            if route.id > ntf.past and open_to and self.may_push(ntf, route) and not self.shuns(route, ntf):
                 return route
         return None
 
