--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -360,7 +360,8 @@
         if n.customer in self.quota:
             row = self.quota[n.customer]
             row[1], row[2] = max(0.0, row[1] - row[0] * (self.now - row[2])), self.now
-            if row[1] > row[0] * self.SHARE_SPAN:
+            even = row[0] * self.SHARE_SPAN
+            if row[1] > even + 2.0 * even**0.5 + 1.0:  # a relay's part is uneven by chance
                 benefit *= self.set.over_share_benefit
             else:
                 row[1] += 1.0
