--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -245,7 +245,6 @@
 
     TRIP, REST = 3, 5.0  # the design's circuit: three in a row, five seconds
     REST_SHORT = 1.5  # after failed connections: a trial reaches nobody and proves that nothing ran
-    LANE_REST = 15.0  # three rests: a sister takes the topic type meanwhile, and a trial may cost a notification
     SKIP = 0.3  # after a refusal as full: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
@@ -480,10 +479,12 @@
             lane = route.lanes.setdefault(topic, [0, 0.0, 0.0])
             lane[0] += 1
             if lane[0] >= self.TRIP or (silent and call.sent - lane[1] > self.REST):
-                lane[2] = self.now + self.LANE_REST * self.random.uniform(0.7, 1.3)
+                lane[2] = self.now + self.REST * self.random.uniform(0.7, 1.3)
         route.row, route.silent = route.row + 1, silent
         for pacer in route.dest.bound(route):
             pacer.bad(call.sent, self.now, False)
+        if not silent:  # it reached nobody: as much comes back as the rest would earn
+            route.pacer.tokens = min(1.0, route.pacer.tokens + self.REST_SHORT * route.pacer.rate(self.now))
         # Where calls are few, a silence with no delivery shortly before is all there will be to see.
         thin = silent and call.sent - route.good_at > self.REST
         self.turn(route, "tripped" if thin or route.row >= self.TRIP else "failed")
