--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -137,8 +137,8 @@
         self.bad_since = min(self.bad_since, sent)
         if refused:
             self.refusals, self.hungry = self.refusals + 1, now
-            self.back, self.tokens = self.back * 2**self.refusals, min(self.tokens, self.random.random())
-            self.at = now
+            # At a random time: relays that a clump met refused together must not come again together.
+            self.back, self.tokens, self.at = self.back * 2**self.refusals, -2.0 * self.random.random(), now
         else:
             self.failures += 1
         if now + wait - self.bad_since > self.OUT_AFTER or self.failures >= self.ROW:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -155,6 +155,48 @@
         b.slots = 0
         self.assertEqual(kinds(b.round(4.1, [take("x")]), it.Cancel), ["n"])
 
+    def test_relays_refused_together_come_again_apart(self):
+        ready = []
+        for seed in range(9):
+            b = brain(kind="apart", routes=("a",), rate=4.0, relays=200, connection_idle=10.0)
+            b.routes["a"].pacer.random.seed(seed)
+            b.routes["a"].pacer.took(True, 1.0)
+            b.routes["a"].pacer.bad(1.0, 1.1, True)
+            ready.append(round(b.routes["a"].pacer.ready_at(1.1), 1))
+        self.assertGreater(len(set(ready)), 4)
+
+    def test_a_thin_part_stays_at_the_route_that_delivered(self):
+        b = brain(kind="apart", rate=4.0, relays=200, connection_idle=10.0)
+        b.routes["b"].pacer.tokens, b.routes["a"].pacer.tokens = 1.0, 0.0
+        self.assertEqual(pushes(b.round(1.0, [take("n", due=21.0)])), [("n", "b")])
+        b.round(1.2, [end("n", "b", Result.DELIVERED, ended=True)])
+        self.assertEqual(pushes(b.round(1.3, [take("m", due=21.3)])), [("m", "b")])
+
+    def test_a_topic_type_that_fails_goes_by_a_sister_and_others_stay(self):
+        b = brain(kind="apart")
+        b.round(1.0, [take("n")])
+        b.round(1.1, [end("n", "a", Result.ERROR)])
+        sent = pushes(b.round(2.0, [take("m"), take("o", "merge")]))
+        self.assertEqual(sorted(sent), [("m", "b"), ("o", "a")])
+
+    def test_a_slow_destination_is_known_from_few_and_all_others(self):
+        b = brain(routes=("a",))
+        b.times.add(0.1)
+        for _ in range(3):
+            b.dests[7].times.add(1.7)
+        self.assertGreater(b.dests[7].times.quantile(0.9), 1.6)
+
+    def test_one_sick_destination_does_not_fill_the_hold(self):
+        b = brain(routes=(), max_open=4)
+        b.round(1.0, [take("n", "once"), take("m", "once"), take("o", "once")])
+        well = it.Notification("x", 20.0, 8, "again")
+        self.assertNotIn("x", kinds(b.round(1.1, [well]), it.Throttle))
+
+    def test_a_customers_part_may_be_uneven_by_chance(self):
+        b = brain(relays=200, customers=(it.Customer("c", 20.0),), over_share_benefit=0.1)
+        b.round(1.0, [it.Notification(n, 20.0, 7, "again", "c") for n in "nm"])
+        self.assertEqual({b.held[n].benefit for n in "nm"}, {1.0})
+
     def test_a_trial_spares_the_once_only_after_silence(self):
         b = brain(routes=("a",))
         route = b.routes["a"]
