--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -138,7 +138,8 @@
         if refused:
             self.refusals, self.hungry = self.refusals + 1, now
             # At a random time: relays that a clump met refused together must not come again together.
-            self.back, self.tokens, self.at = self.back * 2**self.refusals, -2.0 * self.random.random(), now
+            self.back, self.at = self.back * 2**self.refusals, now
+            self.tokens = -self.refusals * self.random.random()
         else:
             self.failures += 1
         if now + wait - self.bad_since > self.OUT_AFTER or self.failures >= self.ROW:
