--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -87,7 +87,7 @@
         self.gain, self.at = self.GAIN if self.single else 1.0, now
         self.told = rate if settings.told_rates else self.UNTOLD
         self.tokens = chance.random() ** (1.0 / max(self.told, 0.1))  # a draw by rate among routes
-        self.back, self.refusals, self.failures, self.hungry = self.BACK, 0, 0, 0.0
+        self.back, self.refusals, self.hungry = self.BACK, 0, 0.0
         self.wait_until, self.bad_since = 0.0, inf
         self.cold = None  # None: warm; inf: not back yet; else since when it is back
 
@@ -125,7 +125,6 @@
         self.tokens, self.hungry = max(-1.0, self.tokens), now
 
     def good(self, sent, now, here):
-        self.failures = 0
         if here:
             self.back, self.refusals = max(0.1, self.back * self.EASE), 0
             self.tokens = 1.0 if self.thin() else self.tokens
@@ -139,10 +138,8 @@
             self.refusals, self.hungry = self.refusals + 1, now
             # At a random time: relays that a clump met refused together must not come again together.
             self.back, self.at = self.back * 2**self.refusals, now
-            self.tokens = -self.refusals * self.random.random()
-        else:
-            self.failures += 1
-        if now + wait - self.bad_since > self.OUT_AFTER or self.failures >= self.ROW:
+            self.tokens = -(1 + self.refusals) * self.random.random()
+        if now + wait - self.bad_since > self.OUT_AFTER or self.dest.failures >= self.ROW:
             # The house's random wait: relays must not come back in step.
             self.tokens = min(self.tokens, self.random.random()) if self.cold != inf else self.tokens
             self.cold = inf
@@ -185,10 +182,11 @@
 class Dest:
     def __init__(self, times):
         self.kind, self.order, self.parked = None, [], {}
-        self.calls, self.times, self.wake, self.hungry = 0, Times(times), inf, 0.0
+        self.calls, self.failures, self.times, self.wake, self.hungry = 0, 0, Times(times), inf, 0.0
 
-    def bound(self, route):
-        return [route.pacer] if self.kind.apart else list(dict.fromkeys(r.pacer for r in self.order))
+    def bound(self, route):  # an outage mostly takes all routes: three failures in a row at any bind all
+        one = self.kind.apart and self.failures < Pacer.ROW
+        return [route.pacer] if one else list(dict.fromkeys(r.pacer for r in self.order))
 
     def sharing(self):  # pacers that a told rate is divided among
         one = self.kind.apart or self.kind.batch > 1
@@ -365,8 +363,8 @@
         if not call.left:
             self.slots, route.calls, route.dest.calls = self.slots + 1, route.calls - 1, route.dest.calls - 1
         self.touch(route.dest)
-        for pacer in route.dest.bound(route) if o.limit else ():
-            pacer.told, pacer.rough = o.limit, 1.0
+        for each in ([route] if route.dest.kind.apart else route.dest.order) if o.limit else ():
+            each.pacer.told, each.pacer.rough = o.limit, 1.0
         if o.wait > 0.0:  # each item of a call may tell a later end
             span = o.wait + 0.002  # a wait is told in whole milliseconds
             for each in [route] if route.dest.kind.apart else route.dest.order:
@@ -392,6 +390,7 @@
         if o.result is Result.DELIVERED:
             for pacer in route.dest.bound(route):
                 pacer.good(call.sent, self.now, pacer is route.pacer)
+            route.dest.failures = 0
             route.row, route.silent, route.good_at = 0, False, max(route.good_at, call.sent)
             for ntf, _ in call.items:
                 route.lanes.pop(ntf.topic.name, None)
@@ -407,6 +406,7 @@
         for ntf, _ in call.items if silent else ():
             route.lanes[ntf.topic.name] = self.now + self.REST * self.random.uniform(0.7, 1.3)
         route.row, route.silent = route.row + 1, silent
+        route.dest.failures += 1
         for pacer in route.dest.bound(route):
             pacer.bad(call.sent, self.now, False)
         self.turn(route, "tripped" if route.row >= self.TRIP else "failed")
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -165,6 +165,13 @@
             ready.append(round(b.routes["a"].pacer.ready_at(1.1), 1))
         self.assertGreater(len(set(ready)), 4)
 
+    def test_failures_at_any_routes_make_an_outage_of_all(self):
+        b = brain(kind="apart", routes=("a", "b", "c"))
+        for at, route in ((1.0, "a"), (1.1, "b"), (1.2, "c")):
+            b.round(at, [take("n" + route)])
+            b.sick(next(c for c, n in b.out.values()), False)
+        self.assertEqual({r.pacer.cold for r in b.routes.values()}, {inf})
+
     def test_a_thin_part_stays_at_the_route_that_delivered(self):
         b = brain(kind="apart", rate=4.0, relays=200, connection_idle=10.0)
         b.routes["b"].pacer.tokens, b.routes["a"].pacer.tokens = 1.0, 0.0
