A collapsible one in a narrower group ends at once when it may have run

Found on reading: with groups narrower than all, folding had left it parked to its TTL with no push allowed.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -72,7 +72,7 @@
     BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
     # At size an even part is a call in minutes: what is parked goes after so long, twice as long a refusal
     BACK, EASE = 0.5, 0.925  # in a row; so eased a delivery, balance is at one in ten refused
-    THIN = 4.0  # calls in the time that an idle connection stays open: fewer lie at one route
+    THIN = 4.0  # calls in the time that an idle connection stays open: fewer lie at one route, drawn by chance
     # Failing or refusing so long with no delivery between, or failing so often in a row, it may come
     OUT_AFTER, ROW = 3.0, 3  # back cold; a limit's refusals are shorter, and so is what hardly empties it
     COLD_PART = 0.8  # of rule 4's budget: the rest is for chance and for relays with more than their part
@@ -117,7 +117,6 @@
         return max(start, when)
 
     def thin(self):
-        """Our part is so small that it lies at one route, drawn by chance, whose connection stays open."""
         return self.cold is None and self.single and 0.0 < self.part() * self.idle < self.THIN
 
     def took(self, first, now):
@@ -433,7 +432,8 @@
     # -- the rules' guard: every push and every throttling passes here ------------------------------
 
     def closes(self, ntf):
-        return ntf.maybe_at + ntf.topic.window - 0.05 if ntf.topic.effect is Effect.COLLAPSIBLE else inf
+        span = ntf.topic.window - 0.05 if ntf.topic.group == "all" else 0.0  # a little early
+        return ntf.maybe_at + span if ntf.topic.effect is Effect.COLLAPSIBLE else inf
 
     def may_push(self, ntf, route):
         if ntf.state != "parked" or ntf.out or self.now >= ntf.due or ntf.pushes >= self.set.max_pushes:
@@ -445,7 +445,7 @@
             if next(iter(turns)) != ntf.id or (self.now < rest and not ntf.pushes):
                 return False
         if ntf.maybe_at < inf and ntf.topic.effect is not AGAIN:  # rule 2
-            return ntf.topic.effect is not ONCE and ntf.topic.group == "all" and self.now < self.closes(ntf)
+            return ntf.topic.effect is not ONCE and self.now < self.closes(ntf)
         return True
 
     def may_throttle(self, ntf):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,4 +1,5 @@
 import unittest
+from dataclasses import replace
 from math import inf
 
 from ryestack import interface as it
@@ -51,6 +52,12 @@
         b.round(1.0, [take("n", "merge")])
         self.assertEqual(kinds(b.round(7.5, [end("n", "a", Result.TIMED_OUT)]), it.Throttle), ["n"])
 
+    def test_collapsible_in_a_narrower_group_ends_at_once_when_it_may_have_run(self):
+        b = brain()
+        b.topics["merge"] = replace(b.topics["merge"], group="zone")
+        b.round(1.0, [take("n", "merge")])
+        self.assertEqual(kinds(b.round(1.5, [end("n", "a", Result.TIMED_OUT)]), it.Expire), ["n"])
+
     def test_drained_route_gets_nothing(self):
         b = brain(routes=("a",))
         gone = it.Endpoint("a", "z", "shared", 7, it.Listed.DRAINING)
