--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -72,7 +72,7 @@
     BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
     # At size an even part is a call in minutes: what is parked goes after so long, twice as long a refusal
     BACK, EASE = 0.5, 0.925  # in a row; so eased a delivery, balance is at one in ten refused
-    THIN = 4.0  # calls in the time that an idle connection stays open: fewer lie at one route, drawn by chance
+    THIN = 4.0  # calls in the time that an idle connection stays open: fewer lie at one route, by chance
     # Failing or refusing so long with no delivery between, or failing so often in a row, it may come
     OUT_AFTER, ROW = 3.0, 3  # back cold; a limit's refusals are shorter, and so is what hardly empties it
     COLD_PART = 0.8  # of rule 4's budget: the rest is for chance and for relays with more than their part
