--- a/ryestack/benchlink/host.py
+++ b/ryestack/benchlink/host.py
@@ -2,7 +2,7 @@
 
 from .. import interface as it
 from ..brain import Brain
-from .codec import EVENTS, SCOPES, BadLine, Fields, read_line, read_rows, read_settings, write, write_line
+from .codec import EVENTS, SCOPES, BadLine, Fields, read_line, read_rows, settings_of, write, write_line
 
 
 class Host:
@@ -18,8 +18,8 @@
             return
         relay = fields.next("relay", int)
         if fields.name == "Up":
-            seed, options = fields.next("entropy", int), fields.next("options", dict)
-            self.brains[relay] = Brain(read_settings(options, fields), seed)
+            seed = fields.next("entropy", int)
+            self.brains[relay] = Brain(settings_of(fields), seed)
             self.pending[relay] = []
         elif relay not in self.brains:
             raise fields.bad(f"unknown instance {relay}")
--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -1,7 +1,6 @@
 """All decisions of a relay. A caller makes one Brain(settings, seed) a relay and calls
 round(now, events) -> actions with the clock in seconds; the types stand in interface.py.
-docs/design.md says what is kept of ADR-0142.
-"""
+docs/design.md says what is kept of ADR-0142."""
 
 import heapq
 import random
@@ -60,8 +59,7 @@
         if part not in self.found:
             weight, pool = self.PRIOR / self.prior.count, self.prior.bins
             reached = list(accumulate(b + p * weight for b, p in zip(self.bins, pool, strict=True)))
-            at = min(bisect_left(reached, part * reached[-1]), len(self.EDGES) - 1)
-            self.found[part] = self.EDGES[at]
+            self.found[part] = self.EDGES[min(bisect_left(reached, part * reached[-1]), len(self.EDGES) - 1)]
         return self.found[part]
 
 
@@ -216,7 +214,7 @@
         self.routes, self.held, self.out, self.late = {}, {}, {}, []
         self.keys = {}  # key in order -> [ids in turn, rest until]
         self.slots, self.heap, self.seq, self.woken = settings.slots, [], 0, inf
-        self.acts, self.touched, self.travel = [], {}, {}
+        self.acts, self.touched, self.travel, self.leaves = [], {}, {}, inf
         if settings.asks_for_list:
             self.at(0.0, Brain.ask, None)
 
@@ -304,7 +302,8 @@
         ntf = self.held[n.id] = Ntf(n.id, n.due, dest, topic, benefit, n.key if topic.keep_order else "")
         if ntf.key:
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf
-        self.park(ntf)
+        ntf.pushes, ntf.maybe_at = n.pushes, n.maybe_at  # its history, where a relay before us took it
+        self.again(ntf)
         if len(self.held) > self.set.max_open * self.DOOR:
             # Where most are parked the next has least to win: one sick destination must not fill the hold.
             parked = (x for x in self.held.values() if x.state == "parked")
@@ -440,6 +439,8 @@
             return False  # rule 1, and no second copies
         if route.state == "draining" or self.now < route.pacer.wait_until:
             return False  # rules 3 and 6
+        if self.now + self.expected(ntf.dest) >= self.leaves:
+            return False  # rule 2: a restart cuts it off, and it may have run
         if ntf.key:  # rule 5: the first of its key, after the rest
             turns, rest = self.keys[ntf.key]
             if next(iter(turns)) != ntf.id or (self.now < rest and not ntf.pushes):
@@ -469,9 +470,8 @@
 
     def room(self, route):
         """Calls that a route holds before more would only queue; past it the route counts as refusing."""
-        dest = route.dest
-        routes = sum(r.pacer is route.pacer for r in dest.order)
-        busy = route.pacer.part() / routes * dest.times.quantile(0.3)
+        routes = sum(r.pacer is route.pacer for r in route.dest.order)
+        busy = route.pacer.part() / routes * route.dest.times.quantile(0.3)
         return max(1.0, self.ROOM * route.pacer.gain * busy)
 
     def eligible(self, route, ntf):
@@ -532,8 +532,7 @@
         call.items.append((ntf, ntf.pushes))
         call.left += 1
         self.out[ntf.id, ntf.pushes] = call, ntf
-        ntf.out += 1
-        ntf.pushes += 1
+        ntf.out, ntf.pushes = ntf.out + 1, ntf.pushes + 1
         ntf.dest.parked.pop(ntf.id, None)
         self.step(ntf, "pushed")
         longest = inf if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, self.TIMEOUT * times)
@@ -551,4 +550,5 @@
         it.Outcome: on_outcome,
         it.Withdrawn: on_withdrawn,
         it.Woken: lambda self, event: None,
+        it.Leaving: lambda self, event: setattr(self, "leaves", event.until),
     }
--- a/ryestack/interface.py
+++ b/ryestack/interface.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 
 
 class Effect(Enum):
@@ -107,6 +108,8 @@
     max_come_back: float = 0.0
     asks_for_list: bool = False
     connection_idle: float = 0.0
+    connect_timeout: float = 0.0
+    quantum: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,7 +135,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Notification:
-    """A notification to deliver by due, a time of the clock."""
+    """A notification to deliver by due, a time of the clock.
+
+    One that a relay owes from before a restart brings its history: the pushes made, and when the first
+    went that may have run.
+    """
 
     id: str
     due: float
@@ -140,6 +147,8 @@
     topic_type: str
     customer: str = ""
     key: str = ""
+    pushes: int = 0
+    maybe_at: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +180,13 @@
     """A time asked for has come."""
 
 
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """This relay's process ends at that time of the clock; another takes over what it owes."""
+
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class Push:
     """Send the notification to the endpoint; timeout in seconds."""
@@ -215,5 +231,5 @@
     """Ask the registry for changes from now on, the whole list first if this relay is behind."""
 
 
-Event = ListUpdate | Notification | Outcome | Withdrawn | Woken
+Event = ListUpdate | Notification | Outcome | Withdrawn | Woken | Leaving
 Action = Push | Cancel | Throttle | Expire | Wake | AskForList
--- /dev/null
+++ b/ryestack/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start to exit: the phases of a relay and the one task that owns its decisions."""
--- /dev/null
+++ b/ryestack/lifecycle/config.py
@@ -0,0 +1,76 @@
+"""What a live relay is told: the file that LB_CONFIG names, and the folder LB_STATE."""
+
+import json
+import os
+from dataclasses import dataclass
+
+from .. import interface as it
+from ..settings import BadSettings, read_settings
+from ..wire.members import BadList, read_list
+
+
+class BadConfig(Exception):
+    """A configuration that cannot be used; the text says what is wrong in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    host: str
+    port: int
+    discovery: str
+    state: str
+    seed: int
+    sockets: int
+    disk: int
+    known: dict
+    settings: it.Settings
+
+
+def load(environ=os.environ) -> Config:
+    path, state = environ.get("LB_CONFIG"), environ.get("LB_STATE")
+    if not path or not state:
+        raise BadConfig("LB_CONFIG must name the configuration, LB_STATE a folder that lasts")
+    if not os.path.isdir(state):
+        raise BadConfig(f"LB_STATE: {state} is no folder")
+    try:
+        with open(path, "rb") as file:
+            told = json.load(file)
+    except OSError as problem:
+        raise BadConfig(f"{path}: {problem.strerror}") from None
+    except ValueError as problem:
+        raise BadConfig(f"{path}: not JSON: {problem}") from None
+    try:
+        return read(told, state)
+    except (BadSettings, BadList) as problem:
+        raise BadConfig(f"{path}: {problem}") from None
+
+
+def read(told: dict, state: str) -> Config:
+    def need(table, key, kind):
+        value = table.get(key) if isinstance(table, dict) else None
+        if not isinstance(value, kind) or isinstance(value, bool):
+            raise BadConfig(f"{key} is missing or has the wrong type")
+        return value
+
+    host, _, port = need(told, "listen", str).rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise BadConfig("listen must be address:port")
+    limits, known = need(told, "limits", dict), need(told, "known", dict)
+    read_list(known)
+    try:
+        seed = int(str(told.get("seed", "")), 16)
+    except ValueError:
+        raise BadConfig("seed must be hex digits") from None
+    return Config(
+        name=need(told, "name", str),
+        host=host,
+        port=int(port),
+        discovery=need(told, "discovery", str),
+        state=state,
+        seed=seed,
+        sockets=need(limits, "sockets", int),
+        disk=int(need(limits, "disk_mb", (int, float)) * 1_000_000),
+        known=known,
+        settings=read_settings(need(told, "settings", dict)),
+    )
--- /dev/null
+++ b/ryestack/lifecycle/owner.py
@@ -0,0 +1,190 @@
+"""The one task that owns the decisions. All else reaches it through its queue.
+
+Events that wait together go in one round; what the module asks for is done in the order that keeps the
+promises: journal first, then the answer to the client, then the call.
+"""
+
+import asyncio
+from collections import Counter, defaultdict
+
+from loguru import logger
+
+from .. import interface as it
+from ..brain import Brain
+from ..interface import Result
+from ..store.ledger import Ledger, Owed
+from ..wire.calls import Item
+from ..wire.server import FAILED, MALFORMED, REFUSED, TAKEN, HandIn
+
+NEVER_RAN = {Result.FULL, Result.NO_CONNECTION, Result.NOT_SENT}  # what the protocol proves
+
+
+class Owner:
+    def __init__(self, settings: it.Settings, seed: int, ledger: Ledger, clock, wall: float):
+        self.settings, self.ledger, self.clock = settings, ledger, clock
+        self.wall = wall  # added to the clock, it gives the wall's time
+        self.brain = Brain(settings, seed)
+        self.queue, self.filled = [], asyncio.Event()
+        self.calls = self.notices = None
+        self.counts = Counter()
+        self.fresh: dict[str, HandIn] = {}
+
+    # -- the queue --------------------------------------------------------------------------------
+
+    def put(self, events) -> None:
+        self.queue.extend(events)
+        self.filled.set()
+
+    def hand_in(self, message: HandIn) -> None:
+        self.put([message])
+
+    def withdraw(self, name: str) -> None:
+        self.put([it.Withdrawn(name)])
+
+    def told_platform(self, names: list[str]) -> None:
+        for name in names:
+            self.keep(self.ledger.over, name)
+
+    async def run(self) -> None:
+        while True:
+            await self.filled.wait()
+            self.filled.clear()
+            self.round(self.take_queue())
+            await asyncio.sleep(self.settings.quantum)
+
+    def take_queue(self) -> list:
+        events, self.queue = self.queue, []
+        return events
+
+    # -- one round --------------------------------------------------------------------------------
+
+    def round(self, events: list) -> None:
+        self.fresh = {}
+        heard = [event for event in (self.BEFORE.get(type(e), _as_is)(self, e) for e in events) if event]
+        asked = defaultdict(list)
+        for action in self.brain.round(self.clock(), heard):
+            asked[type(action)].append(action)
+        for action in asked[it.Throttle] + asked[it.Expire]:
+            self.end(action)
+        for message in self.fresh.values():
+            self.take(message)
+        for action in asked[it.Cancel]:
+            self.calls.cancel(action.id, action.push)
+        self.push(asked[it.Push])
+        for action in asked[it.Wake]:
+            asyncio.get_running_loop().call_later(action.after, self.put, [it.Woken()])
+
+    def before_hand_in(self, message: HandIn):
+        name = message.ntf.id
+        if name in self.ledger.owed or name in self.fresh:
+            message.verdict.set_result((MALFORMED, 0.0))
+        elif len(self.ledger.owed) >= self.settings.max_open or not self.ledger.has_room(message.body):
+            self.counts["turned away"] += 1
+            message.verdict.set_result((REFUSED, 0.0))
+        else:
+            self.fresh[name] = message
+            return message.ntf
+        return None
+
+    def before_outcome(self, o: it.Outcome):
+        self.counts[o.result.value] += 1
+        if o.result is Result.DELIVERED or o.ended:
+            self.keep(self.ledger.over, o.id)
+        else:
+            self.keep(self.ledger.outcome, o.id, o.push, o.result in NEVER_RAN)
+        return o
+
+    def before_withdrawn(self, event: it.Withdrawn):
+        self.keep(self.ledger.over, event.id)
+        return event
+
+    def end(self, action: it.Throttle | it.Expire) -> None:
+        """An end at once answers the client; later it is a notice to the platform."""
+        throttled = isinstance(action, it.Throttle)
+        away = action.come_back if throttled else 0.0
+        self.counts["throttled" if throttled else "expired"] += 1
+        message = self.fresh.pop(action.id, None)
+        if message:
+            message.verdict.set_result((REFUSED if throttled else FAILED, away))
+        elif action.id in self.ledger.owed:
+            notice = {"state": "returned" if throttled else "failed"}
+            if away > 0.0:
+                notice["after_ms"] = round(away * 1000.0)
+            self.keep(self.ledger.owe_notice, action.id, notice)
+            self.notices.add(action.id, notice)
+
+    def take(self, message: HandIn) -> None:
+        n = message.ntf
+        due = n.due + self.wall
+        owed = Owed(n.id, due, n.destination, n.topic_type, n.customer, n.key, message.key, message.body)
+        try:
+            self.ledger.take(owed)
+        except OSError as problem:
+            logger.warning("journal: a message was refused: {}", problem)
+            message.verdict.set_result((REFUSED, 0.0))
+            self.put([it.Withdrawn(n.id)])
+            return
+        self.counts["taken"] += 1
+        self.ledger.owed[n.id].heard = message.heard
+        message.verdict.set_result((TAKEN, 0.0))
+
+    def push(self, pushes: list[it.Push]) -> None:
+        calls, unsent = defaultdict(list), []
+        for p in pushes:
+            owed = self.ledger.owed.get(p.id)
+            if not owed:  # refused just now, for want of room in the journal
+                unsent.append(it.Outcome(p.id, 0, p.endpoint, Result.NOT_SENT, ended=True))
+                continue
+            number = owed.pushes
+            try:
+                self.ledger.push(p.id, number, self.clock() + self.wall)
+            except OSError as problem:
+                logger.warning("journal: a push was not made: {}", problem)
+                owed.pushes += 1
+                unsent.append(it.Outcome(p.id, number, p.endpoint, Result.NOT_SENT))
+                continue
+            calls[p.endpoint].append(Item(p.id, number, p.timeout, owed.key, owed.body, owed.heard))
+        for endpoint, items in calls.items():
+            self.counts["calls"] += 1
+            self.calls.start(endpoint, items)
+        if unsent:
+            self.put(unsent)
+
+    def keep(self, change, *values) -> None:
+        """Journal what has happened already: without room it is known to this process only."""
+        try:
+            change(*values)
+        except OSError as problem:
+            logger.warning("journal: not written: {}", problem)
+
+    # -- start and stop ---------------------------------------------------------------------------
+
+    def recover(self, update: it.ListUpdate) -> None:
+        """Hand what the lives before still owe to the module, with its history; it decides."""
+        topics, known = {t.name for t in self.settings.topic_types}, []
+        for o in list(self.ledger.owed.values()):
+            if not o.notice and o.topic not in topics:
+                self.keep(self.ledger.owe_notice, o.id, {"state": "failed"})
+            if o.notice:
+                self.notices.add(o.id, o.notice)
+            else:
+                maybe = o.first_maybe() - self.wall
+                due = o.due - self.wall
+                known.append(
+                    it.Notification(o.id, due, o.dest, o.topic, o.customer, o.order_key, o.pushes, maybe)
+                )
+        logger.info("recovered {} owed messages, {} notices", len(known), len(self.ledger.owed) - len(known))
+        self.round([update, *known])
+
+    def settled(self) -> bool:
+        return not self.queue and not self.ledger.owed
+
+    BEFORE = {
+        HandIn: before_hand_in,
+        it.Outcome: before_outcome,
+        it.Withdrawn: before_withdrawn,
+    }
+
+
+def _as_is(_, event):
+    return event
--- /dev/null
+++ b/ryestack/lifecycle/relay.py
@@ -0,0 +1,152 @@
+"""A relay's phases from start to exit, as one table, and the object that goes through them."""
+
+import asyncio
+import resource
+import signal
+import time
+
+import aiohttp
+from loguru import logger
+
+from .. import interface as it
+from ..store.journal import Journal
+from ..store.ledger import Ledger
+from ..wire.calls import Calls
+from ..wire.members import Members, watch
+from ..wire.notices import Notices
+from ..wire.server import Clients
+from .config import Config
+from .owner import Owner
+
+# (phase, what happened) -> (next phase, effect)
+PHASES = {
+    ("starting", "begun"): ("recovering", "recover"),
+    ("recovering", "recovered"): ("serving", "open_door"),
+    ("serving", "asked to stop"): ("leaving", "say_so"),
+    ("leaving", "accepted long enough"): ("draining", "shut_door"),
+    ("draining", "settled"): ("winding up", "wind_up"),
+    ("draining", "time is short"): ("winding up", "wind_up"),
+    ("winding up", "wound up"): ("ended", "end"),
+}
+ACCEPT = 0.4  # seconds after SIGTERM in which new connections may still come, by the protocol
+SHORT = 3.2  # after SIGTERM: SIGKILL may come after 3.7, and calls, notices and the exit take some time
+LAST = 0.2  # for notices that are owed when calls are wound up
+LOOK = 0.05  # seconds between looks at whether all is settled
+SUMMARY = 10.0  # seconds between summary lines in the log
+OWN_SOCKETS = (
+    64  # for the journal, the watch, notices, the log, what opens while others close
+)
+
+
+class Relay:
+    def __init__(self, config: Config):
+        self.config, self.phase = config, "starting"
+        loop = asyncio.get_running_loop()
+        self.clock, wall = loop.time, time.time() - loop.time()
+        self.members = Members()
+        self.known = self.members.learn(config.known)
+        self.ledger = Ledger(Journal(config.state, config.disk))
+        settings = config.settings
+        self.owner = Owner(settings, config.seed, self.ledger, self.clock, wall)
+        self.calls = Calls(settings, self.members, self.clock, self.owner.put)
+        self.owner.calls = self.calls
+        self.platform = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
+        base = f"http://{config.discovery}"
+        self.notices = Notices(self.platform, base, self.owner.told_platform)
+        self.owner.notices = self.notices
+        most = max(
+            8, (config.sockets - OWN_SOCKETS - settings.slots) // 2
+        )  # the rest: calls
+        owner = self.owner
+        self.clients = Clients(settings, self.members, self.clock, owner.hand_in, owner.withdraw, most)
+        self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
+
+    async def happen(self, what: str) -> None:
+        self.phase, effect = PHASES[self.phase, what]
+        logger.info("phase: {} ({})", self.phase, what)
+        await getattr(self, effect)()
+
+    async def run(self) -> None:
+        """From start to exit; raises if one of the lasting tasks fails."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop_asked.set)
+        await self.happen("begun")
+        await self.happen("recovered")
+        await self.until(self.stop_asked.wait())
+        self.stop_at = self.clock()
+        await self.happen("asked to stop")
+        await self.until(asyncio.sleep(ACCEPT))
+        await self.happen("accepted long enough")
+        while self.clock() < self.stop_at + SHORT and not (self.owner.settled() and not self.clients.busy):
+            await self.until(asyncio.sleep(LOOK))
+        await self.happen("settled" if self.owner.settled() else "time is short")
+        await self.happen("wound up")
+
+    async def until(self, waited) -> None:
+        """Wait for one thing; a lasting task that ends before it has failed."""
+        waiting = asyncio.ensure_future(waited)
+        await asyncio.wait([waiting, *self.tasks], return_when=asyncio.FIRST_COMPLETED)
+        for task in self.tasks:
+            if task.done():
+                task.result()
+        await waiting
+
+    async def recover(self) -> None:
+        self.ledger.recover()
+        self.owner.recover(self.known)
+
+    async def open_door(self) -> None:
+        base = f"http://{self.config.discovery}"
+        lasting = [
+            self.owner.run(),
+            self.notices.run(),
+            watch(self.platform, base, self.members, lambda update: self.owner.put([update])),
+            self.summaries(),
+        ]
+        self.tasks = [asyncio.ensure_future(each) for each in lasting]
+        await self.clients.listen(self.config.host, self.config.port)
+        self.clients.ready = True
+        logger.info("{} serves on {}:{}", self.config.name, self.config.host, self.config.port)
+
+    async def say_so(self) -> None:
+        self.clients.ready, self.clients.last_answers = False, True
+        self.owner.put([it.Leaving(self.stop_at + SHORT)])
+
+    async def shut_door(self) -> None:
+        self.clients.stop_listening()
+
+    async def wind_up(self) -> None:
+        await self.calls.close()
+        if self.owner.queue:
+            self.owner.round(self.owner.take_queue())
+        for _ in range(int(LAST / LOOK)):
+            if self.notices.waiting or self.clients.busy:
+                await asyncio.sleep(LOOK)
+
+    async def end(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.platform.close()
+        self.ledger.journal.close()
+        self.summary()
+
+    async def summaries(self) -> None:
+        while True:
+            await asyncio.sleep(SUMMARY)
+            self.summary()
+
+    def summary(self) -> None:
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        counts = ", ".join(f"{what} {count}" for what, count in sorted(self.owner.counts.items()))
+        logger.info(
+            "since start: {}; owed {}, calls {}, clients {}, journal {} bytes, cpu {:.2f} s, memory {} MB",
+            counts or "nothing",
+            len(self.ledger.owed),
+            len(self.calls.running),
+            len(self.clients.server.connections),
+            self.ledger.journal.size,
+            used.ru_utime + used.ru_stime,
+            used.ru_maxrss // 1024,
+        )
--- /dev/null
+++ b/ryestack/store/ledger.py
@@ -0,0 +1,144 @@
+"""The messages that this relay owes an end, in memory and in the journal alike.
+
+Each change is one record; the same code applies it when it is written and when it is read at a start.
+Times in records are of the wall clock, so that they hold over a restart.
+"""
+
+import json
+from dataclasses import dataclass, field
+from math import inf
+
+from loguru import logger
+
+from .journal import FRAME, Journal
+
+LIVE_PART = 0.4  # of the allowance for what is owed: an old and a new file stand side by side at a rewrite
+HISTORY = 256  # bytes kept for a message's pushes in a rewritten file
+
+
+@dataclass(slots=True)
+class Owed:
+    """A message as it came, what was tried, and the notice that is owed once it has ended undelivered."""
+
+    id: str
+    due: float
+    dest: int
+    topic: str
+    customer: str
+    order_key: str
+    key: str
+    body: bytes
+    pushes: int = 0
+    maybe_at: float = inf  # when the first push went that may have run
+    open: dict[int, float] = field(default_factory=dict)  # pushes without an outcome, and when they went
+    notice: dict | None = None
+    size: int = 0
+    heard: object = None  # in the life that took it: whether its client was told
+
+    def first_maybe(self) -> float:
+        return min([self.maybe_at, *self.open.values()])
+
+
+class Ledger:
+    def __init__(self, journal: Journal):
+        self.journal, self.owed, self.live = journal, {}, 0
+
+    def recover(self) -> None:
+        """Read what the lives before have left; a record that makes no sense is passed over."""
+        bad = 0
+        for payload in self.journal.read():
+            try:
+                self.apply(payload)
+            except (ValueError, KeyError, TypeError, IndexError):
+                bad += 1
+        if bad or self.journal.dropped:
+            logger.warning("journal: {} bad records, {} torn bytes dropped", bad, self.journal.dropped)
+
+    # -- changes: each is written, then applied ---------------------------------------------------
+
+    def has_room(self, body: bytes) -> bool:
+        return self.live + len(body) + 2 * HISTORY <= self.journal.most * LIVE_PART
+
+    def take(self, owed: Owed) -> None:
+        self.write(self.taken(owed))
+
+    def push(self, name: str, push: int, at: float) -> None:
+        self.write(record("push", name, push, at))
+
+    def outcome(self, name: str, push: int, never_ran: bool) -> None:
+        if name in self.owed:
+            self.write(record("outcome", name, push, never_ran))
+
+    def owe_notice(self, name: str, notice: dict) -> None:
+        if name in self.owed:
+            self.write(record("notice", name, notice))
+
+    def over(self, name: str) -> None:
+        if name in self.owed:
+            self.write(record("over", name))
+
+    def write(self, payload: bytes) -> None:
+        if not self.journal.fits(len(payload) + FRAME.size, self.live):
+            self.journal.rewrite([p for owed in self.owed.values() for p in self.summary(owed)])
+        self.journal.append(payload)
+        self.apply(payload)
+
+    # -- records ----------------------------------------------------------------------------------
+
+    @staticmethod
+    def taken(o: Owed) -> bytes:
+        maybe = None if o.maybe_at == inf else o.maybe_at
+        before = o.pushes - len(o.open)
+        head = [o.id, o.due, o.dest, o.topic, o.customer, o.order_key, o.key, before, maybe]
+        return record("taken", *head, body=o.body)
+
+    def summary(self, o: Owed) -> list[bytes]:
+        lines = [self.taken(o)] + [record("push", o.id, push, at) for push, at in o.open.items()]
+        return lines + ([record("notice", o.id, o.notice)] if o.notice else [])
+
+    def apply(self, payload: bytes) -> None:
+        head, _, body = payload.partition(b"\n")
+        kind, name, *rest = json.loads(head)
+        self.APPLY[kind](self, name, rest, body)
+
+    def on_taken(self, name: str, rest: list, body: bytes) -> None:
+        due, dest, topic, customer, order_key, key, pushes, maybe = rest
+        maybe = inf if maybe is None else maybe
+        owed = Owed(name, due, dest, topic, customer, order_key, key, body, pushes, maybe)
+        self.owed[name] = owed
+        self.resize(owed, len(body) + 2 * HISTORY)
+
+    def on_push(self, name: str, rest: list, _: bytes) -> None:
+        owed = self.owed[name]
+        owed.open[rest[0]] = rest[1]
+        owed.pushes += 1
+
+    def on_outcome(self, name: str, rest: list, _: bytes) -> None:
+        owed = self.owed[name]
+        sent = owed.open.pop(rest[0], inf)
+        if not rest[1]:
+            owed.maybe_at = min(owed.maybe_at, sent)
+
+    def on_notice(self, name: str, rest: list, _: bytes) -> None:
+        owed = self.owed[name]
+        owed.notice, owed.body = rest[0], b""
+        self.resize(owed, 2 * HISTORY)
+
+    def on_over(self, name: str, rest: list, _: bytes) -> None:
+        self.resize(self.owed.pop(name), 0)
+
+    def resize(self, owed: Owed, size: int) -> None:
+        self.live += size - owed.size
+        owed.size = size
+
+    APPLY = {
+        "taken": on_taken,
+        "push": on_push,
+        "outcome": on_outcome,
+        "notice": on_notice,
+        "over": on_over,
+    }
+
+
+def record(*values, body: bytes = b"") -> bytes:
+    return json.dumps(values, separators=(",", ":")).encode() + b"\n" + body
--- /dev/null
+++ b/ryestack/wire/server.py
@@ -0,0 +1,142 @@
+"""The clients' side: one handler on aiohttp's low-level server.
+
+A request is read whole, checked, and handed in; the answer follows what the relay made of it.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from aiohttp import web
+from loguru import logger
+
+from .. import interface as it
+from . import forms
+from .members import Members
+
+TAKEN, REFUSED, FAILED, MALFORMED, TOO_LARGE = 202, 503, 500, 400, 413
+
+
+@dataclass(slots=True)
+class HandIn:
+    """A message that a client hands in.
+
+    verdict: what the relay made of it, None or (status, seconds to stay away). heard: whether its client
+    was told that it is taken on; pushes wait for it.
+    """
+
+    ntf: it.Notification
+    key: str
+    body: bytes
+    verdict: asyncio.Future
+    heard: asyncio.Future
+
+
+class Clients:
+    """Serves clients; hand_in and withdraw put into the queue of the task that owns the decisions."""
+
+    def __init__(self, settings: it.Settings, members: Members, clock, hand_in, withdraw, most: int):
+        self.topics = {t.name: t for t in settings.topic_types}
+        self.customers = {c.name for c in settings.customers}
+        self.members, self.clock, self.hand_in, self.withdraw = members, clock, hand_in, withdraw
+        self.most, self.ready, self.last_answers, self.busy = most, False, False, 0
+        self.listener = None
+        self.server = web.Server(self.handle, access_log=None, keepalive_timeout=3600.0, tcp_keepalive=False)
+
+    async def listen(self, host: str, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(self.accept, host, port, backlog=512, reuse_address=True)
+
+    def accept(self) -> asyncio.Protocol:
+        return self.server() if len(self.server.connections) < self.most else Full()
+
+    def stop_listening(self) -> None:
+        self.listener.close()
+        self.server.pre_shutdown()  # idle connections end, busy ones after their answer
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.busy += 1
+        try:
+            route = self.ROUTES.get(request.path)
+            if route is None:
+                return self.answer(404, "no such path")
+            method, serve = route
+            if request.method != method:
+                return self.answer(405, f"{method} only", Allow=method)
+            return await serve(self, request)
+        finally:
+            self.busy -= 1
+
+    async def health(self, _: web.BaseRequest) -> web.StreamResponse:
+        return self.answer(200, "serving") if self.ready else self.answer(503, "not serving")
+
+    async def api(self, request: web.BaseRequest) -> web.StreamResponse:
+        now = self.clock()
+        body = bytearray()
+        async for chunk in request.content.iter_any():
+            body += chunk
+            if len(body) > forms.MOST_BODY:
+                return self.answer(TOO_LARGE, f"a body holds {forms.MOST_BODY} bytes at most", last=True)
+        try:
+            ntf, key = self.read(request.headers, now)
+        except forms.BadForm as bad:
+            return self.answer(MALFORMED, str(bad))
+        loop = asyncio.get_running_loop()
+        message = HandIn(ntf, key, bytes(body), loop.create_future(), loop.create_future())
+        self.hand_in(message)
+        status, away = await message.verdict
+        if status != TAKEN:
+            return self.answer(status, "", **({"Retry-After": f"{away:.3f}"} if away > 0.0 else {}))
+        return await self.tell_taken(request, message)
+
+    async def tell_taken(self, request: web.BaseRequest, message: HandIn) -> web.StreamResponse:
+        """Write the answer here, so that pushes go only for a client that was there to hear it."""
+        answer, told = self.answer(TAKEN, ""), False
+        try:
+            if request.transport is not None and not request.transport.is_closing():
+                await answer.prepare(request)
+                await answer.write_eof()
+                told = True
+        except (OSError, RuntimeError):
+            pass
+        finally:
+            if not message.heard.done():
+                message.heard.set_result(told)
+            if not told:
+                self.withdraw(message.ntf.id)
+        return answer
+
+    def read(self, headers, now: float) -> tuple[it.Notification, str]:
+        name = forms.token(headers.get("X-Request-Id", ""), "X-Request-Id")
+        topic = self.topics.get(headers.get("X-Class", ""))
+        if topic is None:
+            raise forms.BadForm("X-Class names no topic type")
+        customer = headers.get("X-Tenant", "")
+        if self.customers and customer not in self.customers:
+            raise forms.BadForm("X-Tenant names no customer")
+        due = now + forms.seconds(headers.get("X-Deadline", ""))
+        dest = forms.destination(headers.get("X-Envelope", ""))
+        if dest not in self.members.groups:
+            raise forms.BadForm(f"no destination {dest}")
+        key = headers.get("Idempotency-Key", "")
+        if key or topic.effect is it.Effect.COLLAPSIBLE:
+            forms.token(key, "Idempotency-Key")
+        order_key = headers.get("X-Key", "")
+        if order_key:
+            forms.token(order_key, "X-Key")
+        return it.Notification(name, due, dest, topic.name, customer, order_key), key
+
+    def answer(self, status: int, text: str, last: bool = False, **headers: str) -> web.Response:
+        answer = web.Response(status=status, text=text and text + "\n", headers=headers)
+        if last or self.last_answers:
+            answer.force_close()
+        return answer
+
+    ROUTES = {"/api": ("POST", api), "/_health": ("GET", health)}
+
+
+class Full(asyncio.Protocol):
+    """Meets a connection past the bound: it ends at once, before anything is read."""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        logger.debug("a connection past the bound was closed")
+        transport.close()
