One message a call where a kind of endpoint takes one

A probe that logged their answers showed 413 from /receive-many with two messages, all at kinds whose batch is one; void and no-slot answers were ruled out (none). At fault: Calls.start took all pushes of a round to an endpoint as one call, whatever its kind takes. Now it cuts them by the kind's batch.

--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -143,9 +143,9 @@
                 owed.pushes += 1
                 unsent.append(it.Outcome(p.id, number, p.endpoint, Result.NOT_SENT))
                 continue
+            self.counts["pushes"] += 1
             calls[p.endpoint].append(Item(p.id, number, p.timeout, owed.key, owed.body, owed.heard))
         for endpoint, items in calls.items():
-            self.counts["calls"] += 1
             self.calls.start(endpoint, items)
         if unsent:
             self.put(unsent)
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -75,6 +75,12 @@
         )
 
     def start(self, endpoint: str, items: list[Item]) -> None:
+        """Send the messages of one turn, as many in a call as that kind of endpoint takes."""
+        most = self.batch.get(self.members.kinds[endpoint], 1)
+        for at in range(0, len(items), most):
+            self.start_one(endpoint, items[at : at + most])
+
+    def start_one(self, endpoint: str, items: list[Item]) -> None:
         loop, longest = asyncio.get_running_loop(), max(item.timeout for item in items)
         task = loop.create_task(self.run(endpoint, items, longest))
         for item in items:
