Idle client connections end with the listener; answers and input bounded; tests of the relay

Seen: a test of the stop showed that aiohttp's pre_shutdown leaves idle client connections open with nobody reading them: a request on one would never be answered, which loses the message. Checked in the library's web_protocol.py (close() cancels the waiter, the transport stays). At fault: Clients.stop_listening. Now idle ones are closed, and one whose request has come is answered.

Also: a first line with 200 counts though the rest of the answer never comes; answers and waits are bounded; an entry of the list that is removed may leave out what is known; a body that breaks off and nonsense on a connection leave no traceback; a rewrite that fails leaves no half file. The tests use stand-ins on loopback.

--- a/ryestack/lifecycle/config.py
+++ b/ryestack/lifecycle/config.py
@@ -57,7 +57,7 @@
     if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
         raise BadConfig("listen must be address:port")
     limits, known = need(told, "limits", dict), need(told, "known", dict)
-    read_list(known)
+    read_list(known, {})
     try:
         seed = int(str(told.get("seed", "")), 16)
     except ValueError:
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -28,14 +28,12 @@
     ("draining", "time is short"): ("winding up", "wind_up"),
     ("winding up", "wound up"): ("ended", "end"),
 }
-ACCEPT = 0.4  # seconds after SIGTERM in which new connections may still come, by the protocol
+ACCEPT = 0.45  # seconds after SIGTERM: new connections come for 0.4 by the protocol, and take a moment
 SHORT = 3.2  # after SIGTERM: SIGKILL may come after 3.7, and calls, notices and the exit take some time
 LAST = 0.2  # for notices that are owed when calls are wound up
 LOOK = 0.05  # seconds between looks at whether all is settled
 SUMMARY = 10.0  # seconds between summary lines in the log
-OWN_SOCKETS = (
-    64  # for the journal, the watch, notices, the log, what opens while others close
-)
+OWN_SOCKETS = 64  # for the journal, the watch, notices, the log, what opens while others close
 
 
 class Relay:
@@ -54,9 +52,7 @@
         base = f"http://{config.discovery}"
         self.notices = Notices(self.platform, base, self.owner.told_platform)
         self.owner.notices = self.notices
-        most = max(
-            8, (config.sockets - OWN_SOCKETS - settings.slots) // 2
-        )  # the rest: calls
+        most = max(8, (config.sockets - OWN_SOCKETS - settings.slots) // 2)  # the rest: calls
         owner = self.owner
         self.clients = Clients(settings, self.members, self.clock, owner.hand_in, owner.withdraw, most)
         self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -45,9 +45,11 @@
 
 @dataclass(slots=True)
 class Progress:
-    """How far a call came: until it has a connection, none of it can have run."""
+    """How far a call came: until it has a connection, none of it can have run; answers, once they are known,
+    stand whatever becomes of the connection."""
 
     connected: bool = False
+    answers: dict | None = None
 
 
 class Calls:
@@ -76,7 +78,7 @@
 
     def start(self, endpoint: str, items: list[Item]) -> None:
         """Send the messages of one turn, as many in a call as that kind of endpoint takes."""
-        most = self.batch.get(self.members.kinds[endpoint], 1)
+        most = self.batch.get(self.members.kind(endpoint), 1)
         for at in range(0, len(items), most):
             self.start_one(endpoint, items[at : at + most])
 
@@ -112,16 +114,20 @@
                 heard = [item.heard is None or await item.heard for item in items]
                 void = [item for item, told in zip(items, heard, strict=True) if not told]
                 items = [item for item in items if item not in void]
-                answers = await self.post(endpoint, items, began + timeout, progress) if items else {}
+                if items:
+                    await self.post(endpoint, items, began + timeout, progress)
+            broke = Result.BROKEN
         except asyncio.CancelledError:
-            answers = self.all(items, Result.CANCELLED if progress.connected else Result.NO_CONNECTION)
+            broke = Result.CANCELLED
         except TimeoutError:
-            answers = self.all(items, Result.TIMED_OUT if progress.connected else Result.NO_CONNECTION)
+            broke = Result.TIMED_OUT
         except (aiohttp.ClientError, OSError):
-            answers = self.all(items, Result.BROKEN if progress.connected else Result.NO_CONNECTION)
+            broke = Result.BROKEN
         except Exception:  # whatever it was, the message keeps its outcome
             logger.exception("a call to {} failed in this program", endpoint)
-            answers = self.all(items, Result.BROKEN)
+            broke = Result.BROKEN
+        broke = broke if progress.connected else Result.NO_CONNECTION
+        answers = progress.answers or {item.id: (broke, False, 0.0, 0.0) for item in items}
         elapsed = self.clock() - began
         outcomes = [it.Outcome(i.id, i.push, endpoint, Result.NOT_SENT, elapsed, True) for i in void]
         for item in items:
@@ -129,8 +135,8 @@
             outcomes.append(it.Outcome(item.id, item.push, endpoint, result, elapsed, ended, wait, limit))
         self.tell([o for o in outcomes if self.running.pop((o.id, o.push), None)])
 
-    async def post(self, endpoint: str, items: list[Item], until: float, progress: Progress) -> dict:
-        url = f"http://{self.members.addresses[endpoint]}/receive"
+    async def post(self, endpoint: str, items: list[Item], until: float, progress: Progress) -> None:
+        url = f"http://{self.members.address(endpoint)}/receive"
         headers = {"X-Deadline": forms.duration(until - self.clock())}
         if len(items) > 1:
             url, body = url + "-many", forms.many([(i.id, i.key, i.body) for i in items])
@@ -143,17 +149,23 @@
             told = forms.report(answer.headers.get("X-Load"))
             wait, limit = _milliseconds(answer.headers.get("X-Retry-In-Ms")), limit_of(told)
             if len(items) > 1 and answer.status == 200:
-                ends = forms.ends(await answer.read())
-                return {i.id: _answer(WORDS, ends.get(i.id, "failed"), wait, limit) for i in items}
-            answers = {i.id: _answer(STATUS, answer.status, wait, limit, answer.headers) for i in items}
-            try:  # the first line is what counts; the rest is read for the connection's sake
-                await answer.read()
-            except (aiohttp.ClientError, OSError):
-                answer.close()
-            return answers
+                ends = forms.ends(await _bounded(answer))
+                progress.answers = {
+                    i.id: _answer(WORDS, ends.get(i.id, "failed"), wait, limit) for i in items
+                }
+            else:  # the first line is what counts; the rest is read for the connection's sake
+                one = _answer(STATUS, answer.status, wait, limit, answer.headers)
+                progress.answers = {i.id: one for i in items}
+                await _bounded(answer)
 
-    def all(self, items: list[Item], result: Result) -> dict:
-        return {item.id: (result, False, 0.0, 0.0) for item in items}
+
+async def _bounded(answer: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    async for chunk in answer.content.iter_any():
+        body += chunk
+        if len(body) > forms.MOST_BODY:
+            raise aiohttp.ClientPayloadError("an answer without bounds")
+    return bytes(body)
 
 
 def _answer(table: dict, said, wait: float, limit: float, headers=()) -> tuple:
@@ -162,10 +174,8 @@
 
 
 def _milliseconds(text: str | None) -> float:
-    try:
-        return max(0.0, float(text or 0.0)) / 1000.0
-    except ValueError:
-        return 0.0
+    told = forms.NUMBER.fullmatch((text or "").strip())
+    return float(told[0]) / 1000.0 if told else 0.0
 
 
 async def _connected(_, context, __) -> None:
--- a/ryestack/wire/forms.py
+++ b/ryestack/wire/forms.py
@@ -5,6 +5,7 @@
 
 MOST_BODY = 64 * 1024
 UNITS = {"m": 1e-3, "u": 1e-6}
+NUMBER = re.compile(r"\d{1,15}(?:\.\d{1,9})?", re.ASCII)
 DURATION = re.compile(r"(\d{1,15}(?:\.\d{1,9})?)([mu])", re.ASCII)
 TOKEN = re.compile(r"[\x21-\x7e]{1,128}")  # an id or a key: it is passed on in a line of its own words
 
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -18,10 +18,11 @@
     """A list that cannot be read."""
 
 
-def read_list(told: dict) -> tuple[int, it.ListUpdate, dict[str, str]]:
-    """The version, what the decisions are told, and each endpoint's address."""
+def read_list(told: dict, known: dict[str, dict]) -> tuple[int, it.ListUpdate, dict[str, dict]]:
+    """The version, what the decisions are told, and the rows by name; a row may leave out what is known."""
     try:
-        index, whole, rows = told["index"], told["snapshot"], told["endpoints"]
+        index, whole = told["index"], told["snapshot"]
+        rows = [{**known.get(row["name"], {}), **row} for row in told["endpoints"]]
         endpoints = tuple(
             it.Endpoint(
                 str(row["name"]),
@@ -33,9 +34,8 @@
             )
             for row in rows
         )
-        addresses = {row["name"]: str(row["address"]) for row in rows if row.get("address")}
-        return int(index), it.ListUpdate(endpoints, whole=whole is True), addresses
-    except (KeyError, TypeError, ValueError) as problem:
+        return int(index), it.ListUpdate(endpoints, whole=whole is True), {row["name"]: row for row in rows}
+    except (KeyError, TypeError, ValueError, AttributeError) as problem:
         raise BadList(f"{type(problem).__name__}: {problem}") from None
 
 
@@ -43,15 +43,20 @@
     """Where endpoints are reached and of what kind they are, as last told."""
 
     def __init__(self):
-        self.index, self.addresses, self.kinds, self.groups = 0, {}, {}, set()
+        self.index, self.rows, self.groups = 0, {}, set()
 
     def learn(self, told: dict) -> it.ListUpdate:
-        self.index, update, addresses = read_list(told)
-        self.addresses.update(addresses)
-        self.kinds.update({e.id: e.kind for e in update.endpoints})
+        self.index, update, rows = read_list(told, self.rows)
+        self.rows.update(rows)
         self.groups.update(e.destination for e in update.endpoints)
         return update
 
+    def address(self, endpoint: str) -> str:
+        return self.rows[endpoint]["address"]
+
+    def kind(self, endpoint: str) -> str:
+        return self.rows[endpoint]["type"]
+
 
 async def watch(session: aiohttp.ClientSession, base: str, members: Members, tell) -> None:
     """Follow the list for as long as the process lives; a silent registry leaves the old one in force."""
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import logging
 from dataclasses import dataclass
 
+import aiohttp
 from aiohttp import web
 from loguru import logger
 
@@ -13,6 +15,8 @@
 from . import forms
 from .members import Members
 
+QUIET = logging.getLogger("ryestack.clients")  # bad requests are answered; a traceback of each helps nobody
+QUIET.setLevel(logging.CRITICAL)
 TAKEN, REFUSED, FAILED, MALFORMED, TOO_LARGE = 202, 503, 500, 400, 413
 
 
@@ -40,7 +44,7 @@
         self.members, self.clock, self.hand_in, self.withdraw = members, clock, hand_in, withdraw
         self.most, self.ready, self.last_answers, self.busy = most, False, False, 0
         self.listener = None
-        self.server = web.Server(self.handle, access_log=None, keepalive_timeout=3600.0, tcp_keepalive=False)
+        self.server = web.Server(self.handle, access_log=None, keepalive_timeout=3600.0, logger=QUIET)
 
     async def listen(self, host: str, port: int) -> None:
         loop = asyncio.get_running_loop()
@@ -50,8 +54,15 @@
         return self.server() if len(self.server.connections) < self.most else Full()
 
     def stop_listening(self) -> None:
+        """Idle connections end at once, busy ones after their answer.
+
+        The library's own pre_shutdown leaves idle ones open and unread: a request on one gets no answer.
+        """
         self.listener.close()
-        self.server.pre_shutdown()  # idle connections end, busy ones after their answer
+        for connection in self.server.connections:
+            waiter = connection._waiter
+            idle = waiter is not None and not waiter.done()  # done: a request has come and is not begun
+            connection.force_close() if idle else connection.close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.busy += 1
@@ -72,38 +83,43 @@
     async def api(self, request: web.BaseRequest) -> web.StreamResponse:
         now = self.clock()
         body = bytearray()
-        async for chunk in request.content.iter_any():
-            body += chunk
-            if len(body) > forms.MOST_BODY:
-                return self.answer(TOO_LARGE, f"a body holds {forms.MOST_BODY} bytes at most", last=True)
+        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
+            async for chunk in request.content.iter_any():
+                body += chunk
+                if len(body) > forms.MOST_BODY:
+                    return self.answer(TOO_LARGE, f"a body holds {forms.MOST_BODY} bytes at most", last=True)
             ntf, key = self.read(request.headers, now)
         except forms.BadForm as bad:
             return self.answer(MALFORMED, str(bad))
+        except (OSError, aiohttp.ClientError, web.RequestPayloadError):  # its client went, or sent no body
+            return self.answer(MALFORMED, "the body broke off", last=True)
         loop = asyncio.get_running_loop()
-        message = HandIn(ntf, key, bytes(body), loop.create_future(), loop.create_future())
+        message, told = HandIn(ntf, key, bytes(body), loop.create_future(), loop.create_future()), False
+        status = TAKEN  # unless the owner says otherwise
         self.hand_in(message)
-        status, away = await message.verdict
-        if status != TAKEN:
-            return self.answer(status, "", **({"Retry-After": f"{away:.3f}"} if away > 0.0 else {}))
-        return await self.tell_taken(request, message)
-
-    async def tell_taken(self, request: web.BaseRequest, message: HandIn) -> web.StreamResponse:
-        """Write the answer here, so that pushes go only for a client that was there to hear it."""
-        answer, told = self.answer(TAKEN, ""), False
         try:
-            if request.transport is not None and not request.transport.is_closing():
-                await answer.prepare(request)
-                await answer.write_eof()
-                told = True
+            status, away = await message.verdict
+            if status != TAKEN:
+                return self.answer(status, "", **({"Retry-After": f"{away:.3f}"} if away > 0.0 else {}))
+            answer = self.answer(TAKEN, "")
+            told = await self.tell(request, answer)
+            return answer
+        finally:  # pushes wait for a client that was there to hear it
+            message.heard.set_result(told)
+            if status == TAKEN and not told:
+                self.withdraw(ntf.id)
+
+    async def tell(self, request: web.BaseRequest, answer: web.Response) -> bool:
+        if request.transport is None or request.transport.is_closing():
+            return False
+        try:
+            await answer.prepare(request)
+            await answer.write_eof()
         except (OSError, RuntimeError):
-            pass
-        finally:
-            if not message.heard.done():
-                message.heard.set_result(told)
-            if not told:
-                self.withdraw(message.ntf.id)
-        return answer
+            return False
+        return True
 
     def read(self, headers, now: float) -> tuple[it.Notification, str]:
         name = forms.token(headers.get("X-Request-Id", ""), "X-Request-Id")
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -47,6 +47,20 @@
         b.round(1.0, [take("n", "once")])
         self.assertEqual(pushes(b.round(2.0, [end("n", "a", Result.NO_CONNECTION)])), [("n", "b")])
 
+    def test_history_from_before_a_restart_binds(self):
+        b = brain()
+        owed = [take("n", "once", pushes=1, maybe_at=0.5), take("m", "merge", pushes=1, maybe_at=-9.0),
+                take("o", "merge", pushes=1, maybe_at=0.5), take("p", "once", pushes=1), take("q", due=0.0),
+                take("r", pushes=6)]
+        acts = b.round(1.0, owed)
+        self.assertEqual((kinds(acts, it.Expire), kinds(acts, it.Throttle)), (["n"], ["m", "q", "r"]))
+        self.assertEqual(sorted(kinds(acts, it.Push)), ["o", "p"])
+
+    def test_nothing_new_goes_out_that_a_restart_would_cut_off(self):
+        b = brain()
+        b.round(1.0, [it.Leaving(1.4)])
+        self.assertEqual(pushes(b.round(1.05, [take("n")])), [])
+
     def test_collapsible_not_pushed_after_its_window(self):
         b = brain()
         b.round(1.0, [take("n", "merge")])
--- /dev/null
+++ b/tests/test_lifecycle.py
@@ -0,0 +1,227 @@
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+import unittest
+from types import SimpleNamespace
+
+import aiohttp
+
+from ryestack import interface as it
+from ryestack.interface import Result
+from ryestack.lifecycle.config import BadConfig, load
+from ryestack.lifecycle.owner import Owner
+from ryestack.lifecycle.relay import PHASES
+from ryestack.store.journal import Journal
+from ryestack.store.ledger import Ledger
+from ryestack.wire.server import MALFORMED, REFUSED, TAKEN, HandIn
+
+from .helpers import config, http, settings, stand_in, take
+from .test_wire import HEAD
+
+
+class Folder:
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+
+
+class OwnerTask(Folder, unittest.IsolatedAsyncioTestCase):
+    def owner(self, folder=None, allowance=100_000, **more):
+        ledger = Ledger(Journal(folder or self.folder, allowance))
+        ledger.recover()
+        self.addCleanup(ledger.journal.close)
+        made = Owner(settings(**more), 1, ledger, lambda: self.now, 1000.0)
+        made.brain.round(0.0, [self.listed] if not ledger.owed else [])
+        self.sent, self.told = [], []
+        made.calls = SimpleNamespace(start=lambda _, items: self.sent.extend((i.id, i.push) for i in items))
+        made.notices = SimpleNamespace(add=lambda name, notice: self.told.append((name, notice)))
+        return made
+
+    def setUp(self):
+        super().setUp()
+        self.now = 10.0
+        self.listed = it.ListUpdate((it.Endpoint("a", "z", "shared", 7, rate=50.0),), whole=True)
+
+    def hand_in(self, name, topic="again", due=30.0, body=b"x"):
+        loop = asyncio.get_running_loop()
+        return HandIn(take(name, topic, due), "", body, loop.create_future(), loop.create_future())
+
+    def again(self, after):
+        """The same relay after a kill, so many seconds later."""
+        self.now += after
+        made = self.owner()
+        made.recover(self.listed)
+        self.now += 0.1  # a new route's first call comes a moment later
+        made.round([it.Woken()])
+        return made
+
+    async def test_journalled_then_answered_then_pushed(self):
+        o, message = self.owner(), self.hand_in("n")
+        o.round([message])
+        self.assertEqual((message.verdict.result(), self.sent), ((TAKEN, 0.0), [("n", 0)]))
+        read = Ledger(Journal(self.folder, 100_000))
+        read.recover()
+        read.journal.close()
+        self.assertEqual((read.owed["n"].due, read.owed["n"].open), (1030.0, {0: 1010.0}))
+
+    async def test_an_end_at_once_answers_and_leaves_nothing_owed(self):
+        o, message = self.owner(), self.hand_in("n", due=10.0)
+        o.round([message])
+        self.assertEqual((message.verdict.result()[0], o.ledger.owed, self.told), (REFUSED, {}, []))
+
+    async def test_a_later_end_is_a_notice_and_is_owed_until_taken(self):
+        o = self.owner()
+        o.round([self.hand_in("n", "once")])
+        o.round([it.Outcome("n", 0, "a", Result.BROKEN)])
+        self.assertEqual(self.told, [("n", {"state": "failed"})])
+        again = self.again(1.0)
+        self.assertEqual((self.told, self.sent), ([("n", {"state": "failed"})], []))
+        again.told_platform(["n"])
+        self.again(1.0)
+        self.assertEqual(self.told, [])
+
+    async def test_after_a_kill_each_is_decided_by_its_history(self):
+        o = self.owner()
+        o.round([self.hand_in("n", "once"), self.hand_in("m"), self.hand_in("o", "merge")])
+        o.round([self.hand_in("p", "once", due=11.0), it.Outcome("m", 0, "a", Result.DELIVERED)])
+        o = self.again(2.0)
+        self.assertEqual(sorted(self.told), [("n", {"state": "failed"}), ("p", {"state": "failed"})])
+        self.assertEqual(self.sent, [("o", 1)])
+        o.told_platform(["n", "p"])
+        self.again(6.0)
+        self.assertEqual(self.told, [("o", {"state": "returned"})])
+
+    async def test_a_withdrawn_one_is_forgotten(self):
+        o = self.owner()
+        o.round([self.hand_in("n")])
+        o.round([it.Withdrawn("n")])
+        self.again(1.0)
+        self.assertEqual((self.sent, self.told), ([], []))
+
+    async def test_an_id_in_use_is_malformed_and_the_first_stays(self):
+        o, twice = self.owner(), self.hand_in("n")
+        o.round([self.hand_in("n"), twice])
+        self.assertEqual((twice.verdict.result()[0], list(o.ledger.owed)), (MALFORMED, ["n"]))
+
+    async def test_nearly_full_refuses_and_a_full_disk_does_not_crash(self):
+        o, large = self.owner(), self.hand_in("n", body=b"x" * 50_000)
+        o.round([large])
+        self.assertEqual(large.verdict.result()[0], REFUSED)
+        first = self.hand_in("m")
+        o.round([first])
+        o.ledger.journal.append = self.no_room
+        o.round([self.hand_in("p"), it.Outcome("m", 0, "a", Result.ERROR)])
+        self.assertEqual(list(o.ledger.owed), ["m"])
+        o.round(o.take_queue())
+        self.assertNotIn("p", o.brain.held)
+
+    def no_room(self, _):
+        raise OSError("no space left")
+
+
+class Process(Folder, unittest.IsolatedAsyncioTestCase):
+    """The program itself on loopback, with stand-ins for an endpoint and the platform."""
+
+    async def start(self, endpoint, platform):
+        path = config(self.folder, platform)
+        with open(path) as file:
+            told = json.load(file)
+        probe = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        self.listen = told["listen"] = "127.0.0.1:%d" % probe.sockets[0].getsockname()[1]
+        probe.close()
+        told["known"]["endpoints"][0]["address"] = endpoint
+        with open(path, "w") as file:
+            json.dump(told, file)
+        return await self.run_it(path)
+
+    async def run_it(self, path):
+        env = {**os.environ, "LB_CONFIG": path, "LB_STATE": self.folder}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "ryestack", env=env, stderr=asyncio.subprocess.DEVNULL
+        )
+        self.addCleanup(lambda: process.returncode is None and process.kill())
+        for _ in range(200):
+            await asyncio.sleep(0.05)
+            if await self.ask("GET", "/_health") == 200:
+                return process
+        self.fail("it did not get ready")
+
+    async def ask(self, method, path, **more):
+        head = {**HEAD, "X-Tenant": "c", "X-Deadline": "9000m", **more}
+        try:
+            async with aiohttp.request(method, f"http://{self.listen}{path}", headers=head) as answer:
+                return answer.status
+        except aiohttp.ClientError:
+            return None
+
+    async def test_a_kill_loses_nothing_and_a_stop_is_clean(self):
+        calls, notices, silent = [], [], True
+
+        def endpoint(head, _):
+            calls.append(head.lower().split(b"x-request-id: ")[1].split(b"\r\n")[0])
+            return b"" if silent else http(200)
+
+        def platform(head, body):
+            if head.startswith(b"POST /status"):
+                notices.append(json.loads(body))
+                return http(204)
+            return b""  # the registry is silent from the start
+
+        server, address = await stand_in(endpoint)
+        other, agent = await stand_in(platform)
+        process = await self.start(address, agent)
+        self.assertEqual(await self.ask("POST", "/api"), TAKEN)
+        self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "m", "X-Class": "once"}), TAKEN)
+        while len(calls) < 2:
+            await asyncio.sleep(0.02)
+        process.kill()
+        await process.wait()
+        silent = False
+        process = await self.run_it(f"{self.folder}/config.json")
+        for _ in range(100):
+            await asyncio.sleep(0.02)
+        self.assertEqual(calls, [b"n", b"m", b"n"])
+        self.assertEqual(notices, [{"id": "m", "state": "failed"}])
+        silent, began = True, time.monotonic()
+        self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "o"}), TAKEN)
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        self.assertEqual(await self.ask("GET", "/_health"), 503)
+        self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "p"}), TAKEN)
+        await asyncio.sleep(0.6)
+        self.assertIsNone(await self.ask("GET", "/_health"))
+        self.assertEqual(await process.wait(), 0)
+        self.assertLess(time.monotonic() - began, 3.7)
+        kept = Ledger(Journal(self.folder, 3_000_000))
+        kept.recover()
+        kept.journal.close()
+        self.assertEqual(list(kept.owed), ["o", "p"])
+        server.close()
+        other.close()
+
+
+class Configuration(Folder, unittest.TestCase):
+    def test_phases_lead_from_start_to_exit(self):
+        phase, inputs = "starting", ["begun", "recovered", "asked to stop", "accepted long enough", "settled"]
+        for heard in [*inputs, "wound up"]:
+            phase, _ = PHASES[phase, heard]
+        self.assertEqual(phase, "ended")
+
+    def test_what_is_wrong_is_named_in_one_line(self):
+        wrong = (("listen", "x", "listen"), ("settings", {}, "allowed"), ("known", {}, "index"))
+        for key, bad, word in wrong:
+            path = config(self.folder, "127.0.0.1:1", **{key: bad})
+            with self.assertRaisesRegex(BadConfig, word) as caught:
+                load({"LB_CONFIG": path, "LB_STATE": self.folder})
+            self.assertNotIn("\n", str(caught.exception))
+        with self.assertRaises(BadConfig):
+            load({})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,122 @@
+import tempfile
+import unittest
+from pathlib import Path
+from types import SimpleNamespace
+
+from ryestack.store.journal import Journal
+from ryestack.store.ledger import Ledger, Owed
+
+
+def owed(name, body=b"\x00\r\n body", **more):
+    return Owed(name, 50.0, 7, "once", "c", "", "k", body, **more)
+
+
+class Store(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+
+    def test_a_message_comes_back_as_it_was(self):
+        self.ledger().take(owed("n"))
+        self.assertEqual(self.ledger().owed, {"n": owed("n", size=self.size(owed("n")))})
+
+    def ledger(self, allowance=100_000):
+        made = Ledger(Journal(self.folder, allowance))
+        made.recover()
+        self.addCleanup(made.journal.close)
+        return made
+
+    def size(self, one):
+        return len(one.body) + 512
+
+    def test_a_push_without_an_outcome_may_have_run(self):
+        first = self.ledger()
+        first.take(owed("n"))
+        first.push("n", 0, 41.0)
+        back = self.ledger().owed["n"]
+        self.assertEqual((back.pushes, back.first_maybe()), (1, 41.0))
+
+    def test_a_push_that_never_ran_leaves_no_doubt_and_counts(self):
+        first = self.ledger()
+        first.take(owed("n"))
+        first.push("n", 0, 41.0)
+        first.outcome("n", 0, True)
+        back = self.ledger().owed["n"]
+        self.assertEqual((back.pushes, back.first_maybe()), (1, float("inf")))
+
+    def test_a_torn_tail_is_dropped_and_the_file_goes_on(self):
+        first = self.ledger()
+        first.take(owed("n"))
+        whole = first.journal.size
+        first.take(owed("m"))
+        path = Path(self.folder, "owed")
+        for cut in range(whole, first.journal.size):
+            path.write_bytes(path.read_bytes()[:cut])
+            second = self.ledger()
+            self.assertEqual(list(second.owed), ["n"])
+            second.take(owed("m"))
+            self.assertEqual(list(self.ledger().owed), ["n", "m"])
+
+    def test_old_and_new_file_stay_within_the_allowance(self):
+        kept, most = self.ledger(40_000), 0
+        write = kept.journal.rewrite
+
+        def rewrite(payloads):
+            nonlocal most
+            before = kept.journal.size
+            write(payloads)
+            most = max(most, before + kept.journal.size)
+
+        kept.journal.rewrite = rewrite
+        for i in range(500):
+            kept.take(owed(f"n{i}", b"x" * 300))
+            kept.push(f"n{i}", 0, 41.0)
+            if i > 5:
+                kept.over(f"n{i - 5}")
+            self.assertLess(kept.journal.size, 40_000)
+        self.assertTrue(0 < most < 40_000)
+        self.assertEqual(len(self.ledger(40_000).owed), 6)
+
+    def test_a_rewrite_keeps_doubt_order_and_notices(self):
+        first = self.ledger()
+        for name in "nmo":
+            first.take(owed(name))
+            first.push(name, 0, 41.0)
+        first.outcome("m", 0, True)
+        first.owe_notice("o", {"state": "failed"})
+        first.journal.rewrite([p for one in first.owed.values() for p in first.summary(one)])
+        back = self.ledger()
+        self.assertEqual(list(back.owed), ["n", "m", "o"])
+        self.assertEqual([o.first_maybe() for o in back.owed.values()][:2], [41.0, float("inf")])
+        self.assertEqual((back.owed["o"].notice, back.owed["o"].body), ({"state": "failed"}, b""))
+        first.outcome("n", 0, True)  # the push that was out at the rewrite turns out not to have run
+        self.assertEqual(self.ledger().owed["n"].first_maybe(), float("inf"))
+
+    def test_nearly_full_has_no_room(self):
+        kept, taken = self.ledger(60_000), 0
+        while kept.has_room(b"x" * 2000):
+            kept.take(owed(f"n{taken}", b"x" * 2000))
+            taken += 1
+        self.assertTrue(5 < taken < 20)
+
+    def test_a_record_cut_short_by_the_disk_leaves_no_trace(self):
+        kept = self.ledger()
+        kept.take(owed("n"))
+        file = kept.journal.file
+        kept.journal.file = SimpleNamespace(write=lambda data: file.write(data[:9]), truncate=file.truncate)
+        with self.assertRaises(OSError):
+            kept.take(owed("m"))
+        kept.journal.file = file
+        kept.take(owed("o"))
+        self.assertEqual(list(self.ledger().owed), ["n", "o"])
+
+    def test_what_a_kill_left_of_a_rewrite_is_removed(self):
+        self.ledger().take(owed("n"))
+        Path(self.folder, "owed.new").write_bytes(b"half")
+        self.assertEqual(list(self.ledger().owed), ["n"])
+        self.assertFalse(Path(self.folder, "owed.new").exists())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,215 @@
+import asyncio
+import unittest
+
+import aiohttp
+
+from ryestack.interface import Listed, Result
+from ryestack.wire import forms
+from ryestack.wire.members import BadList, Members, watch
+from ryestack.wire.notices import Notices
+from ryestack.wire.server import REFUSED, TAKEN, Clients
+
+from .helpers import called, http, listed, members, settings, stand_in
+
+HEAD = {
+    "X-Request-Id": "n", "X-Class": "again", "X-Tenant": "", "X-Deadline": "500m", "X-Envelope": "dest=7",
+}
+LINES = ["POST /api HTTP/1.1", "Host: x", "Content-Length: %d", *(f"{k}: {v}" for k, v in HEAD.items())]
+RAW = "\r\n".join([*LINES, "", ""]).encode()
+
+
+class ToEndpoints(unittest.IsolatedAsyncioTestCase):
+    async def test_each_answer_to_its_outcome(self):
+        for status, more, result, ended, wait in (
+            (200, {}, Result.DELIVERED, False, 0.0),
+            (500, {}, Result.ERROR, False, 0.0),
+            (429, {"X_Retry_In_Ms": "250"}, Result.FULL, False, 0.25),
+            (503, {}, Result.FULL, False, 0.0),
+            (503, {"X_No_Slot": "1"}, Result.NOT_SENT, False, 0.0),
+            (504, {}, Result.NOT_SENT, False, 0.0),
+            (410, {}, Result.NOT_SENT, True, 0.0),
+            (302, {"Location": "/"}, Result.ERROR, False, 0.0),
+        ):
+            [o], _ = await called(lambda *_, s=status, m=more: http(s, **m))
+            self.assertEqual((o.result, o.ended, o.wait), (result, ended, wait), status)
+
+    async def test_what_is_passed_on(self):
+        [o], [(head, body)] = await called(lambda *_: http(200, X_Load='{"x0":0.4,"x1":25}'))
+        self.assertEqual((body, o.limit), (b"body\r\n", 25.0))
+        self.assertTrue(head.startswith(b"POST /receive HTTP/1.1\r\n"))
+        self.assertIn(b"X-Request-Id: n\r\n", head)
+        self.assertIn(b"Idempotency-Key: kn\r\n", head)
+
+    async def test_a_refused_connection_never_ran_and_a_broken_one_may_have(self):
+        [o], _ = await called(lambda *_: None)
+        self.assertEqual(o.result, Result.BROKEN)
+        [o], seen = await called(lambda *_: None, address="127.0.0.1:9")
+        self.assertEqual((o.result, seen), (Result.NO_CONNECTION, []))
+
+    async def test_silence_times_out_and_is_not_sent_again(self):
+        [o], seen = await called(lambda *_: b"", timeout=0.1)
+        self.assertEqual((o.result, len(seen)), (Result.TIMED_OUT, 1))
+
+    async def test_a_first_line_with_200_counts_though_the_rest_never_comes(self):
+        [o], _ = await called(lambda *_: b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", timeout=0.2)
+        self.assertEqual(o.result, Result.DELIVERED)
+
+    async def test_several_travel_in_one_call_where_the_kind_takes_them(self):
+        said = http(200, b"n done\r\nm busy\r\no void\r\n", X_Retry_In_Ms="100")
+        outcomes, [(head, body)] = await called(lambda *_: said, "nmop", "bulk")
+        self.assertTrue(head.startswith(b"POST /receive-many "))
+        self.assertTrue(body.startswith(b"n kn 6\r\nbody\r\n\r\nm km 6\r\n"))
+        self.assertEqual(
+            [(o.result, o.ended, o.wait) for o in outcomes],
+            [(Result.DELIVERED, False, 0.0), (Result.FULL, False, 0.1), (Result.NOT_SENT, True, 0.0),
+             (Result.ERROR, False, 0.0)],
+        )
+
+    async def test_a_kind_that_takes_one_gets_a_call_each(self):
+        outcomes, seen = await called(lambda *_: http(200), "nm")
+        self.assertEqual([o.result for o in outcomes], [Result.DELIVERED] * 2)
+        self.assertEqual({head.split()[1] for head, _ in seen}, {b"/receive"})
+
+
+class FromClients(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.got, self.gone, self.verdict = [], [], (TAKEN, 0.0)
+        clock = asyncio.get_running_loop().time
+        self.clients = Clients(settings(), members(), clock, self.take, self.gone.append, 50)
+        await self.clients.listen("127.0.0.1", 0)
+        self.clients.ready = True
+        host, port = self.clients.listener.sockets[0].getsockname()
+        self.at, self.base = (host, port), f"http://{host}:{port}"
+
+    async def asyncTearDown(self):
+        self.clients.stop_listening()
+        await self.clients.server.shutdown(0.1)
+
+    def take(self, message):
+        self.got.append(message)
+        if self.verdict:
+            message.verdict.set_result(self.verdict)
+
+    async def post(self, path="/api", method="POST", data=b"x", **head):
+        head = {k: v for k, v in {**HEAD, **{k.replace("_", "-"): v for k, v in head.items()}}.items()}
+        async with aiohttp.request(method, self.base + path, headers=head, data=data) as answer:
+            await answer.read()
+            return answer
+
+    async def test_taken_on(self):
+        self.assertEqual((await self.post(data=b"\x00\xff")).status, TAKEN)
+        [message] = self.got
+        self.assertEqual((message.ntf.id, message.ntf.destination, message.body), ("n", 7, b"\x00\xff"))
+        self.assertTrue(await message.heard)
+
+    async def test_throttled_at_once_with_a_time_to_come_back(self):
+        self.verdict = (REFUSED, 0.25)
+        answer = await self.post()
+        self.assertEqual((answer.status, answer.headers["Retry-After"]), (503, "0.250"))
+        self.assertEqual(self.gone, [])
+
+    async def test_bad_input_takes_nothing_on(self):
+        for status, change in (
+            (400, {"X_Envelope": "dest=8"}), (400, {"X_Envelope": "dest=x"}), (400, {"X_Envelope": ""}),
+            (400, {"X_Class": "none"}), (400, {"X_Deadline": "5s"}), (400, {"X_Deadline": "-5m"}),
+            (400, {"X_Request_Id": "a b"}), (400, {"X_Request_Id": ""}), (400, {"X_Class": "merge"}),
+            (404, {"path": "/other"}), (405, {"method": "GET"}), (413, {"data": b"x" * 65537}),
+        ):
+            self.assertEqual((await self.post(**change)).status, status, change)
+        self.assertEqual(self.got, [])
+
+    async def test_nonsense_and_half_a_body_leave_it_serving(self):
+        for raw in (b"\x16\x03\x01\r\n\r\n", RAW % 9 + b"x"):
+            _, writer = await asyncio.open_connection(*self.at)
+            writer.write(raw)
+            await writer.drain()
+            writer.close()
+        self.assertEqual((await self.post()).status, TAKEN)
+        self.assertEqual(len(self.got), 1)
+
+    async def test_a_client_gone_before_its_answer_withdraws(self):
+        self.verdict = None
+        _, writer = await asyncio.open_connection(*self.at)
+        writer.write(RAW % 1 + b"x")
+        while not self.got:
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        self.got[0].verdict.set_result((TAKEN, 0.0))
+        self.assertFalse(await self.got[0].heard)
+        self.assertEqual(self.gone, ["n"])
+
+    async def test_health_follows_readiness_and_idle_connections_end_with_the_listener(self):
+        reader, writer = await asyncio.open_connection(*self.at)
+        for ready, said in ((True, b"200"), (False, b"503")):
+            self.clients.ready = ready
+            writer.write(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+            self.assertIn(said, (await reader.readuntil(b"\r\n\r\n")).split(b"\r\n")[0])
+            await reader.readline()
+        self.clients.stop_listening()
+        self.assertEqual(await asyncio.wait_for(reader.read(), 1.0), b"")
+        writer.close()
+
+
+class FromThePlatform(unittest.IsolatedAsyncioTestCase):
+    def test_a_removed_entry_may_leave_out_what_is_known(self):
+        at = members()
+        row = {"name": "a", "status": "removed"}
+        update = at.learn({"index": 2, "snapshot": False, "endpoints": [row]})
+        self.assertEqual((update.endpoints[0].listed, update.endpoints[0].destination), (Listed.GONE, 7))
+        with self.assertRaises(BadList):
+            at.learn({"index": 3, "snapshot": False, "endpoints": [{"status": "up"}]})
+
+    async def test_the_watch_goes_on_after_a_bad_answer(self):
+        answers, told = [http(500), http(200, b"{"), None], asyncio.Queue()
+        good = b'{"index":5,"snapshot":false,"endpoints":[{"name":"a","status":"draining"}]}'
+        server, address = await stand_in(lambda *_: answers.pop(0) if answers else http(200, good))
+        async with aiohttp.ClientSession() as session:
+            at = members()
+            task = asyncio.ensure_future(watch(session, f"http://{address}", at, told.put_nowait))
+            update = await asyncio.wait_for(told.get(), 3.0)
+            task.cancel()
+        server.close()
+        self.assertEqual((update.endpoints[0].listed, at.index), (Listed.DRAINING, 5))
+
+    async def test_notices_are_sent_until_taken_and_a_bad_one_holds_up_none(self):
+        done, bodies = asyncio.Queue(), []
+
+        def answer(_, body):
+            bodies.append(body)
+            return http(400 if b'"m"' in body else 204)
+
+        server, address = await stand_in(answer)
+        async with aiohttp.ClientSession() as session:
+            notices = Notices(session, f"http://{address}", done.put_nowait)
+            for name in "nmo":
+                notices.add(name, {"state": "returned", "after_ms": 5})
+            task = asyncio.ensure_future(notices.run())
+            names = [await asyncio.wait_for(done.get(), 3.0) for _ in range(2)]
+            task.cancel()
+        server.close()
+        self.assertEqual(names, [["n"], ["o"]])
+        self.assertEqual(bodies[1], b'{"id":"n","state":"returned","after_ms":5}\n')
+
+
+class Forms(unittest.TestCase):
+    def test_durations_have_a_unit(self):
+        self.assertAlmostEqual(forms.seconds("1500u"), 0.0015)
+        for bad in ("", "5", "m", "1e3m", "٣m"):
+            with self.assertRaises(forms.BadForm):
+                forms.seconds(bad)
+
+    def test_the_destination_among_other_fields(self):
+        self.assertEqual(forms.destination("v=1; dest=12"), 12)
+        with self.assertRaises(forms.BadForm):
+            forms.destination("xdest=12")
+
+    def test_a_report_that_cannot_be_read_is_none(self):
+        self.assertEqual([forms.report(t) for t in (None, "{", "[1]", '{"x1":2}')], [{}, {}, {}, {"x1": 2}])
+
+    def test_an_empty_list_is_a_list(self):
+        self.assertEqual(Members().learn({**listed(), "endpoints": []}).endpoints, ())
+
+
+if __name__ == "__main__":
+    unittest.main()
