--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -17,7 +17,8 @@
 
 QUIET = logging.getLogger("ryestack.clients")  # bad requests are answered; a traceback of each helps nobody
 QUIET.setLevel(logging.CRITICAL)
-TAKEN, REFUSED, FAILED, MALFORMED, TOO_LARGE = 202, 503, 500, 400, 413
+TAKEN, REFUSED, FAILED, MALFORMED, TOO_SLOW, TOO_LARGE = 202, 503, 500, 400, 408, 413
+SLOW = 10.0  # seconds for a body: one that never comes must not keep its connection's place
 
 
 @dataclass(slots=True)
@@ -51,7 +52,14 @@
         self.listener = await loop.create_server(self.accept, host, port, backlog=512, reuse_address=True)
 
     def accept(self) -> asyncio.Protocol:
-        return self.server() if len(self.server.connections) < self.most else Full()
+        """At the bound the oldest idle connection makes room: silent ones must not keep others out."""
+        connections = self.server.connections
+        if len(connections) >= self.most:
+            oldest = next(filter(_idle, connections), None)
+            if oldest is None:
+                return Full()
+            oldest.force_close()
+        return self.server()
 
     def stop_listening(self) -> None:
         """Idle connections end at once, busy ones after their answer.
@@ -60,9 +68,7 @@
         """
         self.listener.close()
         for connection in self.server.connections:
-            waiter = connection._waiter
-            idle = waiter is not None and not waiter.done()  # done: a request has come and is not begun
-            connection.force_close() if idle else connection.close()
+            connection.force_close() if _idle(connection) else connection.close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.busy += 1
@@ -81,18 +87,20 @@
         return self.answer(200, "serving") if self.ready else self.answer(503, "not serving")
 
     async def api(self, request: web.BaseRequest) -> web.StreamResponse:
-        now = self.clock()
         body = bytearray()
         if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
-            async for chunk in request.content.iter_any():
-                body += chunk
-                if len(body) > forms.MOST_BODY:
-                    return self.answer(TOO_LARGE, f"a body holds {forms.MOST_BODY} bytes at most", last=True)
-            ntf, key = self.read(request.headers, now)
+            async with asyncio.timeout(SLOW):
+                async for chunk in request.content.iter_any():
+                    body += chunk
+                    if len(body) > forms.MOST_BODY:
+                        return self.answer(TOO_LARGE, f"{forms.MOST_BODY} bytes at most", last=True)
+            ntf, key = self.read(request.headers, self.clock())
         except forms.BadForm as bad:
             return self.answer(MALFORMED, str(bad))
+        except TimeoutError:
+            return self.answer(TOO_SLOW, "the body did not come", last=True)
         except (OSError, aiohttp.ClientError, web.RequestPayloadError):  # its client went, or sent no body
             return self.answer(MALFORMED, "the body broke off", last=True)
         loop = asyncio.get_running_loop()
@@ -150,6 +158,12 @@
     ROUTES = {"/api": ("POST", api), "/_health": ("GET", health)}
 
 
+def _idle(connection: web.RequestHandler) -> bool:
+    """Whether it waits for a request of which nothing whole has come."""
+    waiter = connection._waiter
+    return waiter is not None and not waiter.done()  # done: a request has come and is not begun
+
+
 class Full(asyncio.Protocol):
     """Meets a connection past the bound: it ends at once, before anything is read."""
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -127,6 +127,15 @@
         self.assertEqual((await self.post()).status, TAKEN)
         self.assertEqual(len(self.got), 1)
 
+    async def test_at_the_bound_the_oldest_idle_connection_makes_room(self):
+        self.clients.most = 3
+        idle = [await asyncio.open_connection(*self.at) for _ in range(3)]
+        await asyncio.sleep(0.05)
+        self.assertEqual((await self.post()).status, TAKEN)
+        self.assertEqual(await asyncio.wait_for(idle[0][0].read(), 1.0), b"")
+        for _, writer in idle:
+            writer.close()
+
     async def test_a_client_gone_before_its_answer_withdraws(self):
         self.verdict = None
         _, writer = await asyncio.open_connection(*self.at)
