--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -500,7 +500,7 @@
         ranked = [(d, sorted(d.parked.values(), key=self.rank, reverse=True)) for d in dests if d.parked]
         for dest, parked in sorted(ranked, key=lambda row: self.rank(row[1][0]), reverse=True):
             for ntf in parked:
-                if ntf.pushes and (ntf.hops > self.HOPS or ntf.past >= dest.order[-1].id):
+                if ntf.past and (ntf.hops > self.HOPS or ntf.past >= dest.order[-1].id):
                     # The walk is over: it begins anew, after a rest.
                     ntf.hops, ntf.past, ntf.rest_until = 0, "", self.now + self.WALK_REST
                     self.at(ntf.rest_until, Brain.touch, dest)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -56,6 +56,12 @@
         self.assertEqual((kinds(acts, it.Expire), kinds(acts, it.Throttle)), (["n"], ["m", "q", "r"]))
         self.assertEqual(sorted(kinds(acts, it.Push)), ["o", "p"])
 
+    def test_what_was_pushed_before_a_restart_waits_where_the_list_names_no_route(self):
+        b = brain(routes=())
+        self.assertEqual(pushes(b.round(1.0, [take("n", pushes=1)])), [])
+        listed = it.ListUpdate((it.Endpoint("a", "z", "shared", 7, rate=50.0),))
+        self.assertEqual(pushes(b.round(1.1, [listed]) + b.round(1.2, [it.Woken()])), [("n", "a")])
+
     def test_nothing_new_goes_out_that_a_restart_would_cut_off(self):
         b = brain()
         b.round(1.0, [it.Leaving(1.4)])
