--- a/examples/toy.py
+++ b/examples/toy.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 
 from aiohttp import web
 
@@ -65,7 +66,5 @@
 
 
 if __name__ == "__main__":
-    try:
+    with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(main())
-    except KeyboardInterrupt:
-        pass
--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -90,7 +90,7 @@
         self.cold = None  # None: warm; inf: not back yet; else since when it is back
 
     def part(self):
-        return self.told / self.relays / self.dest.sharing()
+        return max(1e-3, self.told / self.relays / self.dest.sharing())  # a list may tell a rate of none
 
     def rate(self, now):
         part, share = self.part(), self.rules.cold_share
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -108,6 +108,11 @@
             b.round(1.0, [it.ListUpdate((it.Endpoint(name, "z", "apart", 7, listed, 50.0),))])
         self.assertEqual(pushes(b.round(2.0, [take("n")])), [("n", "b")])
 
+    def test_a_told_rate_of_none_still_lets_calls_go(self):
+        b = brain(routes=("a",), rate=0.0)
+        b.round(1.0, [take("n", due=21.0)])
+        self.assertEqual(pushes(b.round(2.0, [it.Woken()])), [("n", "a")])
+
     def test_key_order_and_rest(self):
         b = brain()
         self.assertEqual(pushes(b.round(1.0, [take("n", "turns", key="k"), take("m", "turns", key="k")])),
