--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -10,14 +10,12 @@
 from loguru import logger
 
 from .. import interface as it
-from ..brain import Brain
+from ..brain import NEVER_RAN, Brain
 from ..interface import Result
 from ..store.ledger import Ledger, Owed
 from ..wire.calls import Item
 from ..wire.server import FAILED, MALFORMED, REFUSED, TAKEN, HandIn
 
-NEVER_RAN = {Result.FULL, Result.NO_CONNECTION, Result.NOT_SENT}  # what the protocol proves
-
 
 class Owner:
     def __init__(self, settings: it.Settings, seed: int, ledger: Ledger, clock, wall: float):
@@ -43,7 +41,7 @@
 
     def told_platform(self, names: list[str]) -> None:
         for name in names:
-            self.keep(self.ledger.over, name)
+            self.ledger.over(name)
 
     async def run(self) -> None:
         while True:
@@ -78,24 +76,26 @@
         name = message.ntf.id
         if name in self.ledger.owed or name in self.fresh:
             message.verdict.set_result((MALFORMED, 0.0))
-        elif len(self.ledger.owed) >= self.settings.max_open or not self.ledger.has_room(message.body):
-            self.counts["turned away"] += 1
-            message.verdict.set_result((REFUSED, 0.0))
+        elif self.held() >= self.settings.max_open or not self.ledger.has_room(message.body):
+            self.turn_away(message)
         else:
             self.fresh[name] = message
             return message.ntf
         return None
 
+    def held(self) -> int:
+        return len(self.ledger.owed) + len(self.fresh)
+
     def before_outcome(self, o: it.Outcome):
         self.counts[o.result.value] += 1
         if o.result is Result.DELIVERED or o.ended:
-            self.keep(self.ledger.over, o.id)
+            self.ledger.over(o.id)
         else:
-            self.keep(self.ledger.outcome, o.id, o.push, o.result in NEVER_RAN)
+            self.ledger.outcome(o.id, o.push, o.result in NEVER_RAN)
         return o
 
     def before_withdrawn(self, event: it.Withdrawn):
-        self.keep(self.ledger.over, event.id)
+        self.ledger.over(event.id)
         return event
 
     def end(self, action: it.Throttle | it.Expire) -> None:
@@ -110,23 +110,25 @@
             notice = {"state": "returned" if throttled else "failed"}
             if away > 0.0:
                 notice["after_ms"] = round(away * 1000.0)
-            self.keep(self.ledger.owe_notice, action.id, notice)
+            self.ledger.owe_notice(action.id, notice)
             self.notices.add(action.id, notice)
 
     def take(self, message: HandIn) -> None:
         n = message.ntf
         due = n.due + self.wall
         owed = Owed(n.id, due, n.destination, n.topic_type, n.customer, n.key, message.key, message.body)
-        try:
-            self.ledger.take(owed)
-        except OSError as problem:
-            logger.warning("journal: a message was refused: {}", problem)
-            message.verdict.set_result((REFUSED, 0.0))
+        if self.ledger.take(owed):
+            self.counts["taken"] += 1
+            self.ledger.owed[n.id].heard = message.heard
+            message.verdict.set_result((TAKEN, 0.0))
+        else:
+            self.turn_away(message)
             self.put([it.Withdrawn(n.id)])
-            return
-        self.counts["taken"] += 1
-        self.ledger.owed[n.id].heard = message.heard
-        message.verdict.set_result((TAKEN, 0.0))
+
+    def turn_away(self, message: HandIn) -> None:
+        """For want of room, not by a decision: the hold or the journal is full."""
+        self.counts["turned away"] += 1
+        message.verdict.set_result((REFUSED, 0.0))
 
     def push(self, pushes: list[it.Push]) -> None:
         calls, unsent = defaultdict(list), []
@@ -136,11 +138,8 @@
                 unsent.append(it.Outcome(p.id, 0, p.endpoint, Result.NOT_SENT, ended=True))
                 continue
             number = owed.pushes
-            try:
-                self.ledger.push(p.id, number, self.clock() + self.wall)
-            except OSError as problem:
-                logger.warning("journal: a push was not made: {}", problem)
-                owed.pushes += 1
+            if not self.ledger.push(p.id, number, self.clock() + self.wall):
+                owed.pushes += 1  # as the module counts
                 unsent.append(it.Outcome(p.id, number, p.endpoint, Result.NOT_SENT))
                 continue
             self.counts["pushes"] += 1
@@ -150,13 +149,6 @@
         if unsent:
             self.put(unsent)
 
-    def keep(self, change, *values) -> None:
-        """Journal what has happened already: without room it is known to this process only."""
-        try:
-            change(*values)
-        except OSError as problem:
-            logger.warning("journal: not written: {}", problem)
-
     # -- start and stop ---------------------------------------------------------------------------
 
     def recover(self, update: it.ListUpdate) -> None:
@@ -164,7 +156,7 @@
         topics, known = {t.name for t in self.settings.topic_types}, []
         for o in list(self.ledger.owed.values()):
             if not o.notice and o.topic not in topics:
-                self.keep(self.ledger.owe_notice, o.id, {"state": "failed"})
+                self.ledger.owe_notice(o.id, {"state": "failed"})
             if o.notice:
                 self.notices.add(o.id, o.notice)
             else:
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -52,7 +52,7 @@
         base = f"http://{config.discovery}"
         self.notices = Notices(self.platform, base, self.owner.told_platform)
         self.owner.notices = self.notices
-        most = max(8, (config.sockets - OWN_SOCKETS - settings.slots) // 2)  # the rest: calls
+        most = max(8, (config.sockets - OWN_SOCKETS) // 3)  # two thirds: calls and their idle connections
         owner = self.owner
         self.clients = Clients(settings, self.members, self.clock, owner.hand_in, owner.withdraw, most)
         self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -41,7 +41,7 @@
 
 class Ledger:
     def __init__(self, journal: Journal):
-        self.journal, self.owed, self.live = journal, {}, 0
+        self.journal, self.owed, self.live, self.well = journal, {}, 0, True
 
     def recover(self) -> None:
         """Read what the lives before have left; a record that makes no sense is passed over."""
@@ -54,34 +54,47 @@
         if bad or self.journal.dropped:
             logger.warning("journal: {} bad records, {} torn bytes dropped", bad, self.journal.dropped)
 
-    # -- changes: each is written, then applied ---------------------------------------------------
+    # -- promises: written first, and not made where there is no room --------------------------------
 
     def has_room(self, body: bytes) -> bool:
         return self.live + len(body) + 2 * HISTORY <= self.journal.most * LIVE_PART
 
-    def take(self, owed: Owed) -> None:
-        self.write(self.taken(owed))
+    def take(self, owed: Owed) -> bool:
+        return self.has_room(owed.body) and self.write(self.taken(owed))
 
-    def push(self, name: str, push: int, at: float) -> None:
-        self.write(record("push", name, push, at))
+    def push(self, name: str, push: int, at: float) -> bool:
+        return self.write(record("push", name, push, at))
+
+    # -- what has happened: known to this life even where it cannot be written ------------------------
 
     def outcome(self, name: str, push: int, never_ran: bool) -> None:
-        if name in self.owed:
-            self.write(record("outcome", name, push, never_ran))
+        self.note(name, record("outcome", name, push, never_ran))
 
     def owe_notice(self, name: str, notice: dict) -> None:
-        if name in self.owed:
-            self.write(record("notice", name, notice))
+        self.note(name, record("notice", name, notice))
 
     def over(self, name: str) -> None:
-        if name in self.owed:
-            self.write(record("over", name))
-
-    def write(self, payload: bytes) -> None:
-        if not self.journal.fits(len(payload) + FRAME.size, self.live):
-            self.journal.rewrite([p for owed in self.owed.values() for p in self.summary(owed)])
-        self.journal.append(payload)
+        self.note(name, record("over", name))
+
+    def note(self, name: str, payload: bytes) -> None:
+        if name in self.owed and not self.write(payload):
+            self.apply(payload)
+
+    def write(self, payload: bytes) -> bool:
+        try:
+            if not self.journal.fits(len(payload) + FRAME.size, self.live):
+                self.journal.rewrite([p for owed in self.owed.values() for p in self.summary(owed)])
+            self.journal.append(payload)
+        except OSError as problem:
+            if self.well:
+                logger.error("journal: cannot be written: {}", problem)
+            self.well = False
+            return False
+        if not self.well:
+            logger.info("journal: written again")
+        self.well = True
         self.apply(payload)
+        return True
 
     # -- records ----------------------------------------------------------------------------------
 
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -25,7 +25,7 @@
 class HandIn:
     """A message that a client hands in.
 
-    verdict: what the relay made of it, None or (status, seconds to stay away). heard: whether its client
+    verdict: what the relay made of it, (status, seconds to stay away). heard: whether its client
     was told that it is taken on; pushes wait for it.
     """
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -108,6 +108,13 @@
         o.round([self.hand_in("n"), twice])
         self.assertEqual((twice.verdict.result()[0], list(o.ledger.owed)), (MALFORMED, ["n"]))
 
+    async def test_many_in_one_round_do_not_overfill_the_journal(self):
+        o, many = self.owner(), [self.hand_in(f"n{i}", body=b"x" * 3_000) for i in range(90)]
+        o.round(many)
+        statuses = [m.verdict.result()[0] for m in many]
+        self.assertEqual(statuses.count(TAKEN), 10)
+        self.assertLess(o.ledger.journal.size, 50_000)
+
     async def test_nearly_full_refuses_and_a_full_disk_does_not_crash(self):
         o, large = self.owner(), self.hand_in("n", body=b"x" * 50_000)
         o.round([large])
@@ -119,6 +126,8 @@
         self.assertEqual(list(o.ledger.owed), ["m"])
         o.round(o.take_queue())
         self.assertNotIn("p", o.brain.held)
+        o.round([it.Outcome("m", 1, "a", Result.DELIVERED)])
+        self.assertEqual(o.ledger.owed, {})
 
     def no_room(self, _):
         raise OSError("no space left")
