--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -13,6 +13,7 @@
 from .journal import FRAME, Journal
 
 LIVE_PART = 0.4  # of the allowance for what is owed: an old and a new file stand side by side at a rewrite
+DEAD, SMALL = 4, 100_000  # past so many times what is owed and so many bytes a file is slow to read
 HISTORY = 256  # bytes kept for a message's pushes in a rewritten file
 
 
@@ -82,7 +83,8 @@
 
     def write(self, payload: bytes) -> bool:
         try:
-            if not self.journal.fits(len(payload) + FRAME.size, self.live):
+            large = self.journal.size > DEAD * self.live + SMALL
+            if large or not self.journal.fits(len(payload) + FRAME.size, self.live):
                 self.journal.rewrite([p for owed in self.owed.values() for p in self.summary(owed)])
             self.journal.append(payload)
         except OSError as problem:
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -170,7 +170,7 @@
 
 def _answer(table: dict, said, wait: float, limit: float, headers=()) -> tuple:
     result = Result.NOT_SENT if "X-No-Slot" in headers else table.get(said, Result.ERROR)
-    return result, said in OVER, wait if result is Result.FULL else 0.0, limit
+    return result, said in OVER, wait, limit
 
 
 def _milliseconds(text: str | None) -> float:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -78,6 +78,13 @@
         self.assertTrue(0 < most < 40_000)
         self.assertEqual(len(self.ledger(40_000).owed), 6)
 
+    def test_a_file_of_what_is_over_is_rewritten_long_before_it_is_full(self):
+        kept = self.ledger(3_000_000)
+        for i in range(2000):
+            kept.take(owed(f"n{i}", b"x" * 200))
+            kept.over(f"n{i}")
+        self.assertLess(kept.journal.size, 110_000)
+
     def test_a_rewrite_keeps_doubt_order_and_notices(self):
         first = self.ledger()
         for name in "nmo":
