--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -11,7 +11,7 @@
 LISTED = {"up": it.Listed.READY, "draining": it.Listed.DRAINING, "removed": it.Listed.GONE}
 HOLD = 2.0  # seconds a watch may wait: the registry counts a change as told two seconds after it at most
 SILENT = 1.0  # more, and the watch counts as broken
-PAUSE = 0.1  # before the next call after a failure; a watch goes on within 200 ms
+PAUSE = 0.1  # between calls at least, if answers or failures come at once; a watch goes on within 200 ms
 
 
 class BadList(Exception):
@@ -19,24 +19,31 @@
 
 
 def read_list(told: dict, known: dict[str, dict]) -> tuple[int, it.ListUpdate, dict[str, dict]]:
-    """The version, what the decisions are told, and the rows by name; a row may leave out what is known."""
+    """The version, what the decisions are told, and the rows by name.
+
+    A row may leave out what is known; one that cannot be read is passed over, so that it hides no other.
+    """
+    rows, endpoints = {}, []
     try:
-        index, whole = told["index"], told["snapshot"]
-        rows = [{**known.get(row["name"], {}), **row} for row in told["endpoints"]]
-        endpoints = tuple(
-            it.Endpoint(
-                str(row["name"]),
-                str(row["zone"]),
-                str(row["type"]),
-                int(row["group"]),
-                LISTED[row["status"]],
-                float(row.get("weight", 1.0)),
-            )
-            for row in rows
-        )
-        return int(index), it.ListUpdate(endpoints, whole=whole is True), {row["name"]: row for row in rows}
-    except (KeyError, TypeError, ValueError, AttributeError) as problem:
+        index, whole, entries = int(told["index"]), told["snapshot"] is True, list(told["endpoints"])
+    except (KeyError, TypeError, ValueError) as problem:
         raise BadList(f"{type(problem).__name__}: {problem}") from None
+    for entry in entries:
+        try:
+            row = {**known.get(entry["name"], {}), **entry}
+            endpoints.append(read_row(row))
+            rows[row["name"]] = row
+        except (KeyError, TypeError, ValueError) as problem:
+            logger.warning("list: version {}: an entry was passed over: {!r}", index, problem)
+    return index, it.ListUpdate(tuple(endpoints), whole=whole), rows
+
+
+def read_row(row: dict) -> it.Endpoint:
+    name, zone, kind = str(row["name"]), str(row["zone"]), str(row["type"])
+    listed = LISTED.get(row["status"], it.Listed.DRAINING)  # a word we do not know: nothing new goes there
+    if not row["address"]:
+        raise ValueError("no address")
+    return it.Endpoint(name, zone, kind, int(row["group"]), listed, float(row.get("weight", 1.0)))
 
 
 class Members:
@@ -63,6 +70,7 @@
     limit = aiohttp.ClientTimeout(total=HOLD + SILENT)
     well = True
     while True:
+        began = asyncio.get_running_loop().time()
         query = {"from": str(members.index), "hold_ms": str(int(HOLD * 1000))}
         try:
             async with session.get(f"{base}/catalog/members", params=query, timeout=limit) as answer:
@@ -85,4 +93,4 @@
             if well:
                 logger.warning("list: the registry does not answer, the old list holds: {!r}", problem)
             well = False
-            await asyncio.sleep(PAUSE)
+        await asyncio.sleep(began + PAUSE - asyncio.get_running_loop().time())
