--- a/ryestack/__main__.py
+++ b/ryestack/__main__.py
@@ -10,7 +10,11 @@
 
 
 async def serve(config: Config) -> None:
-    await Relay(config).run()
+    relay = Relay(config)
+    try:
+        await relay.run()
+    finally:
+        await relay.close()
 
 
 def main() -> int:
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -121,12 +121,16 @@
                 await asyncio.sleep(LOOK)
 
     async def end(self) -> None:
+        self.summary()
+
+    async def close(self) -> None:
+        """Let go of all that is held, whatever phase the run came to."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.calls.close()
         await self.platform.close()
         self.ledger.journal.close()
-        self.summary()
 
     async def summaries(self) -> None:
         while True:
