--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,6 +5,7 @@
 
 from ryestack.interface import Listed, Result
 from ryestack.wire import forms
+from ryestack.wire.calls import Calls, Item
 from ryestack.wire.members import BadList, Members, watch
 from ryestack.wire.notices import Notices
 from ryestack.wire.server import REFUSED, TAKEN, Clients
@@ -46,6 +47,19 @@
         [o], seen = await called(lambda *_: None, address="127.0.0.1:9")
         self.assertEqual((o.result, seen), (Result.NO_CONNECTION, []))
 
+    async def test_a_kept_connection_that_breaks_may_have_run_and_is_not_tried_again(self):
+        said, told, heads = [http(200), None, http(200)], asyncio.Queue(), []
+        server, address = await stand_in(lambda head, _: heads.append(head) or said.pop(0))
+        clock = asyncio.get_running_loop().time
+        calls = Calls(settings(connection_idle=5.0), members(address=address), clock, told.put_nowait)
+        results = []
+        for name in "nm":
+            calls.start("a", [Item(name, 0, 1.0, "", b"", None)])
+            results += [o.result for o in await told.get()]
+        await calls.close()
+        server.close()
+        self.assertEqual((results, len(heads)), ([Result.DELIVERED, Result.BROKEN], 2))
+
     async def test_silence_times_out_and_is_not_sent_again(self):
         [o], seen = await called(lambda *_: b"", timeout=0.1)
         self.assertEqual((o.result, len(seen)), (Result.TIMED_OUT, 1))
