--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -83,14 +83,14 @@
         self.rules, self.relays, self.idle = settings.rules, settings.relays, settings.connection_idle
         self.rough = self.ROUGH if settings.rough_rates else 1.0
         self.gain, self.at = self.GAIN if self.single else 1.0, now
-        self.told = rate if settings.told_rates else self.UNTOLD
-        self.tokens = chance.random() ** (1.0 / max(self.told, 0.1))  # a draw by rate among routes
+        self.told = max(0.1, rate) if settings.told_rates else self.UNTOLD  # a list may tell none
+        self.tokens = chance.random() ** (1.0 / self.told)  # a draw by rate among routes
         self.back, self.refusals, self.hungry = self.BACK, 0, 0.0
         self.wait_until, self.bad_since = 0.0, inf
         self.cold = None  # None: warm; inf: not back yet; else since when it is back
 
     def part(self):
-        return max(1e-3, self.told / self.relays / self.dest.sharing())  # a list may tell a rate of none
+        return self.told / self.relays / self.dest.sharing()
 
     def rate(self, now):
         part, share = self.part(), self.rules.cold_share
--- a/ryestack/store/journal.py
+++ b/ryestack/store/journal.py
@@ -64,16 +64,17 @@
     def rewrite(self, payloads: list[bytes]) -> None:
         """Put these records in place of all; the old file stands until the new one is whole."""
         data = b"".join(map(framed, payloads))
+        fresh = open(self.fresh, "ab", buffering=0)  # noqa: SIM115 - it becomes the file
         try:
-            with open(self.fresh, "wb", buffering=0) as fresh:
-                if fresh.write(data) != len(data):
-                    raise OSError("no room for a new journal")
+            if fresh.write(data) != len(data):
+                raise OSError("no room for a new journal")
             os.replace(self.fresh, self.path)
         except OSError:
+            fresh.close()
             self.fresh.unlink(missing_ok=True)
             raise
         self.file.close()
-        self.file, self.size = open(self.path, "ab", buffering=0), len(data)  # noqa: SIM115
+        self.file, self.size = fresh, len(data)
 
     def close(self) -> None:
         if self.file:
--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -84,7 +84,8 @@
     def write(self, payload: bytes) -> bool:
         try:
             large = self.journal.size > DEAD * self.live + SMALL
-            if large or not self.journal.fits(len(payload) + FRAME.size, self.live):
+            # After a failure the file may lack what has happened, or end in a part of a record.
+            if large or not self.well or not self.journal.fits(len(payload) + FRAME.size, self.live):
                 self.journal.rewrite([p for owed in self.owed.values() for p in self.summary(owed)])
             self.journal.append(payload)
         except OSError as problem:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -112,6 +112,8 @@
         b = brain(routes=("a",), rate=0.0)
         b.round(1.0, [take("n", due=21.0)])
         self.assertEqual(pushes(b.round(2.0, [it.Woken()])), [("n", "a")])
+        b.routes["a"].pacer.bad(2.0, 9.0, False)
+        self.assertLess(b.routes["a"].pacer.ready_at(9.0), 60.0)  # and after an outage it is tried again
 
     def test_key_order_and_rest(self):
         b = brain()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -117,6 +117,27 @@
         kept.take(owed("o"))
         self.assertEqual(list(self.ledger().owed), ["n", "o"])
 
+    def test_what_could_not_be_written_is_in_the_file_once_it_can(self):
+        kept = self.ledger()
+        kept.take(owed("n"))
+        append, kept.journal.append = kept.journal.append, self.no_room
+        kept.owe_notice("n", {"state": "failed"})
+        kept.journal.append = append
+        kept.take(owed("m"))
+        self.assertEqual([o.notice for o in self.ledger().owed.values()], [{"state": "failed"}, None])
+
+    def no_room(self, _):
+        raise OSError("no space left")
+
+    def test_after_a_rewrite_the_file_goes_on_without_being_opened_again(self):
+        kept = self.ledger()
+        kept.take(owed("n"))
+        kept.journal.rewrite([p for o in kept.owed.values() for p in kept.summary(o)])
+        kept.journal.file.write(b"part")
+        kept.journal.file.truncate(kept.journal.size)
+        kept.take(owed("m"))
+        self.assertEqual(list(self.ledger().owed), ["n", "m"])
+
     def test_what_a_kill_left_of_a_rewrite_is_removed(self):
         self.ledger().take(owed("n"))
         Path(self.folder, "owed.new").write_bytes(b"half")
