SIGHUP rereads the configuration; watch and notices move to the new discovery

Cause: lifecycle/relay.py set handlers for SIGTERM and SIGINT only, and the base address was fixed in relay.py:open_door and Notices.__init__. Ruled out: a fault of the watch, the log ends without a line. Now the reread is an event of the phases; wire/platform.py holds the address, a move breaks off what is open at the old one; the watch then asks for the whole list, as versions need not go on. A bad file is one log line.

--- a/ryestack/__main__.py
+++ b/ryestack/__main__.py
@@ -1,6 +1,7 @@
 """python -m ryestack: one live relay, from LB_CONFIG and LB_STATE until SIGTERM."""
 
 import asyncio
+import signal
 import sys
 
 from loguru import logger
@@ -18,6 +19,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something that could reread
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", diagnose=False)
     try:
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -4,8 +4,8 @@
 import resource
 import signal
 import time
+from dataclasses import fields
 
-import aiohttp
 from loguru import logger
 
 from .. import interface as it
@@ -14,8 +14,9 @@
 from ..wire.calls import Calls
 from ..wire.members import Members, watch
 from ..wire.notices import Notices
+from ..wire.platform import Platform
 from ..wire.server import Clients
-from .config import Config
+from .config import BadConfig, Config, load
 from .owner import Owner
 
 # (phase, what happened) -> (next phase, effect)
@@ -24,6 +25,9 @@
     ("recovering", "recovered"): ("serving", "open_door"),
     ("serving", "asked to stop"): ("leaving", "say_so"),
     ("leaving", "accepted long enough"): ("draining", "shut_door"),
+    ("serving", "told to reread"): ("serving", "reread"),
+    ("leaving", "told to reread"): ("leaving", "reread"),
+    ("draining", "told to reread"): ("draining", "reread"),
     ("draining", "settled"): ("winding up", "wind_up"),
     ("draining", "time is short"): ("winding up", "wind_up"),
     ("winding up", "wound up"): ("ended", "end"),
@@ -48,14 +52,14 @@
         self.owner = Owner(settings, config.seed, self.ledger, self.clock, wall)
         self.calls = Calls(settings, self.members, self.clock, self.owner.put)
         self.owner.calls = self.calls
-        self.platform = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
-        base = f"http://{config.discovery}"
-        self.notices = Notices(self.platform, base, self.owner.told_platform)
+        self.platform = Platform(config.discovery)
+        self.notices = Notices(self.platform, self.owner.told_platform)
         self.owner.notices = self.notices
         most = max(8, (config.sockets - OWN_SOCKETS) // 3)  # two thirds: calls and their idle connections
         owner = self.owner
         self.clients = Clients(settings, self.members, self.clock, owner.hand_in, owner.withdraw, most)
         self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
+        self.reread_asked = asyncio.Event()
 
     async def happen(self, what: str) -> None:
         self.phase, effect = PHASES[self.phase, what]
@@ -67,6 +71,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reread_asked.set)
         await self.happen("begun")
         await self.happen("recovered")
         await self.until(self.stop_asked.wait())
@@ -93,12 +98,12 @@
         self.owner.recover(self.known)
 
     async def open_door(self) -> None:
-        base = f"http://{self.config.discovery}"
         lasting = [
             self.owner.run(),
             self.notices.run(),
-            watch(self.platform, base, self.members, lambda update: self.owner.put([update])),
+            watch(self.platform, self.members, lambda update: self.owner.put([update])),
             self.summaries(),
+            self.rereads(),
         ]
         self.tasks = [asyncio.ensure_future(each) for each in lasting]
         await self.clients.listen(self.config.host, self.config.port)
@@ -132,6 +137,26 @@
         await self.platform.close()
         self.ledger.journal.close()
 
+    async def rereads(self) -> None:
+        while True:
+            await self.reread_asked.wait()
+            self.reread_asked.clear()
+            if (self.phase, "told to reread") in PHASES:  # else it ends, and has nothing more to learn
+                await self.happen("told to reread")
+
+    async def reread(self) -> None:
+        """Only the platform's address may change in a life; what is owed and who is connected stays."""
+        try:
+            told = load()
+        except BadConfig as bad:
+            logger.warning("configuration: not taken, the old one stays: {}", bad)
+            return
+        if self.platform.move(told.discovery):
+            logger.info("configuration: the platform is reached at {} from now on", told.discovery)
+        same = {f.name for f in fields(Config)} - {"discovery", "known", "seed"}
+        if any(getattr(told, name) != getattr(self.config, name) for name in same):
+            logger.warning("configuration: what else has changed holds from the next start")
+
     async def summaries(self) -> None:
         while True:
             await asyncio.sleep(SUMMARY)
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from .. import interface as it
+from .platform import Platform
 
 LISTED = {"up": it.Listed.READY, "draining": it.Listed.DRAINING, "removed": it.Listed.GONE}
 HOLD = 2.0  # seconds a watch may wait: the registry counts a change as told two seconds after it at most
@@ -65,19 +66,23 @@
         return self.rows[endpoint]["type"]
 
 
-async def watch(session: aiohttp.ClientSession, base: str, members: Members, tell) -> None:
-    """Follow the list for as long as the process lives; a silent registry leaves the old one in force."""
-    limit = aiohttp.ClientTimeout(total=HOLD + SILENT)
-    well = True
+async def watch(platform: Platform, members: Members, tell) -> None:
+    """Follow the list for as long as the process lives; a silent registry leaves the old one in force.
+
+    At a new address it starts with the whole list: versions there need not go on from the old ones.
+    """
+    address, well = platform.address, True
     while True:
         began = asyncio.get_running_loop().time()
         query = {"from": str(members.index), "hold_ms": str(int(HOLD * 1000))}
+        if address != platform.address:
+            query = {}
+        asked = platform.address
         try:
-            async with session.get(f"{base}/catalog/members", params=query, timeout=limit) as answer:
-                body = await answer.read()
-                if answer.status != 200:
-                    raise BadList(f"status {answer.status}")
-                update = members.learn(json.loads(body))
+            status, body = await platform.ask("GET", "/catalog/members", HOLD + SILENT, params=query)
+            if status != 200:
+                raise BadList(f"status {status}")
+            update, address = members.learn(json.loads(body)), asked
             if update.endpoints or update.whole:
                 logger.info(
                     "list: version {}, {} entries, whole {}",
@@ -89,8 +94,8 @@
             if not well:
                 logger.info("list: the registry answers again")
             well = True
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, BadList) as problem:
-            if well:
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError, BadList) as problem:
+            if well and asked == platform.address:
                 logger.warning("list: the registry does not answer, the old list holds: {!r}", problem)
-            well = False
+                well = False
         await asyncio.sleep(began + PAUSE - asyncio.get_running_loop().time())
--- a/ryestack/wire/notices.py
+++ b/ryestack/wire/notices.py
@@ -7,16 +7,18 @@
 import aiohttp
 from loguru import logger
 
+from .platform import Platform
+
 LINES = 200  # in one post
 PAUSE = 0.1  # seconds before the next try; the platform answers at once
-LIMIT = aiohttp.ClientTimeout(total=2.0)
+LIMIT = 2.0  # seconds for a post
 
 
 class Notices:
     """Sends what is owed in order; done(ids) tells the owner what the platform has."""
 
-    def __init__(self, session: aiohttp.ClientSession, base: str, done):
-        self.session, self.url, self.done = session, f"{base}/status", done
+    def __init__(self, platform: Platform, done):
+        self.platform, self.done = platform, done
         self.waiting, self.more, self.well = deque(), asyncio.Event(), True
 
     def add(self, name: str, notice: dict) -> None:
@@ -43,9 +45,8 @@
 
     async def post(self, body: str) -> int:
         try:
-            async with self.session.post(self.url, data=body.encode(), timeout=LIMIT) as answer:
-                await answer.read()
-                status, why = answer.status, f"status {answer.status}"
+            status, _ = await self.platform.ask("POST", "/status", LIMIT, data=body.encode())
+            why = f"status {status}"
         except (aiohttp.ClientError, OSError, TimeoutError) as problem:
             status, why = 0, repr(problem)
         if self.well != (status == 204):
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -19,7 +19,7 @@
 from ryestack.store.ledger import Ledger
 from ryestack.wire.server import MALFORMED, REFUSED, TAKEN, HandIn
 
-from .helpers import config, http, settings, stand_in, take
+from .helpers import config, http, listed, settings, stand_in, take
 from .test_wire import HEAD
 
 
@@ -198,6 +198,13 @@
             await asyncio.sleep(0.02)
         self.assertEqual(calls, [b"n", b"m", b"n"])
         self.assertEqual(notices, [{"id": "m", "state": "failed"}])
+        moved = asyncio.Event()
+        third, new = await stand_in(lambda *_: moved.set() or http(200, json.dumps(listed()).encode()))
+        for discovery in (5, new):  # a bad file changes nothing
+            config(self.folder, discovery, listen=self.listen)
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.1)
+        await asyncio.wait_for(moved.wait(), 2.0)
         silent, began = True, time.monotonic()
         self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "o"}), TAKEN)
         process.send_signal(signal.SIGTERM)
@@ -213,8 +220,8 @@
         kept.recover()
         kept.journal.close()
         self.assertEqual(list(kept.owed), ["o", "p"])
-        server.close()
-        other.close()
+        for each in (server, other, third):
+            each.close()
 
 
 class Configuration(Folder, unittest.TestCase):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,5 @@
 import asyncio
+import json
 import unittest
 
 import aiohttp
@@ -8,6 +9,7 @@
 from ryestack.wire.calls import Calls, Item
 from ryestack.wire.members import BadList, Members, watch
 from ryestack.wire.notices import Notices
+from ryestack.wire.platform import Platform
 from ryestack.wire.server import REFUSED, TAKEN, Clients
 
 from .helpers import called, http, listed, members, settings, stand_in
@@ -193,11 +195,11 @@
         answers, told = [http(500), http(200, b"{"), None], asyncio.Queue()
         good = b'{"index":5,"snapshot":false,"endpoints":[{"name":"a","status":"draining"}]}'
         server, address = await stand_in(lambda *_: answers.pop(0) if answers else http(200, good))
-        async with aiohttp.ClientSession() as session:
-            at = members()
-            task = asyncio.ensure_future(watch(session, f"http://{address}", at, told.put_nowait))
-            update = await asyncio.wait_for(told.get(), 3.0)
-            task.cancel()
+        at, platform = members(), Platform(address)
+        task = asyncio.ensure_future(watch(platform, at, told.put_nowait))
+        update = await asyncio.wait_for(told.get(), 3.0)
+        task.cancel()
+        await platform.close()
         server.close()
         self.assertEqual((update.endpoints[0].listed, at.index), (Listed.DRAINING, 5))
 
@@ -209,17 +211,51 @@
             return http(400 if b'"m"' in body else 204)
 
         server, address = await stand_in(answer)
-        async with aiohttp.ClientSession() as session:
-            notices = Notices(session, f"http://{address}", done.put_nowait)
-            for name in "nmo":
-                notices.add(name, {"state": "returned", "after_ms": 5})
-            task = asyncio.ensure_future(notices.run())
-            names = [await asyncio.wait_for(done.get(), 3.0) for _ in range(2)]
-            task.cancel()
+        platform = Platform(address)
+        notices = Notices(platform, done.put_nowait)
+        for name in "nmo":
+            notices.add(name, {"state": "returned", "after_ms": 5})
+        task = asyncio.ensure_future(notices.run())
+        names = [await asyncio.wait_for(done.get(), 3.0) for _ in range(2)]
+        task.cancel()
+        await platform.close()
         server.close()
         self.assertEqual(names, [["n"], ["o"]])
         self.assertEqual(bodies[1], b'{"id":"n","state":"returned","after_ms":5}\n')
 
+    async def test_a_move_breaks_off_the_watch_and_asks_for_the_whole_list_at_the_new_address(self):
+        heads, told = asyncio.Queue(), asyncio.Queue()
+        new = json.dumps(listed(index=2)).encode()  # a version below the old one's
+        old_server, old = await stand_in(lambda head, _: heads.put_nowait(head) or b"")
+        server, address = await stand_in(lambda head, _: heads.put_nowait(head) or http(200, new))
+        at, platform = members(index=9), Platform(old)
+        task = asyncio.ensure_future(watch(platform, at, told.put_nowait))
+        self.assertIn(b"from=9", await heads.get())
+        self.assertTrue(platform.move(address))
+        update = await asyncio.wait_for(told.get(), 1.0)
+        task.cancel()
+        await platform.close()
+        old_server.close()
+        server.close()
+        self.assertEqual((update.whole, at.index), (True, 2))
+        self.assertIn(b"/catalog/members HTTP", await heads.get())
+
+    async def test_a_notice_on_its_way_at_a_move_is_sent_anew(self):
+        done, seen = asyncio.Queue(), asyncio.Queue()
+        old_server, old = await stand_in(lambda *_: seen.put_nowait(1) or b"")
+        server, address = await stand_in(lambda *_: http(204))
+        platform = Platform(old)
+        notices = Notices(platform, done.put_nowait)
+        notices.add("n", {"state": "failed"})
+        task = asyncio.ensure_future(notices.run())
+        await seen.get()
+        platform.move(address)
+        self.assertEqual(await asyncio.wait_for(done.get(), 1.0), ["n"])
+        task.cancel()
+        await platform.close()
+        old_server.close()
+        server.close()
+
 
 class Forms(unittest.TestCase):
     def test_durations_have_a_unit(self):
