Answers end with their own bytes, a first line with 200 stands; endpoints gone let go of all

Probed with raw answers on loopback: the library's parser raises on noise behind a whole answer and on a head it cannot read (calls.py:post lost the first line), reads a second copy into the queue of the next call, and a report nested 9000 deep or told as 400 digits raised in forms.report and settings.limit_of. Ruled out: wait and status handling, the same answers without the excess came out right. Now wire/replies.py, a layer under the library's client, tells the first line as it comes, passes on one answer's bytes and closes on any other; the rest of an answer has a bounded time; a connection is looked at before it is used again. Connections are kept by endpoint id, bounded, and end with their endpoint, as do its rows in Members.

--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -37,7 +37,8 @@
 LAST = 0.2  # for notices that are owed when calls are wound up
 LOOK = 0.05  # seconds between looks at whether all is settled
 SUMMARY = 10.0  # seconds between summary lines in the log
-OWN_SOCKETS = 64  # for the journal, the watch, notices, the log, what opens while others close
+OWN_SOCKETS = 32  # for the journal, the watch, notices, the log, what opens while others close
+CLIENTS_PART = 0.55  # of the rest; usual clients hold a third of all, calls less than half
 
 
 class Relay:
@@ -50,12 +51,13 @@
         self.ledger = Ledger(Journal(config.state, config.disk))
         settings = config.settings
         self.owner = Owner(settings, config.seed, self.ledger, self.clock, wall)
-        self.calls = Calls(settings, self.members, self.clock, self.owner.put)
+        left = config.sockets - OWN_SOCKETS
+        most = max(8, int(left * CLIENTS_PART))
+        self.calls = Calls(settings, self.members, self.clock, self.owner.put, max(8, left - most))
         self.owner.calls = self.calls
         self.platform = Platform(config.discovery)
         self.notices = Notices(self.platform, self.owner.told_platform)
         self.owner.notices = self.notices
-        most = max(8, (config.sockets - OWN_SOCKETS) // 3)  # two thirds: calls and their idle connections
         owner = self.owner
         self.clients = Clients(settings, self.members, self.clock, owner.hand_in, owner.withdraw, most)
         self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
--- a/ryestack/settings.py
+++ b/ryestack/settings.py
@@ -2,10 +2,9 @@
 holds it, and so does a live relay's configuration.
 """
 
-from math import inf
-
 from . import interface as it
 
+MOST_RATE = 1e9  # calls a second: what tells more cannot be read
 EFFECTS = {"safe": it.Effect.REPEATABLE, "keyed": it.Effect.COLLAPSIBLE, "unsafe": it.Effect.ONCE_ONLY}
 
 
@@ -85,4 +84,4 @@
 def limit_of(report: dict) -> float:
     """The limit in calls a second that an answer's report tells, 0 if none."""
     told = report.get("x1")
-    return float(told) if isinstance(told, (int, float)) and 0.0 < told < inf else 0.0
+    return float(told) if isinstance(told, (int, float)) and 0.0 < told <= MOST_RATE else 0.0
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 
 import aiohttp
 from loguru import logger
@@ -10,6 +11,7 @@
 from ..interface import Result
 from ..settings import limit_of
 from . import forms
+from .replies import CALL, MOST_HEAD, Progress, Reply
 
 STATUS = {
     200: Result.DELIVERED,
@@ -29,6 +31,9 @@
 }
 OVER = {410, "void"}  # nothing is owed any more
 IDLE_PART = 0.95  # of the time after which the other side closes an idle connection; we do so earlier
+# Seconds that an answer may take after its first line, which mostly comes with it. After a 200 to one message
+# there is nothing more to learn, and a connection given up costs a handshake; the others tell who ran.
+REST_OF_200, REST = 0.05, 0.25
 
 
 @dataclass(slots=True)
@@ -43,37 +48,29 @@
     heard: asyncio.Future | None
 
 
-@dataclass(slots=True)
-class Progress:
-    """How far a call came: until it has a connection, none of it can have run; answers, once they are known,
-    stand whatever becomes of the connection."""
-
-    connected: bool = False
-    answers: dict | None = None
-
-
 class Calls:
     """Starts and cancels calls; tell(events) puts their outcomes into the owner's queue together."""
 
-    def __init__(self, settings: it.Settings, members, clock, tell):
-        self.members, self.clock, self.tell = members, clock, tell
+    def __init__(self, settings: it.Settings, members, clock, tell, most: int):
+        self.members, self.clock, self.tell, self.most = members, clock, tell, most
         self.running: dict[tuple[str, int], asyncio.Task] = {}
+        self.kept: dict[Reply, None] = {}  # all connections to endpoints, the oldest first
         self.batch = {k.name: k.batch for k in settings.kinds}
-        trace = aiohttp.TraceConfig()
-        trace.on_connection_create_end.append(_connected)
-        trace.on_connection_reuseconn.append(_connected)
         idle = settings.connection_idle * IDLE_PART
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            happy_eyeballs_delay=None,
+            **({"keepalive_timeout": idle} if idle else {"force_close": True}),
+        )
+        connector._factory = partial(Reply, asyncio.get_running_loop(), self.kept)  # the library has no hook
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=0,
-                happy_eyeballs_delay=None,
-                **({"keepalive_timeout": idle} if idle else {"force_close": True}),
-            ),
+            connector=connector,
+            max_line_size=MOST_HEAD,
+            max_field_size=MOST_HEAD,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=settings.connect_timeout or None),
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
             auto_decompress=False,
-            trace_configs=[trace],
         )
 
     def start(self, endpoint: str, items: list[Item]) -> None:
@@ -99,6 +96,17 @@
         if (name, push) in self.running:
             self.running[name, push].cancel()
 
+    def forget(self, update: it.ListUpdate) -> None:
+        """What stays open to endpoints that are gone ends here; calls that are out go on."""
+        gone = self.members.leave(update)
+        for reply in [r for r in self.kept if r.call is None and r.endpoint in gone]:
+            reply.spoilt()
+
+    def make_room(self) -> None:
+        idle = [r for r in self.kept if r.call is None]
+        if len(idle) + len(set(self.running.values())) >= self.most and idle:
+            min(idle, key=lambda r: r.idle_since).spoilt()
+
     async def close(self) -> None:
         tasks = set(self.running.values())
         for task in tasks:
@@ -107,56 +115,66 @@
         await self.session.close()
 
     async def run(self, endpoint: str, items: list[Item], timeout: float) -> None:
-        began, progress = self.clock(), Progress()
-        void: list[Item] = []
+        began, limit, void, answers = self.clock(), asyncio.timeout(timeout), [], {}
+        progress = Progress(endpoint, lambda: self.first_line(progress, limit, len(items) == 1))
+        CALL.set(progress)  # for this task, which is this call's
         try:
-            async with asyncio.timeout(timeout):
+            async with limit:
                 heard = [item.heard is None or await item.heard for item in items]
                 void = [item for item, told in zip(items, heard, strict=True) if not told]
                 items = [item for item in items if item not in void]
                 if items:
-                    await self.post(endpoint, items, began + timeout, progress)
+                    answers = await self.post(endpoint, items, began + timeout)
             broke = Result.BROKEN
         except asyncio.CancelledError:
             broke = Result.CANCELLED
         except TimeoutError:
-            broke = Result.TIMED_OUT
-        except (aiohttp.ClientError, OSError):
+            broke = Result.BROKEN if progress.status else Result.TIMED_OUT
+        except (aiohttp.ClientError, OSError, ValueError):
             broke = Result.BROKEN
         except Exception:  # whatever it was, the message keeps its outcome
             logger.exception("a call to {} failed in this program", endpoint)
             broke = Result.BROKEN
         broke = broke if progress.connected else Result.NO_CONNECTION
-        answers = progress.answers or {item.id: (broke, False, 0.0, 0.0) for item in items}
+        if not answers:
+            one = Result.DELIVERED if progress.status == 200 and len(items) == 1 else broke
+            answers = {item.id: (one, False, 0.0, 0.0) for item in items}
         elapsed = self.clock() - began
         outcomes = [it.Outcome(i.id, i.push, endpoint, Result.NOT_SENT, elapsed, True) for i in void]
         for item in items:
-            result, ended, wait, limit = answers[item.id]
-            outcomes.append(it.Outcome(item.id, item.push, endpoint, result, elapsed, ended, wait, limit))
+            result, ended, wait, rate = answers[item.id]
+            outcomes.append(it.Outcome(item.id, item.push, endpoint, result, elapsed, ended, wait, rate))
         self.tell([o for o in outcomes if self.running.pop((o.id, o.push), None)])
 
-    async def post(self, endpoint: str, items: list[Item], until: float, progress: Progress) -> None:
-        url = f"http://{self.members.address(endpoint)}/receive"
-        headers = {"X-Deadline": forms.duration(until - self.clock())}
+    def first_line(self, progress: Progress, limit: asyncio.Timeout, single: bool) -> None:
+        rest = REST_OF_200 if single and progress.status == 200 else REST
+        if not limit.expired():
+            limit.reschedule(min(limit.when(), asyncio.get_running_loop().time() + rest))
+
+    async def post(self, endpoint: str, items: list[Item], until: float) -> dict:
+        """Id to answer, once all of it has come."""
+        address = self.members.address(endpoint)
+        if address is None:  # it went off the list a moment ago
+            return {i.id: (Result.NOT_SENT, False, 0.0, 0.0) for i in items}
+        self.make_room()
+        url, headers = f"http://{address}/receive", {"X-Deadline": forms.duration(until - self.clock())}
         if len(items) > 1:
             url, body = url + "-many", forms.many([(i.id, i.key, i.body) for i in items])
         else:
             body, headers["X-Request-Id"] = items[0].body, items[0].id
             if items[0].key:
                 headers["Idempotency-Key"] = items[0].key
-        context = {"data": body, "headers": headers, "allow_redirects": False, "trace_request_ctx": progress}
-        async with self.session.post(url, **context) as answer:
+        # The name keeps connections apart by endpoint: another at the same address gets none of them.
+        more = {"data": body, "headers": headers, "allow_redirects": False, "server_hostname": endpoint}
+        async with self.session.post(url, **more) as answer:
             told = forms.report(answer.headers.get("X-Load"))
-            wait, limit = _milliseconds(answer.headers.get("X-Retry-In-Ms")), limit_of(told)
+            wait, rate = _milliseconds(answer.headers.get("X-Retry-In-Ms")), limit_of(told)
+            said = await _bounded(answer)
             if len(items) > 1 and answer.status == 200:
-                ends = forms.ends(await _bounded(answer))
-                progress.answers = {
-                    i.id: _answer(WORDS, ends.get(i.id, "failed"), wait, limit) for i in items
-                }
-            else:  # the first line is what counts; the rest is read for the connection's sake
-                one = _answer(STATUS, answer.status, wait, limit, answer.headers)
-                progress.answers = {i.id: one for i in items}
-                await _bounded(answer)
+                ends = forms.ends(said)
+                return {i.id: _answer(WORDS, ends.get(i.id, "failed"), wait, rate) for i in items}
+            one = _answer(STATUS, answer.status, wait, rate, answer.headers)
+            return {i.id: one for i in items}
 
 
 async def _bounded(answer: aiohttp.ClientResponse) -> bytes:
@@ -176,7 +194,3 @@
 def _milliseconds(text: str | None) -> float:
     told = forms.NUMBER.fullmatch((text or "").strip())
     return float(told[0]) / 1000.0 if told else 0.0
-
-
-async def _connected(_, context, __) -> None:
-    context.trace_request_ctx.connected = True
--- a/ryestack/wire/forms.py
+++ b/ryestack/wire/forms.py
@@ -55,6 +55,6 @@
     """An answer's load report; one that cannot be read counts as none."""
     try:
         told = json.loads(text) if text else {}
-    except ValueError:
+    except (ValueError, RecursionError):
         return {}
     return told if isinstance(told, dict) else {}
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 import aiohttp
 from loguru import logger
@@ -12,6 +13,7 @@
 LISTED = {"up": it.Listed.READY, "draining": it.Listed.DRAINING, "removed": it.Listed.GONE}
 HOLD = 2.0  # seconds a watch may wait: the registry counts a change as told two seconds after it at most
 SILENT = 1.0  # more, and the watch counts as broken
+BARE = 60.0  # a destination without endpoints is one we know for so long
 PAUSE = 0.1  # between calls at least, if answers or failures come at once; a watch goes on within 200 ms
 
 
@@ -31,6 +33,8 @@
         raise BadList(f"{type(problem).__name__}: {problem}") from None
     for entry in entries:
         try:
+            if entry["status"] == "removed" and entry["name"] not in known:
+                continue  # never here, or gone before
             row = {**known.get(entry["name"], {}), **entry}
             endpoints.append(read_row(row))
             rows[row["name"]] = row
@@ -48,22 +52,35 @@
 
 
 class Members:
-    """Where endpoints are reached and of what kind they are, as last told."""
+    """Where endpoints are reached, of what kind they are, as last told, and which destinations there are."""
 
-    def __init__(self):
-        self.index, self.rows, self.groups = 0, {}, set()
+    def __init__(self, clock=time.monotonic):
+        self.index, self.rows, self.clock = 0, {}, clock
+        self.bare: dict[int, float] = {}  # destinations without an endpoint, and since when
 
     def learn(self, told: dict) -> it.ListUpdate:
         self.index, update, rows = read_list(told, self.rows)
         self.rows.update(rows)
-        self.groups.update(e.destination for e in update.endpoints)
         return update
 
-    def address(self, endpoint: str) -> str:
-        return self.rows[endpoint]["address"]
+    def leave(self, update: it.ListUpdate) -> set[str]:
+        """Drop the endpoints that this update ends, once the decisions know of it; returns their names."""
+        listed = {e.id for e in update.endpoints if e.listed is not it.Listed.GONE}
+        gone = (set(self.rows) if update.whole else {e.id for e in update.endpoints}) - listed
+        for name in gone & set(self.rows):
+            self.bare[int(self.rows.pop(name)["group"])] = self.clock()
+        return gone
 
-    def kind(self, endpoint: str) -> str:
-        return self.rows[endpoint]["type"]
+    def has(self, destination: int) -> bool:
+        """A destination outlives its endpoints for a while: they are replaced one by one, or all at once."""
+        self.bare = {d: since for d, since in self.bare.items() if self.clock() < since + BARE}
+        return destination in self.bare or any(int(r["group"]) == destination for r in self.rows.values())
+
+    def address(self, endpoint: str) -> str | None:
+        return self.rows[endpoint]["address"] if endpoint in self.rows else None
+
+    def kind(self, endpoint: str) -> str | None:
+        return self.rows[endpoint]["type"] if endpoint in self.rows else None
 
 
 async def watch(platform: Platform, members: Members, tell) -> None:
--- /dev/null
+++ b/ryestack/wire/replies.py
@@ -0,0 +1,125 @@
+"""The answers of endpoints: a thin layer under the library's client, between its sockets and its parser.
+
+The library's parser reads ahead: what comes behind an answer spoils the answer, or answers the next call,
+and a first line is lost if what follows cannot be read. So this layer tells the first line as it comes,
+passes on the bytes of one answer and no more, and closes a connection that brings any other.
+"""
+
+import re
+import select
+from contextvars import ContextVar
+from dataclasses import dataclass
+
+from aiohttp.client_proto import ResponseHandler
+
+FIRST_LINE = re.compile(rb"HTTP/1\.[01] ([1-5]\d\d)(?: [^\r\n]*)?\r\n")
+END = b"\r\n\r\n"
+MOST_HEAD = 64 * 1024  # bytes, of all that goes before a body: what endpoints say takes a few hundred
+BODILESS = (204, 304)
+
+
+@dataclass(slots=True, eq=False)
+class Progress:
+    """How far a call came. Until it has a connection none of it can have run; the status is that of the first
+    line, told to `heard` as it comes, whatever becomes of the rest."""
+
+    endpoint: str
+    heard: object
+    connected: bool = False
+    status: int = 0
+
+
+CALL: ContextVar[Progress] = ContextVar("call")  # the call that the running task makes
+
+
+class Reply(ResponseHandler):
+    """One connection to an endpoint, idle or with the call whose answer it reads."""
+
+    def __init__(self, loop, kept: dict):
+        super().__init__(loop)
+        self.kept, self.call, self.endpoint, self.idle_since = kept, None, "", loop.time()
+        self.head, self.passed, self.left, self.said = b"", 0, 0, None
+
+    def connection_made(self, transport) -> None:
+        super().connection_made(transport)
+        self.kept[self] = None
+
+    def connection_lost(self, exc) -> None:
+        self.kept.pop(self, None)
+        super().connection_lost(exc)
+
+    def is_connected(self) -> bool:
+        """Asked before it is used again: bytes or an end that wait unread are no answer to the next call."""
+        if not super().is_connected():
+            return False
+        if self.call is not None:
+            return True
+        waiting = select.poll()
+        waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not waiting.poll(0)
+
+    def set_response_params(self, **params) -> None:
+        """A call begins: from here on it may run."""
+        super().set_response_params(**params)
+        self.call = CALL.get()
+        self.call.connected, self.endpoint = True, self.call.endpoint
+        self.head, self.passed, self.left = b"", 0, 0
+
+    def data_received(self, data: bytes) -> None:
+        if not data:  # the parser goes on after a pause
+            return super().data_received(data)
+        if self.call is None:  # no call is open: nothing may come
+            return self.spoilt()
+        if self.head is None:
+            return self.body(data)
+        self.head += data
+        while found := FIRST_LINE.match(self.head):
+            status = int(found[1])
+            if status >= 200 and not self.call.status:
+                self.call.status = status
+                self.call.heard()
+            head, end, rest = self.head.partition(END)
+            if not end:
+                break
+            if status >= 200:
+                return self.whole_head(head + end, rest, status)
+            self.head, self.passed = rest, self.passed + len(head)  # it goes before an answer
+        noise = not found and (b"\n" in self.head or not b"HTTP/1.".startswith(self.head[:7]))
+        if noise or self.passed + len(self.head) > MOST_HEAD:
+            self.spoilt()
+
+    def whole_head(self, head: bytes, rest: bytes, status: int) -> None:
+        self.head = self.said = None
+        super().data_received(head)
+        if self.said is None:  # the parser would not have it, and has closed
+            return
+        headers, self.left = self.said.headers, -1
+        if status in BODILESS:
+            self.left = 0
+        elif "Transfer-Encoding" not in headers and "Content-Length" in headers:
+            self.left = int(headers["Content-Length"])
+        self.body(rest)
+
+    def feed_data(self, data: tuple, size: int = 0) -> None:
+        """What the parser made of a head, on its way to the call."""
+        self.said = data[0]
+        super().feed_data(data, size)
+
+    def body(self, data: bytes) -> None:
+        """left: bytes still to come, or -1 where only the parser or the connection's end tells."""
+        more = b""
+        if self.left >= 0:
+            data, more = data[: self.left], data[self.left :]
+            self.left -= len(data)
+        if data:
+            super().data_received(data)
+        if self.left == 0 or (self.left < 0 and self._payload is not None and self._payload.is_eof()):
+            self.call, self.idle_since = None, self._loop.time()
+        if more:
+            self.spoilt()
+
+    def spoilt(self) -> None:
+        """Close at once; what was read whole before stays as it is."""
+        self.force_close()
+        if self.transport is not None:
+            self.transport.close()
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -139,7 +139,7 @@
             raise forms.BadForm("X-Tenant names no customer")
         due = now + forms.seconds(headers.get("X-Deadline", ""))
         dest = forms.destination(headers.get("X-Envelope", ""))
-        if dest not in self.members.groups:
+        if not self.members.has(dest):
             raise forms.BadForm(f"no destination {dest}")
         key = headers.get("Idempotency-Key", "")
         if key or topic.effect is it.Effect.COLLAPSIBLE:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -98,7 +98,7 @@
 
     server, here = await stand_in(note)
     at = members(address=address or here, kind=kind)
-    calls = Calls(settings(connection_idle=5.0), at, asyncio.get_running_loop().time, told.put_nowait)
+    calls = Calls(settings(connection_idle=5.0), at, asyncio.get_running_loop().time, told.put_nowait, 50)
     calls.start("a", [Item(name, 0, timeout, f"k{name}", b"body\r\n", None) for name in names])
     outcomes = []
     while len(outcomes) < len(names):
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -38,7 +38,8 @@
         made = Owner(settings(**more), 1, ledger, lambda: self.now, 1000.0)
         made.brain.round(0.0, [self.listed] if not ledger.owed else [])
         self.sent, self.told = [], []
-        made.calls = SimpleNamespace(start=lambda _, items: self.sent.extend((i.id, i.push) for i in items))
+        made.calls = SimpleNamespace(forget=lambda _: None)
+        made.calls.start = lambda _, items: self.sent.extend((i.id, i.push) for i in items)
         made.notices = SimpleNamespace(add=lambda name, notice: self.told.append((name, notice)))
         return made
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -53,7 +53,7 @@
         said, told, heads = [http(200), None, http(200)], asyncio.Queue(), []
         server, address = await stand_in(lambda head, _: heads.append(head) or said.pop(0))
         clock = asyncio.get_running_loop().time
-        calls = Calls(settings(connection_idle=5.0), members(address=address), clock, told.put_nowait)
+        calls = Calls(settings(connection_idle=5.0), members(address=address), clock, told.put_nowait, 50)
         results = []
         for name in "nm":
             calls.start("a", [Item(name, 0, 1.0, "", b"", None)])
@@ -70,6 +70,82 @@
         [o], _ = await called(lambda *_: b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", timeout=0.2)
         self.assertEqual(o.result, Result.DELIVERED)
 
+    async def test_spoilt_answers(self):
+        ok, no = b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 503 x\r\n"
+        for raw, result in (
+            (ok + b"\x00\xff noise\r\n\r\n", Result.DELIVERED),
+            (ok + b"X-A: b\r\n" * 9, Result.DELIVERED),  # a head without an end
+            (ok + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 90_000, Result.DELIVERED),
+            (ok + b"Content-Length: -4\r\n\r\n", Result.DELIVERED),
+            (b"HTTP/1.1 103 x\r\nA: b\r\n\r\n" + http(503), Result.FULL),
+            (b"HTTP/1.1 100 x\r\n\r\n" * 2 + http(200), Result.DELIVERED),
+            (http(503) + http(200), Result.FULL),
+            (http(429, b"x") + b"\x00noise", Result.FULL),
+            (http(503, X_Load="[" * 9000), Result.FULL),
+            (http(503, X_Load='{"x1":1%s}' % ("0" * 400)), Result.FULL),
+            (no + b"\x00\r\n\r\n", Result.BROKEN),
+            (no + b"Content-Length: 9\r\n\r\nx", Result.BROKEN),
+            (no + b"X-A: b\r\n" * 9, Result.BROKEN),
+            (b"\x16\x03\x01", Result.BROKEN),
+            (b"HTTP/1.1 2000 OK\r\n\r\n", Result.BROKEN),
+            (b"HTTP/1.1 100 x\r\n\r\n" * 5000, Result.BROKEN),
+        ):
+            [o], _ = await called(lambda *_, raw=raw: raw, timeout=3.0)
+            self.assertEqual((o.result, o.elapsed < 1.0), (result, True), raw[:60])
+
+    async def test_a_good_answer_keeps_its_connection(self):
+        ports = []
+        for said in (http(200, b"body"), http(503), b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     b"1\r\nx\r\n0\r\n\r\n"):
+            told = asyncio.Queue()
+            server, address = await stand_in(lambda *_, said=said: said)
+            clock = asyncio.get_running_loop().time
+            calls = Calls(settings(connection_idle=5.0), members(address=address), clock, told.put_nowait, 50)
+            for name in "nm":
+                calls.start("a", [Item(name, 0, 1.0, "", b"", None)])
+                await told.get()
+                ports.append([r.transport.get_extra_info("sockname")[1] for r in calls.kept])
+            await calls.close()
+            server.close()
+            self.assertEqual((len(ports[-1]), ports[-1]), (1, ports[-2]), said)
+
+    async def test_bytes_on_an_idle_connection_answer_no_call(self):
+        told = asyncio.Queue()
+        said = [http(200), http(503)]
+        server, address = await stand_in(lambda *_: said.pop())
+        calls = Calls(settings(connection_idle=5.0), members(address=address),
+                      asyncio.get_running_loop().time, told.put_nowait, 50)
+        calls.start("a", [Item("n", 0, 1.0, "", b"", None)])
+        [first] = await told.get()
+        [reply] = calls.kept
+        reply.data_received(http(503))
+        calls.start("a", [Item("m", 0, 1.0, "", b"", None)])
+        [second] = await told.get()
+        self.assertNotIn(reply, calls.kept)
+        await calls.close()
+        server.close()
+        self.assertEqual((first.result, second.result), (Result.FULL, Result.DELIVERED))
+
+    async def test_a_new_endpoint_at_an_old_address_gets_a_connection_of_its_own(self):
+        told = asyncio.Queue()
+        server, address = await stand_in(lambda *_: http(200))
+        at = members(address=address)
+        calls = Calls(settings(connection_idle=5.0), at, asyncio.get_running_loop().time, told.put_nowait, 50)
+        calls.start("a", [Item("n", 0, 1.0, "", b"", None)])
+        await told.get()
+        other = {**listed(address=address)["endpoints"][0], "name": "b"}
+        update = at.learn({**listed(index=2), "endpoints": [other]})
+        calls.start("b", [Item("m", 0, 1.0, "", b"", None)])
+        await told.get()
+        self.assertEqual([r.endpoint for r in calls.kept], ["a", "b"])
+        calls.forget(update)  # the whole list, without a
+        calls.start("a", [Item("o", 0, 1.0, "", b"", None)])
+        [late] = await told.get()
+        self.assertEqual(([r.endpoint for r in calls.kept], late.result), (["b"], Result.NOT_SENT))
+        self.assertEqual((list(at.rows), at.has(7)), (["b"], True))
+        await calls.close()
+        server.close()
+
     async def test_several_travel_in_one_call_where_the_kind_takes_them(self):
         said = http(200, b"n done\r\nm busy\r\no void\r\n", X_Retry_In_Ms="100")
         outcomes, [(head, body)] = await called(lambda *_: said, "nmop", "bulk")
@@ -183,6 +259,32 @@
         update = at.learn({"index": 2, "snapshot": False, "endpoints": [row]})
         self.assertEqual((update.endpoints[0].listed, update.endpoints[0].destination), (Listed.GONE, 7))
 
+    def test_a_destination_outlives_its_endpoints_for_a_while(self):
+        now = 5.0
+        at = Members(lambda: now)
+        at.learn(listed())
+        at.leave(at.learn({"index": 2, "snapshot": False, "endpoints": [{"name": "a", "status": "removed"}]}))
+        self.assertEqual((at.rows, at.has(7)), ({}, True))
+        now = 66.0
+        self.assertEqual((at.has(7), at.bare), (False, {}))
+
+    async def test_at_the_bound_the_longest_idle_connection_makes_room(self):
+        told = asyncio.Queue()
+        server, address = await stand_in(lambda *_: http(200))
+        clock = asyncio.get_running_loop().time
+        calls = Calls(settings(connection_idle=5.0), members(address=address), clock, told.put_nowait, 2)
+        for names in ("no", "p"):
+            for name in names:
+                calls.start("a", [Item(name, 0, 1.0, "", b"", None)])
+            await told.get()
+        oldest, *_ = sorted(calls.kept, key=lambda r: r.idle_since)
+        await asyncio.sleep(0.01)
+        calls.make_room()
+        await asyncio.sleep(0.01)
+        self.assertNotIn(oldest, calls.kept)
+        await calls.close()
+        server.close()
+
     def test_an_entry_that_cannot_be_read_hides_no_other(self):
         at = members()
         rows = [{"status": "up"}, 5, {"name": "b", "status": "up"}, {"name": "a", "status": "odd"}]
