--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import logging
+import socket
 from dataclasses import dataclass
 
 import aiohttp
@@ -15,10 +16,15 @@
 from . import forms
 from .members import Members
 
+IDLE = 2.2  # seconds: a connection with no open request may end after 2, and a bad client must hear within 3
+BODY = 2.6  # seconds for a first request from its connection on, for a later one from its head on
+UNREAD = 2 * 1024 * 1024  # bytes of bodies not yet whole, over all connections
+BUFFER = 16 * 1024  # bytes that the library reads ahead on a connection
+BATCH = 16  # connections accepted in one turn of the loop: what usual clients sent is read between
+BACKLOG = 512
 QUIET = logging.getLogger("ryestack.clients")  # bad requests are answered; a traceback of each helps nobody
 QUIET.setLevel(logging.CRITICAL)
 TAKEN, REFUSED, FAILED, MALFORMED, TOO_SLOW, TOO_LARGE = 202, 503, 500, 400, 408, 413
-SLOW = 10.0  # seconds for a body: one that never comes must not keep its connection's place
 
 
 @dataclass(slots=True)
@@ -36,6 +42,45 @@
     heard: asyncio.Future
 
 
+class Door(web.RequestHandler):
+    """One client's connection. What cannot be read ends it: with an error if it comes first, behind an open
+    request at once, with all that waits."""
+
+    def __init__(self, manager, *, loop, **more):
+        super().__init__(manager, loop=loop, **more)
+        self.since, self.spoilt = loop.time(), False
+
+    def data_received(self, data: bytes) -> None:
+        if self.spoilt:
+            return
+        super().data_received(data)
+        if self._messages and not hasattr(self._messages[-1][0], "headers"):  # the parser's own error
+            self.spoilt = True
+            if self._request_in_progress or len(self._messages) > 1:
+                self.force_close()
+            elif self.transport is not None:
+                self.transport.pause_reading()
+
+    def idle(self) -> bool:
+        """Whether it waits for a request of which nothing whole has come."""
+        return self._waiter is not None and not self._waiter.done()  # done: one has come and is not begun
+
+    def ends(self) -> float:
+        """When it ends if no request comes."""
+        return self._next_keepalive_close_time
+
+    def until(self, now: float) -> float:
+        """When the open request must have come whole."""
+        return (self.since if self._request_count == 1 else now) + BODY
+
+
+class Doors(web.Server):
+    """The library's server, with connections of our own."""
+
+    def __call__(self) -> Door:
+        return Door(self, loop=self._loop, **self._kwargs)
+
+
 class Clients:
     """Serves clients; hand_in and withdraw put into the queue of the task that owns the decisions."""
 
@@ -43,19 +88,28 @@
         self.topics = {t.name: t for t in settings.topic_types}
         self.customers = {c.name for c in settings.customers}
         self.members, self.clock, self.hand_in, self.withdraw = members, clock, hand_in, withdraw
-        self.most, self.ready, self.last_answers, self.busy = most, False, False, 0
+        self.most, self.ready, self.last_answers, self.busy, self.unread = most, False, False, 0, 0
         self.listener = None
-        self.server = web.Server(self.handle, access_log=None, keepalive_timeout=3600.0, logger=QUIET)
+        # Reading on after an error would take in what its client still has to send: up to 60 MB.
+        self.server = Doors(
+            self.handle,
+            access_log=None,
+            keepalive_timeout=IDLE,
+            lingering_time=0.0,
+            read_bufsize=BUFFER,
+            logger=QUIET,
+        )
 
     async def listen(self, host: str, port: int) -> None:
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(self.accept, host, port, backlog=512, reuse_address=True)
+        sock = socket.create_server((host, port), backlog=BACKLOG)
+        self.listener = await asyncio.get_running_loop().create_server(self.accept, sock=sock, backlog=BATCH)
+        sock.listen(BACKLOG)  # the library knows one figure for both
 
     def accept(self) -> asyncio.Protocol:
         """At the bound the oldest idle connection makes room: silent ones must not keep others out."""
         connections = self.server.connections
         if len(connections) >= self.most:
-            oldest = next(filter(_idle, connections), None)
+            oldest = min(filter(Door.idle, connections), key=Door.ends, default=None)
             if oldest is None:
                 return Full()
             oldest.force_close()
@@ -68,12 +122,12 @@
         """
         self.listener.close()
         for connection in self.server.connections:
-            connection.force_close() if _idle(connection) else connection.close()
+            connection.force_close() if connection.idle() else connection.close()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.busy += 1
         try:
-            route = self.ROUTES.get(request.path)
+            route = self.ROUTES.get(request.raw_path)
             if route is None:
                 return self.answer(404, "no such path")
             method, serve = route
@@ -87,15 +141,22 @@
         return self.answer(200, "serving") if self.ready else self.answer(503, "not serving")
 
     async def api(self, request: web.BaseRequest) -> web.StreamResponse:
+        if "Content-Length" in request.headers and "Transfer-Encoding" in request.headers:
+            return self.answer(MALFORMED, "a length and an encoding", last=True)  # one may hide a request
+        if (request.content_length or 0) > forms.MOST_BODY:
+            return self.answer(TOO_LARGE, f"{forms.MOST_BODY} bytes at most", last=True)
         body = bytearray()
         if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
-            async with asyncio.timeout(SLOW):
+            async with asyncio.timeout_at(request.protocol.until(self.clock())):
                 async for chunk in request.content.iter_any():
                     body += chunk
+                    self.unread += len(chunk)
                     if len(body) > forms.MOST_BODY:
                         return self.answer(TOO_LARGE, f"{forms.MOST_BODY} bytes at most", last=True)
+                    if self.unread > UNREAD:
+                        return self.answer(REFUSED, "too much at once", last=True)
             ntf, key = self.read(request.headers, self.clock())
         except forms.BadForm as bad:
             return self.answer(MALFORMED, str(bad))
@@ -103,6 +164,8 @@
             return self.answer(TOO_SLOW, "the body did not come", last=True)
         except (OSError, aiohttp.ClientError, web.RequestPayloadError):  # its client went, or sent no body
             return self.answer(MALFORMED, "the body broke off", last=True)
+        finally:
+            self.unread -= len(body)
         loop = asyncio.get_running_loop()
         message, told = HandIn(ntf, key, bytes(body), loop.create_future(), loop.create_future()), False
         status = TAKEN  # unless the owner says otherwise
@@ -158,12 +221,6 @@
     ROUTES = {"/api": ("POST", api), "/_health": ("GET", health)}
 
 
-def _idle(connection: web.RequestHandler) -> bool:
-    """Whether it waits for a request of which nothing whole has come."""
-    waiter = connection._waiter
-    return waiter is not None and not waiter.done()  # done: a request has come and is not begun
-
-
 class Full(asyncio.Protocol):
     """Meets a connection past the bound: it ends at once, before anything is read."""
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,7 @@
 from ryestack.wire.members import BadList, Members, watch
 from ryestack.wire.notices import Notices
 from ryestack.wire.platform import Platform
-from ryestack.wire.server import REFUSED, TAKEN, Clients
+from ryestack.wire.server import REFUSED, TAKEN, UNREAD, Clients
 
 from .helpers import called, http, listed, members, settings, stand_in
 
@@ -219,6 +219,53 @@
         self.assertEqual((await self.post()).status, TAKEN)
         self.assertEqual(len(self.got), 1)
 
+    async def raw(self, *parts, wait=0.0):
+        """What comes back, to the end of the connection."""
+        reader, writer = await asyncio.open_connection(*self.at)
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(wait)
+        try:
+            return await asyncio.wait_for(reader.read(), 3.0)
+        except ConnectionResetError:
+            return b""
+        finally:
+            writer.close()
+
+    async def test_what_cannot_be_read_or_hides_a_request_is_refused_and_closed(self):
+        head, length, end = RAW % 0, b"Content-Length: 0", b"0\r\n\r\n"
+        for raw in (
+            b"\x16\x03\x01\r\n\r\n",
+            head.replace(length, b"Content-Length: -4"),
+            head.replace(length, b"Content-Length: 4\r\nContent-Length: 9"),
+            head.replace(length, b"Content-Length: 60000000") + b"x" * 100_000,
+            head.replace(length, b"Content-Length: 9\r\nTransfer-Encoding: chunked") + end,
+            head.replace(length, b"Transfer-Encoding: chunked\r\nContent-Length: 9") + end,
+            head.replace(b"Host: x", b"X-Pad: " + b"p" * 200_000),
+        ):
+            said = await self.raw(raw)
+            self.assertIn(said[9:12], (b"400", b"413", b""), raw[:200])
+        self.assertEqual((await self.post("/api?v=1")).status, 404)
+        self.assertEqual(self.got, [])
+
+    async def test_noise_behind_an_open_request_closes_at_once_and_withdraws_it(self):
+        self.verdict = None
+        said = await self.raw(RAW % 1 + b"x", b"\x00\xff\r\n\r\n", wait=0.05)
+        self.got[0].verdict.set_result((TAKEN, 0.0))
+        await asyncio.sleep(0.01)
+        self.assertEqual((said, self.gone), (b"", ["n"]))
+
+    async def test_silence_an_endless_head_and_half_a_body_end_in_time(self):
+        begun = asyncio.get_running_loop().time()
+        said = await asyncio.gather(self.raw(b""), self.raw(RAW[:30]), self.raw(RAW % 9 + b"x"))
+        self.assertLess(asyncio.get_running_loop().time() - begun, 3.0)
+        self.assertEqual([part[9:12] for part in said], [b"", b"", b"408"])
+
+    async def test_too_much_at_once_is_refused(self):
+        self.clients.unread = UNREAD
+        self.assertEqual((await self.post()).status, REFUSED)
+        self.assertEqual(self.clients.unread, UNREAD)
+
     async def test_at_the_bound_the_oldest_idle_connection_makes_room(self):
         self.clients.most = 3
         idle = [await asyncio.open_connection(*self.at) for _ in range(3)]
