--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -85,8 +85,7 @@
         self.gain, self.at = self.GAIN if self.single else 1.0, now
         self.told = max(0.1, rate) if settings.told_rates else self.UNTOLD  # a list may tell none
         self.tokens = chance.random() ** (1.0 / self.told)  # a draw by rate among routes
-        self.back, self.refusals, self.hungry = self.BACK, 0, 0.0
-        self.wait_until, self.bad_since = 0.0, inf
+        self.back, self.refusals, self.hungry, self.wait_until, self.bad_since = self.BACK, 0, 0.0, 0.0, inf
         self.cold = None  # None: warm; inf: not back yet; else since when it is back
 
     def part(self):
@@ -172,8 +171,7 @@
     def __init__(self, endpoint, dest, pacer):
         self.id, self.dest, self.pacer = endpoint.id, dest, pacer
         self.state, self.until, self.row, self.calls, self.silent = "closed", 0.0, 0, 0, False
-        self.good_at = 0.0  # when the youngest push went that was delivered
-        self.lanes = {}  # topic type -> shut until
+        self.good_at, self.lanes = 0.0, {}  # when the youngest delivered push went; topic type -> shut until
 
 
 class Dest:
@@ -306,8 +304,8 @@
         self.again(ntf)
         if len(self.held) > self.set.max_open * self.DOOR:
             # Where most are parked the next has least to win: one sick destination must not fill the hold.
-            parked = (x for x in self.held.values() if x.state == "parked")
-            self.step(min(parked, key=lambda x: (-len(x.dest.parked), self.rank(x))), "given up")
+            crowded = max(self.dests.values(), key=lambda d: len(d.parked))
+            self.step(min(crowded.parked.values(), key=self.rank), "given up")
 
     def park(self, ntf):
         if not ntf.dest.parked:
@@ -315,6 +313,10 @@
         ntf.dest.parked[ntf.id] = ntf
         self.at(ntf.due - self.expected(ntf.dest), lambda self, ntf: self.step(ntf, "given up"), ntf)
         self.touch(ntf.dest)
+        if ntf.past and (ntf.hops > self.HOPS or ntf.past >= ntf.dest.order[-1].id):
+            # The walk is over: it begins anew, after a rest.
+            ntf.hops, ntf.past, ntf.rest_until = 0, "", self.now + self.WALK_REST
+            self.at(ntf.rest_until, Brain.touch, ntf.dest)
 
     def expected(self, dest):
         return dest.times.quantile(0.5)
@@ -326,8 +328,7 @@
         else:
             self.park(ntf)
 
-    def give_up(self, ntf):
-        """The final answer, at once, with a time to come back where one is known."""
+    def give_up(self, ntf):  # the final answer, at once, with a time to come back where one is known
         routes = [r for r in ntf.dest.order if r.state != "draining"]
         ends = [max(r.until if r.state == "open" else 0.0, r.pacer.wait_until) for r in routes]
         back = min(self.set.max_come_back, max(0.0, min(ends, default=0.0) - self.now))
@@ -474,14 +475,19 @@
         busy = route.pacer.part() / routes * route.dest.times.quantile(0.3)
         return max(1.0, self.ROOM * route.pacer.gain * busy)
 
-    def eligible(self, route, ntf):
-        if route.state not in ("closed", "trial") or (route.state == "trial" and route.calls):
-            return False
-        others = (n.topic.effect for n in ntf.dest.parked.values())
-        loses = route.silent and ntf.topic.effect is ONCE and any(e is not ONCE for e in others)
-        if route.row and (loses or ntf.pushes * 2 >= self.set.max_pushes):
-            return False  # unproven: not with last pushes, nor with what a silence would end
-        return route.calls < self.room(route) and route.pacer.ready_at(self.now) <= self.now
+    def open_to(self, dest):  # the routes that take a further one now, in a call of this round or a new one
+        free = self.slots > 0 and dest.calls < self.cap(dest)
+        return [r for r in dest.order if self.joins(r) or (free and self.opens(r))]
+
+    def opens(self, route):
+        usable = route.state == "closed" or (route.state == "trial" and not route.calls)
+        return usable and route.calls < self.room(route) and route.pacer.ready_at(self.now) <= self.now
+
+    def suits(self, route, ntf):  # unproven, a route gets no last pushes, nor what a silence would end
+        once = route.silent and ntf.topic.effect is ONCE
+        loses = once and any(n.topic.effect is not ONCE for n in ntf.dest.parked.values())
+        unfit = route.row and (loses or ntf.pushes * 2 >= self.set.max_pushes)
+        return self.joins(route) or not unfit
 
     def shuns(self, route, ntf):
         """One topic type may fail where others are taken, whose deliveries close the circuit again: it goes
@@ -496,30 +502,25 @@
     def serve(self):
         if self.slots <= 0:
             return self.free_a_slot()  # the outcome that frees one comes back here
-        dests, self.touched = self.touched.values(), {}
-        ranked = [(d, sorted(d.parked.values(), key=self.rank, reverse=True)) for d in dests if d.parked]
-        for dest, parked in sorted(ranked, key=lambda row: self.rank(row[1][0]), reverse=True):
-            for ntf in parked:
-                if ntf.past and (ntf.hops > self.HOPS or ntf.past >= dest.order[-1].id):
-                    # The walk is over: it begins anew, after a rest.
-                    ntf.hops, ntf.past, ntf.rest_until = 0, "", self.now + self.WALK_REST
-                    self.at(ntf.rest_until, Brain.touch, dest)
-                route = self.walk(dest, ntf) if self.now >= ntf.rest_until else None
-                if route:
+        dests, self.touched = [d for d in self.touched.values() if d.parked], {}
+        ranked = [sorted(d.parked.values(), key=self.rank, reverse=True) for d in dests if self.open_to(d)]
+        for parked in sorted(ranked, key=lambda row: self.rank(row[0]), reverse=True):
+            routes = self.open_to(dest := parked[0].dest)  # one look for all: mostly there is none
+            for ntf in parked if routes else ():
+                if route := next((r for r in routes if self.takes(r, ntf)), None):
                     self.push(ntf, route)
-                elif self.slots <= 0:
-                    self.touch(dest)  # the next round may have a slot
+                    routes = self.open_to(dest)
+                if not routes:
                     break
+        for dest in dests:
             if dest.parked:
                 self.plan(dest)
+                if self.slots <= 0:
+                    self.touch(dest)  # the next round may have a slot
 
-    def walk(self, dest, ntf):
-        free = dest.calls < self.cap(dest) and self.slots > 0
-        for route in dest.order:
-            open_to = self.joins(route) or (free and self.eligible(route, ntf))
-            if route.id > ntf.past and open_to and self.may_push(ntf, route) and not self.shuns(route, ntf):
-                return route
-        return None
+    def takes(self, route, ntf):
+        later = route.id > ntf.past and self.now >= ntf.rest_until
+        return later and self.suits(route, ntf) and self.may_push(ntf, route) and not self.shuns(route, ntf)
 
     def push(self, ntf, route):
         call = self.joins(route)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -233,6 +233,13 @@
         well = it.Notification("x", 20.0, 8, "again")
         self.assertNotIn("x", kinds(b.round(1.1, [well]), it.Throttle))
 
+    def test_what_waits_is_not_looked_through_while_no_route_is_open(self):
+        b = brain(routes=("a",))
+        b.routes["a"].pacer.wait_until = 9.0
+        b.round(1.0, [take(f"n{i}") for i in range(50)])
+        b.takes = lambda route, ntf: self.fail("one by one")
+        self.assertEqual(pushes(b.round(1.1, [take("m")])), [])
+
     def test_a_customers_part_may_be_uneven_by_chance(self):
         b = brain(relays=200, customers=(it.Customer("c", 20.0),), over_share_benefit=0.1)
         b.round(1.0, [it.Notification(n, 20.0, 7, "again", "c") for n in "nm"])
