Three failures among many deliveries are no outage; trials cost less; what is gone is forgotten

Traced each outcome and each time a pacer counted as out: 26 times in 14 s at destinations that delivered four in five, then a cold budget of 14 calls a second for 23. Three in a row is common at 20 calls a second (brain.py: Pacer.bad, Brain.sick). Slots stood at 0: half with three destinations ten times slower than usual, whose room grew with their slowness (Brain.room). Now a circuit or an outage needs three in a row and, of late, as many failures as deliveries (Tally); room goes by the usual pace; a circuit whose failures answered at once is tried after 1.5 s, by what its failure does not end. Routes, destinations, keys and late calls that are over leave Brain.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -1,12 +1,10 @@
-"""All decisions of a relay. A caller makes one Brain(settings, seed) a relay and calls
-round(now, events) -> actions with the clock in seconds; the types stand in interface.py.
-docs/design.md says what is kept of ADR-0142."""
+"""All decisions of a relay: one Brain(settings, seed) each, round(now, events) -> actions, the clock in
+seconds; types are in interface.py, docs/design.md says what is kept of ADR-0142."""
 
 import heapq
 import random
 from bisect import bisect_left
 from collections import defaultdict
-from dataclasses import dataclass, field
 from itertools import accumulate
 from math import inf
 
@@ -63,17 +61,32 @@
         return self.found[part]
 
 
+class Tally:
+    """Failures in a row, and of late against deliveries: a row among many deliveries proves no outage."""
+
+    ROW, HALF = 3, 1.0  # the design's circuit; seconds: a full outage shows after as long, whatever the rate
+
+    def __init__(self):
+        self.row, self.good, self.bad, self.at = 0, 0.0, 0.0, 0.0
+
+    def out(self):
+        return self.row >= self.ROW and self.bad >= self.good
+
+    def add(self, now, good):
+        fade, self.row = 0.5 ** ((now - self.at) / self.HALF), 0 if good else self.row + 1
+        self.good, self.bad, self.at = self.good * fade + good, self.bad * fade + (not good), now
+
+
 class Pacer:
     """What one destination, or one route apart, may be sent: told rate, waits, refusals, warm-up."""
 
     GAIN = 1.5  # our part over the even one, as relays are uneven; 1 where calls carry many: waits gather
     BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
-    # At size an even part is a call in minutes: what is parked goes after so long, twice as long a refusal
-    BACK, EASE = 0.5, 0.925  # in a row; so eased a delivery, balance is at one in ten refused
+    BACK, EASE = 0.5, 0.925  # seconds a token lacking, twice that a refusal; eased so, balance is at 1 in 10
     THIN = 4.0  # calls in the time that an idle connection stays open: fewer lie at one route, by chance
-    # Failing or refusing so long with no delivery between, or failing so often in a row, it may come
-    OUT_AFTER, ROW = 3.0, 3  # back cold; a limit's refusals are shorter, and so is what hardly empties it
+    OUT_AFTER = 3.0  # seconds without a delivery: it may come back cold; a limit's refusals are shorter
     COLD_PART = 0.8  # of rule 4's budget: the rest is for chance and for relays with more than their part
+    KEEP = 60.0  # seconds that a drained route's outage is remembered
     COLD_ITEM = 0.05  # what a further item of a call weighs at a cold destination
     UNTOLD = 5.0  # calls a second, of all relays, where none are told: few destinations take less
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
@@ -85,7 +98,8 @@
         self.gain, self.at = self.GAIN if self.single else 1.0, now
         self.told = max(0.1, rate) if settings.told_rates else self.UNTOLD  # a list may tell none
         self.tokens = chance.random() ** (1.0 / self.told)  # a draw by rate among routes
-        self.back, self.refusals, self.hungry, self.wait_until, self.bad_since = self.BACK, 0, 0.0, 0.0, inf
+        self.back, self.refusals, self.hungry, self.bad_since = self.BACK, 0, 0.0, inf
+        self.wait_until = max((r.pacer.wait_until for r in dest.order if not dest.kind.apart), default=0.0)
         self.cold = None  # None: warm; inf: not back yet; else since when it is back
 
     def part(self):
@@ -96,8 +110,7 @@
         if self.cold is None:
             return part * self.gain
         share += (1.0 - share) * max(0.0, now - self.cold) / self.rules.cold_time
-        if share >= 1.0:
-            self.cold = None
+        self.cold = None if share >= 1.0 else self.cold
         return max(1e-3, min(part, part / self.rough * self.rules.overload_factor * share * self.COLD_PART))
 
     def ready_at(self, now):
@@ -135,52 +148,54 @@
             # At a random time: relays that a clump met refused together must not come again together.
             self.back, self.at = self.back * 2**self.refusals, now
             self.tokens = -(1 + self.refusals) * self.random.random()
-        if now + wait - self.bad_since > self.OUT_AFTER or self.dest.failures >= self.ROW:
+        if now + wait - self.bad_since > self.OUT_AFTER or self.dest.tally.out():
             # The house's random wait: relays must not come back in step.
             self.tokens = min(self.tokens, self.random.random()) if self.cold != inf else self.tokens
             self.cold = inf
 
 
-@dataclass(slots=True, eq=False)
 class Ntf:
-    id: str
-    due: float
-    dest: object
-    topic: object
-    benefit: float
-    key: str
-    state: str = "parked"
-    pushes: int = 0
-    out: int = 0
-    hops: int = 0
-    past: str = ""  # the walk starts past this route
-    rest_until: float = 0.0
-    maybe_at: float = inf  # when the first push went that may have run
-
-
-@dataclass(slots=True, eq=False)
+    def __init__(self, n, dest, topic, benefit):
+        self.id, self.due, self.dest, self.topic, self.benefit = n.id, n.due, dest, topic, benefit
+        self.key, self.state, self.out = n.key if topic.keep_order else "", "parked", 0
+        self.pushes, self.maybe_at = n.pushes, n.maybe_at  # its history, where a relay before us took it
+        self.hops, self.past, self.rest_until = 0, "", 0.0  # the walk starts past the route named
+
+
 class Call:
-    route: object
-    sent: float
-    left: int = 0
-    late: bool = False
-    items: list = field(default_factory=list)  # (ntf, push)
+    def __init__(self, route, sent):
+        self.route, self.sent, self.left, self.late, self.items = route, sent, 0, False, []  # (ntf, push)
 
 
 class Route:
     def __init__(self, endpoint, dest, pacer):
         self.id, self.dest, self.pacer = endpoint.id, dest, pacer
-        self.state, self.until, self.row, self.calls, self.silent = "closed", 0.0, 0, 0, False
+        self.state, self.until, self.calls, self.tally = "closed", 0.0, 0, Tally()
+        self.silent, self.mute = False, False  # how its last failure was: not before it ran; no answer
         self.good_at, self.lanes = 0.0, {}  # when the youngest delivered push went; topic type -> shut until
 
+    def needed(self):  # until when it is kept once it drains: it may be listed again
+        cold = self.pacer.bad_since if self.pacer.cold == inf else self.pacer.cold or -inf
+        return inf if self.calls else max(self.pacer.wait_until, cold + self.pacer.KEEP)
+
 
 class Dest:
     def __init__(self, times):
-        self.kind, self.order, self.parked = None, [], {}
-        self.calls, self.failures, self.times, self.wake, self.hungry = 0, 0, Times(times), inf, 0.0
+        self.kind, self.order, self.parked, self.tally = None, [], {}, Tally()
+        self.calls, self.times, self.wake, self.hungry = 0, Times(times), inf, 0.0
+        self.usual, self.seen = inf, 0  # the usual pace, of how many deliveries
+
+    def expected(self):
+        return self.times.quantile(0.5)
+
+    def took(self, seconds):
+        self.times.add(seconds)
+        self.seen += 1
+        if self.seen % 16 == 0:  # slower than usual, it does not take more at once: it takes less
+            self.usual = min(self.usual * 1.1, self.times.quantile(0.3))
 
     def bound(self, route):  # an outage mostly takes all routes: three failures in a row at any bind all
-        one = self.kind.apart and self.failures < Pacer.ROW
+        one = self.kind.apart and not self.tally.out()
         return [route.pacer] if one else list(dict.fromkeys(r.pacer for r in self.order))
 
     def sharing(self):  # pacers that a told rate is divided among
@@ -189,8 +204,8 @@
 
 
 class Brain:
-    TRIP, REST = 3, 5.0  # the design's circuit: three in a row, five seconds
-    REST_SHORT = 1.5  # after failed connections: a trial reaches nobody and proves that nothing ran
+    REST = 5.0  # the design's circuit
+    REST_SHORT = 1.5  # where a trial costs little: the answer, or the failed connection, came at once
     WALK_REST = 0.6  # before a walk begins anew: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
@@ -203,14 +218,12 @@
 
     def __init__(self, settings, seed):
         self.set, self.random, self.now = settings, random.Random(seed), 0.0
-        self.topics = {t.name: t for t in settings.topic_types}
-        self.kinds = {k.name: k for k in settings.kinds}
+        self.topics, self.kinds = ({x.name: x for x in xs} for xs in (settings.topic_types, settings.kinds))
         self.quota = {c.name: [c.quota / settings.relays, 0.0, 0.0] for c in settings.customers}
         self.times = Times()  # of all destinations
         self.times.add(self.USUAL)
         self.dests = defaultdict(lambda: Dest(self.times))
-        self.routes, self.held, self.out, self.late = {}, {}, {}, []
-        self.keys = {}  # key in order -> [ids in turn, rest until]
+        self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, [], {}
         self.slots, self.heap, self.seq, self.woken = settings.slots, [], 0, inf
         self.acts, self.touched, self.travel, self.leaves = [], {}, {}, inf
         if settings.asks_for_list:
@@ -240,14 +253,17 @@
 
     def on_list(self, update):
         if update.failed:  # at a random time, so that relays do not ask in step
-            self.at(self.now + self.random.uniform(0.5, 1.5), Brain.ask, None)
-            return
+            return self.at(self.now + self.random.uniform(0.5, 1.5), Brain.ask, None)
         listed = {e.id: e for e in update.endpoints}
         for e in listed.values():
             route = self.routes.get(e.id) or self.add_route(e)
             self.turn(route, "ready" if e.listed is Listed.READY else "drain")
         for route in [r for r in self.routes.values() if update.whole and r.id not in listed]:
             self.turn(route, "drain")
+        for route in [r for r in self.routes.values() if r.state == "draining" and self.now >= r.needed()]:
+            route.dest.order.remove(self.routes.pop(route.id))
+        for name in [n for n, d in self.dests.items() if not (d.order or d.parked or d.calls)]:
+            del self.dests[name]
 
     def ask(self, _):
         self.acts.append(it.AskForList())
@@ -258,9 +274,6 @@
         one = dest.order[0].pacer if dest.order and dest.kind.batch > 1 and not dest.kind.apart else None
         pacer = one or Pacer(self.set, dest, self.random, self.now, e.rate)
         route = self.routes[e.id] = Route(e, dest, pacer)
-        idle = [r for r in dest.order if r.state == "draining" and not r.calls]
-        for old in [r for r in idle if r.pacer.wait_until <= self.now and r.pacer.cold is None]:
-            dest.order.remove(self.routes.pop(old.id))
         dest.order = sorted([*dest.order, route], key=lambda r: r.id)
         return route
 
@@ -271,7 +284,7 @@
             getattr(self, effect)(route, span)
 
     def rest(self, route, _):
-        self.heed(route, (self.REST if route.silent else self.REST_SHORT) * self.random.uniform(0.7, 1.3))
+        self.heed(route, (self.REST if route.mute else self.REST_SHORT) * self.random.uniform(0.7, 1.3))
 
     def heed(self, route, span):
         route.until = self.now + span
@@ -293,14 +306,12 @@
             row = self.quota[n.customer]
             row[1], row[2] = max(0.0, row[1] - row[0] * (self.now - row[2])), self.now
             even = row[0] * self.SHARE_SPAN
-            if row[1] > even + 2.0 * even**0.5 + 1.0:  # a relay's part is uneven by chance
-                benefit *= self.set.over_share_benefit
-            else:
-                row[1] += 1.0
-        ntf = self.held[n.id] = Ntf(n.id, n.due, dest, topic, benefit, n.key if topic.keep_order else "")
+            over = row[1] > even + 2.0 * even**0.5 + 1.0  # a relay's part is uneven by chance
+            benefit *= self.set.over_share_benefit if over else 1.0
+            row[1] += 0.0 if over else 1.0
+        ntf = self.held[n.id] = Ntf(n, dest, topic, benefit)
         if ntf.key:
-            self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf
-        ntf.pushes, ntf.maybe_at = n.pushes, n.maybe_at  # its history, where a relay before us took it
+            self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf  # those in turn, rest until
         self.again(ntf)
         if len(self.held) > self.set.max_open * self.DOOR:
             # Where most are parked the next has least to win: one sick destination must not fill the hold.
@@ -311,19 +322,15 @@
         if not ntf.dest.parked:
             ntf.dest.hungry = ntf.due - ntf.topic.ttl
         ntf.dest.parked[ntf.id] = ntf
-        self.at(ntf.due - self.expected(ntf.dest), lambda self, ntf: self.step(ntf, "given up"), ntf)
+        self.at(ntf.due - ntf.dest.expected(), lambda self, ntf: self.step(ntf, "given up"), ntf)
         self.touch(ntf.dest)
-        if ntf.past and (ntf.hops > self.HOPS or ntf.past >= ntf.dest.order[-1].id):
-            # The walk is over: it begins anew, after a rest.
-            ntf.hops, ntf.past, ntf.rest_until = 0, "", self.now + self.WALK_REST
+        if ntf.past and (ntf.hops > self.HOPS or ntf.past >= max((r.id for r in ntf.dest.order), default="")):
+            ntf.hops, ntf.past, ntf.rest_until = 0, "", self.now + self.WALK_REST  # the walk begins anew
             self.at(ntf.rest_until, Brain.touch, ntf.dest)
 
-    def expected(self, dest):
-        return dest.times.quantile(0.5)
-
     def again(self, ntf):
         stuck = ntf.maybe_at < inf and (ntf.topic.effect is ONCE or self.now > self.closes(ntf))
-        if stuck or ntf.pushes >= self.set.max_pushes or self.now + self.expected(ntf.dest) >= ntf.due:
+        if stuck or ntf.pushes >= self.set.max_pushes or self.now + ntf.dest.expected() >= ntf.due:
             self.step(ntf, "given up")
         else:
             self.park(ntf)
@@ -346,8 +353,12 @@
             turns.pop(ntf.id, None)
             for other in turns.values():
                 self.touch(other.dest)
-            if not turns and self.now >= rest:  # else it stays, for the rest
-                del self.keys[ntf.key]
+            if not turns:
+                self.at(rest, Brain.drop_key, ntf.key)
+
+    def drop_key(self, key):
+        if key in self.keys and not self.keys[key][0] and self.now >= self.keys[key][1]:
+            del self.keys[key]
 
     def on_withdrawn(self, event):
         if event.id in self.held:
@@ -370,7 +381,7 @@
                 each.pacer.wait_until = max(each.pacer.wait_until, self.now + span)
                 self.turn(each, "wait", span)
         if o.result is Result.DELIVERED:
-            route.dest.times.add(o.elapsed)
+            route.dest.took(o.elapsed)
             self.times.add(o.elapsed)
         if first:
             self.judge(route, call, o)
@@ -389,8 +400,9 @@
         if o.result is Result.DELIVERED:
             for pacer in route.dest.bound(route):
                 pacer.good(call.sent, self.now, pacer is route.pacer)
-            route.dest.failures = 0
-            route.row, route.silent, route.good_at = 0, False, max(route.good_at, call.sent)
+            for tally in (route.tally, route.dest.tally):
+                tally.add(self.now, True)
+            route.silent, route.good_at = False, max(route.good_at, call.sent)
             for ntf, _ in call.items:
                 route.lanes.pop(ntf.topic.name, None)
             self.turn(route, "delivered")
@@ -398,17 +410,18 @@
             self.turn(route, "heard" if o.wait else "failed")
             route.pacer.bad(call.sent, self.now, True, o.wait)
         elif o.result not in (Result.NOT_SENT, Result.CANCELLED) and not call.late:
-            self.sick(call, o.result is not Result.NO_CONNECTION)
+            self.sick(call, o.result)
 
-    def sick(self, call, silent):
-        route = call.route
+    def sick(self, call, result):
+        route, silent = call.route, result is not Result.NO_CONNECTION
+        route.silent, route.mute = silent, result in (None, Result.TIMED_OUT)
         for ntf, _ in call.items if silent else ():
             route.lanes[ntf.topic.name] = self.now + self.REST * self.random.uniform(0.7, 1.3)
-        route.row, route.silent = route.row + 1, silent
-        route.dest.failures += 1
+        for tally in (route.tally, route.dest.tally):
+            tally.add(self.now, False)
         for pacer in route.dest.bound(route):
             pacer.bad(call.sent, self.now, False)
-        self.turn(route, "tripped" if route.row >= self.TRIP else "failed")
+        self.turn(route, "tripped" if route.tally.out() else "failed")
 
     def overdue(self, call):
         """A push past its time is evidence before its time-out: it covers hangs, silence, slow answers."""
@@ -416,8 +429,8 @@
             return
         call.late = True
         if call.route.good_at <= call.sent:  # else younger ones came back: it is heavy, or its answer lost
-            self.sick(call, True)
-        self.late.append(call)
+            self.sick(call, None)
+        self.late = [c for c in self.late if c.left] + [call]
 
     def free_a_slot(self):
         """Late calls give way, the least lost first; covers hangs, silence; hurts where answers were slow."""
@@ -440,7 +453,7 @@
             return False  # rule 1, and no second copies
         if route.state == "draining" or self.now < route.pacer.wait_until:
             return False  # rules 3 and 6
-        if self.now + self.expected(ntf.dest) >= self.leaves:
+        if self.now + ntf.dest.expected() >= self.leaves:
             return False  # rule 2: a restart cuts it off, and it may have run
         if ntf.key:  # rule 5: the first of its key, after the rest
             turns, rest = self.keys[ntf.key]
@@ -456,23 +469,23 @@
 
     def rank(self, ntf):
         """Benefit to be won by a push now for each second of a slot; the older first among equals."""
-        topic, done = ntf.topic, self.now + self.expected(ntf.dest)
+        topic, done = ntf.topic, self.now + ntf.dest.expected()
         late = done - (ntf.due - topic.ttl) - topic.objective
         part = 1.0 if done < ntf.due else 0.0
         if late > 0.0 and self.set.late is it.Late.HALVES:
             part *= max(topic.late_share, 0.5 ** (late / topic.objective))
         elif late > 0.0:
             part *= 1.0 - (1.0 - topic.late_share) * late / max(topic.ttl - topic.objective, 1e-3)
-        return ntf.benefit * part / self.expected(ntf.dest), -ntf.due
+        return ntf.benefit * part / ntf.dest.expected(), -ntf.due
 
     def cap(self, dest):
-        sick = any(r.row or r.state in ("open", "trial") for r in dest.order)
+        sick = any(r.tally.row or r.state in ("open", "trial") for r in dest.order)
         return max(1, int(self.set.slots * (self.SHARE_SICK if sick else self.SHARE)))
 
     def room(self, route):
         """Calls that a route holds before more would only queue; past it the route counts as refusing."""
         routes = sum(r.pacer is route.pacer for r in route.dest.order)
-        busy = route.pacer.part() / routes * route.dest.times.quantile(0.3)
+        busy = route.pacer.part() / routes * min(route.dest.usual, route.dest.times.quantile(0.3))
         return max(1.0, self.ROOM * route.pacer.gain * busy)
 
     def open_to(self, dest):  # the routes that take a further one now, in a call of this round or a new one
@@ -484,14 +497,12 @@
         return usable and route.calls < self.room(route) and route.pacer.ready_at(self.now) <= self.now
 
     def suits(self, route, ntf):  # unproven, a route gets no last pushes, nor what a silence would end
-        once = route.silent and ntf.topic.effect is ONCE
-        loses = once and any(n.topic.effect is not ONCE for n in ntf.dest.parked.values())
-        unfit = route.row and (loses or ntf.pushes * 2 >= self.set.max_pushes)
-        return self.joins(route) or not unfit
+        ends = route.silent and ntf.topic.effect is not AGAIN
+        loses = ends and any(n.topic.effect is AGAIN for n in ntf.dest.parked.values())
+        return self.joins(route) or not (route.tally.row and (loses or ntf.pushes * 2 >= self.set.max_pushes))
 
     def shuns(self, route, ntf):
-        """One topic type may fail where others are taken, whose deliveries close the circuit again: it goes
-        by a sister meanwhile. Covers one bad handler or table there; hurts where the sister is the worse."""
+        """One topic type may fail where others are taken: it goes by a sister meanwhile, be it the worse."""
         well = [r for r in ntf.dest.order if self.now >= r.lanes.get(ntf.topic.name, 0.0)]
         return route not in well and any(r.state in ("closed", "trial") for r in well)
 
@@ -512,11 +523,8 @@
                     routes = self.open_to(dest)
                 if not routes:
                     break
-        for dest in dests:
-            if dest.parked:
-                self.plan(dest)
-                if self.slots <= 0:
-                    self.touch(dest)  # the next round may have a slot
+        for dest in (d for d in dests if d.parked):
+            self.plan(dest)
 
     def takes(self, route, ntf):
         later = route.id > ntf.past and self.now >= ntf.rest_until
@@ -541,6 +549,8 @@
 
     def plan(self, dest):
         when = min((r.pacer.ready_at(self.now) for r in dest.order if r.state != "draining"), default=inf)
+        if self.slots <= 0:
+            self.touch(dest)  # the next round may have one
         if self.now < when < inf and not self.now < dest.wake <= when:
             dest.wake = when
             self.at(when, Brain.touch, dest)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -3,6 +3,7 @@
 from math import inf
 
 from ryestack import interface as it
+from ryestack.brain import Call
 from ryestack.interface import Result
 
 from .helpers import brain, end, kinds, pushes, take
@@ -89,6 +90,13 @@
         self.assertEqual(pushes(b.round(1.1, [end("n", "a", Result.FULL, wait=1.0)])), [])
         self.assertEqual(pushes(b.round(2.0, [it.Woken()])), [])
 
+    def test_a_wait_binds_an_endpoint_that_is_listed_within_it(self):
+        b = brain(routes=("a",))
+        b.round(1.0, [take("n")])
+        b.round(1.1, [end("n", "a", Result.FULL, wait=1.0)])
+        new = it.Endpoint("b", "z", "shared", 7, rate=50.0)
+        self.assertEqual(pushes(b.round(1.5, [it.ListUpdate((new,))])), [])
+
     def test_each_item_of_a_call_may_tell_a_later_wait(self):
         b = brain(kind="bulk", routes=("a",))
         b.round(1.0, [take("n"), take("m")])
@@ -180,7 +188,7 @@
         b.round(1.5, [take("m")])
         b.round(1.6, [end("m", "a", Result.DELIVERED, ended=True)])
         b.round(4.0, [it.Woken()])
-        self.assertEqual(b.routes["a"].row, 0)
+        self.assertEqual(b.routes["a"].tally.row, 0)
 
     def test_a_late_call_is_called_off_only_when_a_slot_is_wanted(self):
         b = brain(routes=("a", "b"), slots=4, rate=500.0, may_cancel=True)
@@ -203,7 +211,7 @@
         b = brain(kind="apart", routes=("a", "b", "c"))
         for at, route in ((1.0, "a"), (1.1, "b"), (1.2, "c")):
             b.round(at, [take("n" + route)])
-            b.sick(next(c for c, n in b.out.values()), False)
+            b.sick(next(c for c, n in b.out.values()), Result.NO_CONNECTION)
         self.assertEqual({r.pacer.cold for r in b.routes.values()}, {inf})
 
     def test_a_thin_part_stays_at_the_route_that_delivered(self):
@@ -240,6 +248,56 @@
         b.takes = lambda route, ntf: self.fail("one by one")
         self.assertEqual(pushes(b.round(1.1, [take("m")])), [])
 
+    def test_a_row_of_failures_among_many_deliveries_is_no_outage(self):
+        for before, cold in ((0, inf), (20, None)):
+            b = brain(kind="apart", routes=("a",))
+            route = b.routes["a"]
+            for _ in range(before):
+                route.tally.add(1.0, True)
+                route.dest.tally.add(1.0, True)
+            for _ in range(3):
+                b.sick(Call(route, 1.0), Result.ERROR)
+            self.assertEqual((route.pacer.cold, route.state), (cold, "open" if cold else "closed"))
+
+    def test_a_circuit_rests_long_only_where_no_answer_came(self):
+        for result, short in ((Result.ERROR, True), (Result.BROKEN, True), (Result.TIMED_OUT, False)):
+            b = brain(routes=("a",))
+            for _ in range(3):
+                b.sick(Call(b.routes["a"], 1.0), result)
+            self.assertEqual(b.routes["a"].until < 3.0, short, result)
+
+    def test_a_trial_spares_what_its_failure_would_end(self):
+        b = brain(routes=("a",))
+        route = b.routes["a"]
+        route.state, route.tally.row, route.silent = "trial", 3, True
+        self.assertEqual(pushes(b.round(1.0, [take("m", "merge"), take("n")])), [("n", "a")])
+
+    def test_a_route_slower_than_usual_holds_no_more_calls(self):
+        b = brain(routes=("a",))
+        dest, route = b.routes["a"].dest, b.routes["a"]
+        for _ in range(32):
+            dest.took(0.1)
+        room = b.room(route)
+        for _ in range(32):
+            dest.took(3.0)
+        self.assertLess(b.room(route), 2.0 * room)
+
+    def test_what_is_gone_leaves_nothing_behind(self):
+        b = brain(kind="apart")
+        b.routes["a"].pacer.cold, b.routes["a"].pacer.bad_since = inf, 1.0
+        b.round(2.0, [it.ListUpdate((), whole=True)])
+        self.assertEqual(list(b.routes), ["a"])  # its outage is remembered for a while
+        b.round(70.0, [it.ListUpdate((), whole=True)])
+        self.assertEqual((b.routes, dict(b.dests)), ({}, {}))
+
+    def test_a_key_in_order_ends_with_its_rest(self):
+        b = brain()
+        b.round(1.0, [take("n", "turns", key="k")])
+        b.round(1.1, [end("n", "a", Result.TIMED_OUT), it.Withdrawn("n")])
+        self.assertEqual(list(b.keys), ["k"])
+        b.round(9.0, [it.Woken()])
+        self.assertEqual(b.keys, {})
+
     def test_a_customers_part_may_be_uneven_by_chance(self):
         b = brain(relays=200, customers=(it.Customer("c", 20.0),), over_share_benefit=0.1)
         b.round(1.0, [it.Notification(n, 20.0, 7, "again", "c") for n in "nm"])
@@ -248,7 +306,7 @@
     def test_a_trial_spares_the_once_only_after_silence(self):
         b = brain(routes=("a",))
         route = b.routes["a"]
-        route.state, route.row, route.silent = "trial", 3, True
+        route.state, route.tally.row, route.silent = "trial", 3, True
         self.assertEqual(pushes(b.round(1.0, [take("m", "once"), take("n")])), [("n", "a")])
 
     def test_under_pressure_the_least_valuable_is_throttled_at_once(self):
