Overdue sooner where all are quick; a break on a kept connection tells nothing of health

Traced outcomes by age of the connection: one call in eight on a connection idle for over 0.1 s was reset within 3 ms without a word, any endpoint, and counted as its failure (Brain.judge); calls never answered held their slots for 2 s where nine in ten take 0.2 (OVERDUE_LEAST). Ruled out: an idle limit to learn (ages of good and stale ones overlap from 0.05 to 6 s), CPU (0.49 core). Now an outcome says that it broke so, which is no evidence; a push is overdue past three times what nine in ten of all stay under, two seconds at most.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -45,7 +45,7 @@
     PRIOR = 3.0  # what all destinations took counts for so many: a few of its own show one's pace
 
     def __init__(self, prior=None):
-        self.bins, self.count, self.found, self.prior = [0.0] * (len(self.EDGES) + 1), 0.0, {}, prior
+        self.bins, self.count, self.found, self.prior = [0.0] * (len(self.EDGES) + 1), 0.0, {}, prior or self
 
     def add(self, seconds):
         self.bins[bisect_left(self.EDGES, seconds)] += 1.0
@@ -95,12 +95,11 @@
         self.dest, self.single, self.random = dest, dest.kind.batch == 1, chance
         self.rules, self.relays, self.idle = settings.rules, settings.relays, settings.connection_idle
         self.rough = self.ROUGH if settings.rough_rates else 1.0
-        self.gain, self.at = self.GAIN if self.single else 1.0, now
+        self.gain, self.at, self.cold = self.GAIN if self.single else 1.0, now, None  # inf: down; back since
         self.told = max(0.1, rate) if settings.told_rates else self.UNTOLD  # a list may tell none
         self.tokens = chance.random() ** (1.0 / self.told)  # a draw by rate among routes
         self.back, self.refusals, self.hungry, self.bad_since = self.BACK, 0, 0.0, inf
         self.wait_until = max((r.pacer.wait_until for r in dest.order if not dest.kind.apart), default=0.0)
-        self.cold = None  # None: warm; inf: not back yet; else since when it is back
 
     def part(self):
         return self.told / self.relays / self.dest.sharing()
@@ -209,7 +208,7 @@
     WALK_REST = 0.6  # before a walk begins anew: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
-    OVERDUE, OVERDUE_LEAST = 2.5, 2.0  # past so many times what nine in ten stay under, at least two seconds
+    OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.5, 3.0, 2.0  # times 9 in 10 stay under, there, all; seconds
     TIMEOUT, TIMEOUT_LEAST = 6.0, 3.0  # the same for giving a push up: long, as overdue ones tell already
     ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
     USUAL = 0.5  # a push's time before anything was measured
@@ -409,7 +408,7 @@
         elif o.result is Result.FULL:
             self.turn(route, "heard" if o.wait else "failed")
             route.pacer.bad(call.sent, self.now, True, o.wait)
-        elif o.result not in (Result.NOT_SENT, Result.CANCELLED) and not call.late:
+        elif o.result not in (Result.NOT_SENT, Result.CANCELLED) and not call.late and not o.stale:
             self.sick(call, o.result)
 
     def sick(self, call, result):
@@ -537,7 +536,8 @@
         if call is None:
             call = self.travel[route.id] = Call(route, self.now)
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
-            self.at(self.now + max(self.OVERDUE_LEAST, self.OVERDUE * times), Brain.overdue, call)
+            least = min(self.OVERDUE_LEAST, self.OVERDUE_ALL * self.times.quantile(0.9))
+            self.at(self.now + max(least, self.OVERDUE * times), Brain.overdue, call)
         call.items.append((ntf, ntf.pushes))
         call.left += 1
         self.out[ntf.id, ntf.pushes] = call, ntf
--- a/ryestack/interface.py
+++ b/ryestack/interface.py
@@ -155,7 +155,8 @@
 class Outcome:
     """How a push ended.
 
-    ended: the notification has its final answer already; limit: the calls a second told, 0 if none.
+    ended: the notification has its final answer already; limit: the calls a second told, 0 if none; stale:
+    it broke on what was kept open from before, without a word, which tells nothing of the endpoint's health.
     """
 
     id: str
@@ -166,6 +167,7 @@
     ended: bool = False
     wait: float = 0.0
     limit: float = 0.0
+    stale: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -139,11 +139,12 @@
         if not answers:
             one = Result.DELIVERED if progress.status == 200 and len(items) == 1 else broke
             answers = {item.id: (one, False, 0.0, 0.0) for item in items}
-        elapsed = self.clock() - began
+        elapsed, stale = self.clock() - began, broke is Result.BROKEN and progress.kept and not progress.words
         outcomes = [it.Outcome(i.id, i.push, endpoint, Result.NOT_SENT, elapsed, True) for i in void]
         for item in items:
             result, ended, wait, rate = answers[item.id]
-            outcomes.append(it.Outcome(item.id, item.push, endpoint, result, elapsed, ended, wait, rate))
+            told = elapsed, ended, wait, rate, stale and result is broke
+            outcomes.append(it.Outcome(item.id, item.push, endpoint, result, *told))
         self.tell([o for o in outcomes if self.running.pop((o.id, o.push), None)])
 
     def first_line(self, progress: Progress, limit: asyncio.Timeout, single: bool) -> None:
--- a/ryestack/wire/replies.py
+++ b/ryestack/wire/replies.py
@@ -26,6 +26,8 @@
     endpoint: str
     heard: object
     connected: bool = False
+    kept: bool = False  # the connection is one from before
+    words: bool = False  # anything has come back
     status: int = 0
 
 
@@ -62,7 +64,7 @@
         """A call begins: from here on it may run."""
         super().set_response_params(**params)
         self.call = CALL.get()
-        self.call.connected, self.endpoint = True, self.call.endpoint
+        self.call.connected, self.call.kept, self.endpoint = True, bool(self.endpoint), self.call.endpoint
         self.head, self.passed, self.left = b"", 0, 0
 
     def data_received(self, data: bytes) -> None:
@@ -72,7 +74,7 @@
             return self.spoilt()
         if self.head is None:
             return self.body(data)
-        self.head += data
+        self.head, self.call.words = self.head + data, True
         while found := FIRST_LINE.match(self.head):
             status = int(found[1])
             if status >= 200 and not self.call.status:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -290,6 +290,23 @@
         b.round(70.0, [it.ListUpdate((), whole=True)])
         self.assertEqual((b.routes, dict(b.dests)), ({}, {}))
 
+    def test_where_all_are_quick_a_push_is_overdue_sooner(self):
+        for pace, late in ((0.1, True), (1.0, False)):
+            b = brain(routes=("a",))
+            for _ in range(60):
+                b.times.add(pace)
+                b.routes["a"].dest.took(pace)
+            b.round(1.0, [take("n")])
+            b.round(1.8, [it.Woken()])
+            self.assertEqual(bool(b.late), late, pace)
+
+    def test_a_stale_connection_tells_nothing_of_health(self):
+        for stale, row in ((True, 0), (False, 1)):
+            b = brain(routes=("a",))
+            b.round(1.0, [take("n")])
+            b.round(1.1, [end("n", "a", Result.BROKEN, stale=stale)])
+            self.assertEqual(b.routes["a"].tally.row, row)
+
     def test_a_key_in_order_ends_with_its_rest(self):
         b = brain()
         b.round(1.0, [take("n", "turns", key="k")])
