Late calls take no room at a route; collapsible ones are spared only at trials

Traced: its calls that are never answered filled the room (Brain.opens counts route.calls), up to three quarters of a second each; and at a batch destination one failure kept every collapsible one off the route while a repeatable one was parked, though that one rested (Brain.suits, of today). Ruled out: the share cap (3 of 9 calls), waits, the cold budget. Now a late call leaves the route's room (not the destination's share); collapsible ones are spared at trials only, and only where one that may go now would do.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -367,10 +367,10 @@
         if (o.id, o.push) not in self.out:
             return
         call, ntf = self.out.pop((o.id, o.push))
-        route, first = call.route, call.left == len(call.items)
-        call.left -= 1
+        route, first, call.left = call.route, call.left == len(call.items), call.left - 1
         if not call.left:
-            self.slots, route.calls, route.dest.calls = self.slots + 1, route.calls - 1, route.dest.calls - 1
+            self.slots, route.dest.calls = self.slots + 1, route.dest.calls - 1
+            route.calls -= not call.late
         self.touch(route.dest)
         for each in ([route] if route.dest.kind.apart else route.dest.order) if o.limit else ():
             each.pacer.told, each.pacer.rough = o.limit, 1.0
@@ -426,7 +426,7 @@
         """A push past its time is evidence before its time-out: it covers hangs, silence, slow answers."""
         if call.left < len(call.items):
             return
-        call.late = True
+        call.late, call.route.calls = True, call.route.calls - 1  # it takes no room: its like may never end
         if call.route.good_at <= call.sent:  # else younger ones came back: it is heavy, or its answer lost
             self.sick(call, None)
         self.late = [c for c in self.late if c.left] + [call]
@@ -496,8 +496,9 @@
         return usable and route.calls < self.room(route) and route.pacer.ready_at(self.now) <= self.now
 
     def suits(self, route, ntf):  # unproven, a route gets no last pushes, nor what a silence would end
-        ends = route.silent and ntf.topic.effect is not AGAIN
-        loses = ends and any(n.topic.effect is AGAIN for n in ntf.dest.parked.values())
+        mine, others = ntf.topic.effect, (n for n in ntf.dest.parked.values() if self.now >= n.rest_until)
+        ends = route.silent and (mine is ONCE or (mine is not AGAIN and route.state == "trial"))
+        loses = ends and any(n.topic.effect not in (ONCE, mine) for n in others)
         return self.joins(route) or not (route.tally.row and (loses or ntf.pushes * 2 >= self.set.max_pushes))
 
     def shuns(self, route, ntf):
@@ -538,8 +539,7 @@
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
             least = min(self.OVERDUE_LEAST, self.OVERDUE_ALL * self.times.quantile(0.9))
             self.at(self.now + max(least, self.OVERDUE * times), Brain.overdue, call)
-        call.items.append((ntf, ntf.pushes))
-        call.left += 1
+        call.items, call.left = [*call.items, (ntf, ntf.pushes)], call.left + 1
         self.out[ntf.id, ntf.pushes] = call, ntf
         ntf.out, ntf.pushes = ntf.out + 1, ntf.pushes + 1
         ntf.dest.parked.pop(ntf.id, None)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -307,6 +307,20 @@
             b.round(1.1, [end("n", "a", Result.BROKEN, stale=stale)])
             self.assertEqual(b.routes["a"].tally.row, row)
 
+    def test_a_late_call_takes_no_room(self):
+        b = brain(routes=("a",), rate=2.0)
+        b.round(1.0, [take("n")])
+        [(call, _)] = b.out.values()
+        b.overdue(call)
+        self.assertEqual(b.routes["a"].calls, 0)
+        b.round(4.0, [end("n", "a", Result.TIMED_OUT)])
+        self.assertEqual((b.routes["a"].calls, b.routes["a"].dest.calls), (0, 0))
+
+    def test_one_failure_keeps_no_collapsible_ones_from_a_route(self):
+        b = brain(routes=("a",))
+        b.routes["a"].tally.row, b.routes["a"].silent = 1, True
+        self.assertEqual(pushes(b.round(1.0, [take("m", "merge"), take("n")]))[0], ("m", "a"))
+
     def test_a_key_in_order_ends_with_its_rest(self):
         b = brain()
         b.round(1.0, [take("n", "turns", key="k")])
