--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -38,7 +38,7 @@
 LOOK = 0.05  # seconds between looks at whether all is settled
 SUMMARY = 10.0  # seconds between summary lines in the log
 OWN_SOCKETS = 32  # for the journal, the watch, notices, the log, what opens while others close
-CLIENTS_PART = 0.55  # of the rest; usual clients hold a third of all, calls less than half
+CLIENTS_PART = 0.28  # of all: the front opens a third at most, and no more while idle ones fill that
 
 
 class Relay:
@@ -51,9 +51,9 @@
         self.ledger = Ledger(Journal(config.state, config.disk))
         settings = config.settings
         self.owner = Owner(settings, config.seed, self.ledger, self.clock, wall)
-        left = config.sockets - OWN_SOCKETS
-        most = max(8, int(left * CLIENTS_PART))
-        self.calls = Calls(settings, self.members, self.clock, self.owner.put, max(8, left - most))
+        most = max(8, int(config.sockets * CLIENTS_PART))
+        left = max(8, config.sockets - most - OWN_SOCKETS)
+        self.calls = Calls(settings, self.members, self.clock, self.owner.put, left)
         self.owner.calls = self.calls
         self.platform = Platform(config.discovery)
         self.notices = Notices(self.platform, self.owner.told_platform)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -14,7 +14,7 @@
 from ryestack.interface import Result
 from ryestack.lifecycle.config import BadConfig, load
 from ryestack.lifecycle.owner import Owner
-from ryestack.lifecycle.relay import PHASES
+from ryestack.lifecycle.relay import PHASES, Relay
 from ryestack.store.journal import Journal
 from ryestack.store.ledger import Ledger
 from ryestack.wire.server import MALFORMED, REFUSED, TAKEN, HandIn
@@ -225,6 +225,17 @@
             each.close()
 
 
+class Bounds(Folder, unittest.IsolatedAsyncioTestCase):
+    async def test_idle_clients_leave_the_front_room_and_all_fit_the_descriptors(self):
+        for sockets in (256, 1024):
+            limits = {"cores": 1.0, "memory_mb": 64, "sockets": sockets, "disk_mb": 3}
+            path = config(self.folder, "127.0.0.1:1", limits=limits)
+            relay = Relay(load({"LB_CONFIG": path, "LB_STATE": self.folder}))
+            self.assertLess(relay.clients.most, 0.9 * sockets / 3)
+            self.assertLess(relay.clients.most + relay.calls.most, sockets - 20)
+            await relay.close()
+
+
 class Configuration(Folder, unittest.TestCase):
     def test_phases_lead_from_start_to_exit(self):
         phase, inputs = "starting", ["begun", "recovered", "asked to stop", "accepted long enough", "settled"]
