--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -20,7 +20,7 @@
 BODY = 2.6  # seconds for a first request from its connection on, for a later one from its head on
 UNREAD = 2 * 1024 * 1024  # bytes of bodies not yet whole, over all connections
 BUFFER = 16 * 1024  # bytes that the library reads ahead on a connection
-BATCH = 64  # connections accepted in one turn of the loop: what usual clients sent is read between
+BATCH = 16  # connections accepted in one turn of the loop: what usual clients sent is read between
 BACKLOG = 512
 QUIET = logging.getLogger("ryestack.clients")  # bad requests are answered; a traceback of each helps nobody
 QUIET.setLevel(logging.CRITICAL)
