A discovery that is no address is a bad file: the old one stays

Probed: a configuration whose discovery was 'nowhere' passed config.read (only listen was read as an address), so a SIGHUP moved watch and notices to no place.

--- a/ryestack/lifecycle/config.py
+++ b/ryestack/lifecycle/config.py
@@ -53,9 +53,13 @@
             raise BadConfig(f"{key} is missing or has the wrong type")
         return value
 
-    host, _, port = need(told, "listen", str).rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
-        raise BadConfig("listen must be address:port")
+    def address(key):
+        host, _, port = need(told, key, str).rpartition(":")
+        if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+            raise BadConfig(f"{key} must be address:port")
+        return host, int(port)
+
+    (host, port), _ = address("listen"), address("discovery")
     limits, known = need(told, "limits", dict), need(told, "known", dict)
     read_list(known, {})
     try:
@@ -65,7 +69,7 @@
     return Config(
         name=need(told, "name", str),
         host=host,
-        port=int(port),
+        port=port,
         discovery=need(told, "discovery", str),
         state=state,
         seed=seed,
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -201,7 +201,7 @@
         self.assertEqual(notices, [{"id": "m", "state": "failed"}])
         moved = asyncio.Event()
         third, new = await stand_in(lambda *_: moved.set() or http(200, json.dumps(listed()).encode()))
-        for discovery in (5, new):  # a bad file changes nothing
+        for discovery in ("nowhere", new):  # a bad file changes nothing
             config(self.folder, discovery, listen=self.listen)
             process.send_signal(signal.SIGHUP)
             await asyncio.sleep(0.1)
@@ -244,9 +244,12 @@
         self.assertEqual(phase, "ended")
 
     def test_what_is_wrong_is_named_in_one_line(self):
-        wrong = (("listen", "x", "listen"), ("settings", {}, "allowed"), ("known", {}, "index"))
+        wrong = (
+            ("listen", "x", "listen"), ("discovery", "x:y", "discovery"),
+            ("settings", {}, "allowed"), ("known", {}, "index"),
+        )
         for key, bad, word in wrong:
-            path = config(self.folder, "127.0.0.1:1", **{key: bad})
+            path = config(self.folder, **{"discovery": "127.0.0.1:1", key: bad})
             with self.assertRaisesRegex(BadConfig, word) as caught:
                 load({"LB_CONFIG": path, "LB_STATE": self.folder})
             self.assertNotIn("\n", str(caught.exception))
