Odd numbers in lists and files end nothing; bodies stay as they came; waits in spoilt answers

Late calls leave Brain when they end, in one place; the usual pace's figures are named. Decisions unchanged.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -179,10 +179,11 @@
 
 
 class Dest:
+    STEP, RISE = 16, 1.1  # deliveries, times: a spell of slowness is over before the usual pace has followed
+
     def __init__(self, times):
-        self.kind, self.order, self.parked, self.tally = None, [], {}, Tally()
-        self.calls, self.times, self.wake, self.hungry = 0, Times(times), inf, 0.0
-        self.usual, self.seen = inf, 0  # the usual pace, of how many deliveries
+        self.kind, self.order, self.parked, self.tally, self.calls = None, [], {}, Tally(), 0
+        self.times, self.wake, self.hungry, self.usual, self.seen = Times(times), inf, 0.0, inf, 0
 
     def expected(self):
         return self.times.quantile(0.5)
@@ -190,8 +191,8 @@
     def took(self, seconds):
         self.times.add(seconds)
         self.seen += 1
-        if self.seen % 16 == 0:  # slower than usual, it does not take more at once: it takes less
-            self.usual = min(self.usual * 1.1, self.times.quantile(0.3))
+        if self.seen % self.STEP == 0:  # slower than usual, it does not take more at once: it takes less
+            self.usual = min(self.usual * self.RISE, self.times.quantile(0.3))
 
     def bound(self, route):  # an outage mostly takes all routes: three failures in a row at any bind all
         one = self.kind.apart and not self.tally.out()
@@ -222,7 +223,7 @@
         self.times = Times()  # of all destinations
         self.times.add(self.USUAL)
         self.dests = defaultdict(lambda: Dest(self.times))
-        self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, [], {}
+        self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, {}, {}
         self.slots, self.heap, self.seq, self.woken = settings.slots, [], 0, inf
         self.acts, self.touched, self.travel, self.leaves = [], {}, {}, inf
         if settings.asks_for_list:
@@ -371,6 +372,7 @@
         if not call.left:
             self.slots, route.dest.calls = self.slots + 1, route.dest.calls - 1
             route.calls -= not call.late
+            self.late.pop(call, None)
         self.touch(route.dest)
         for each in ([route] if route.dest.kind.apart else route.dest.order) if o.limit else ():
             each.pacer.told, each.pacer.rough = o.limit, 1.0
@@ -427,18 +429,17 @@
         if call.left < len(call.items):
             return
         call.late, call.route.calls = True, call.route.calls - 1  # it takes no room: its like may never end
+        self.late[call] = None
         if call.route.good_at <= call.sent:  # else younger ones came back: it is heavy, or its answer lost
             self.sick(call, None)
-        self.late = [c for c in self.late if c.left] + [call]
 
     def free_a_slot(self):
         """Late calls give way, the least lost first; covers hangs, silence; hurts where answers were slow."""
-        self.late = [c for c in self.late if c.left]
         routes = (r for d in self.touched.values() if d.parked for r in d.order)
         wanted = any(r.state == "closed" and r.pacer.wait_until <= self.now for r in routes)
         if self.late and self.set.may_cancel and wanted:
             least = min(self.late, key=lambda c: sum(n.benefit for n, _ in c.items if n.topic.effect is ONCE))
-            self.late.remove(least)
+            del self.late[least]
             self.acts += [it.Cancel(n.id, push) for n, push in least.items]
 
     # -- the rules' guard: every push and every throttling passes here ------------------------------
--- a/ryestack/lifecycle/config.py
+++ b/ryestack/lifecycle/config.py
@@ -6,7 +6,7 @@
 
 from .. import interface as it
 from ..settings import BadSettings, read_settings
-from ..wire.members import BadList, read_list
+from ..wire.members import UNREADABLE, BadList, read_list
 
 
 class BadConfig(Exception):
@@ -38,12 +38,14 @@
             told = json.load(file)
     except OSError as problem:
         raise BadConfig(f"{path}: {problem.strerror}") from None
-    except ValueError as problem:
+    except (ValueError, RecursionError) as problem:
         raise BadConfig(f"{path}: not JSON: {problem}") from None
     try:
         return read(told, state)
     except (BadSettings, BadList) as problem:
         raise BadConfig(f"{path}: {problem}") from None
+    except (*UNREADABLE, AttributeError) as problem:
+        raise BadConfig(f"{path}: a value of the wrong kind: {problem}") from None
 
 
 def read(told: dict, state: str) -> Config:
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -69,9 +69,8 @@
         for action in asked[it.Cancel]:
             self.calls.cancel(action.id, action.push)
         self.push(asked[it.Push])
-        for event in heard:
-            if isinstance(event, it.ListUpdate):
-                self.calls.forget(event)
+        if any(isinstance(event, it.ListUpdate) for event in heard):
+            self.calls.forget()
         for action in asked[it.Wake]:
             asyncio.get_running_loop().call_later(action.after, self.put, [it.Woken()])
 
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -96,9 +96,9 @@
         if (name, push) in self.running:
             self.running[name, push].cancel()
 
-    def forget(self, update: it.ListUpdate) -> None:
+    def forget(self) -> None:
         """What stays open to endpoints that are gone ends here; calls that are out go on."""
-        gone = self.members.leave(update)
+        gone = self.members.leave()
         for reply in [r for r in self.kept if r.call is None and r.endpoint in gone]:
             reply.spoilt()
 
@@ -138,7 +138,7 @@
         broke = broke if progress.connected else Result.NO_CONNECTION
         if not answers:
             one = Result.DELIVERED if progress.status == 200 and len(items) == 1 else broke
-            answers = {item.id: (one, False, 0.0, 0.0) for item in items}
+            answers = {item.id: (one, False, progress.wait, 0.0) for item in items}
         elapsed, stale = self.clock() - began, broke is Result.BROKEN and progress.kept and not progress.words
         outcomes = [it.Outcome(i.id, i.push, endpoint, Result.NOT_SENT, elapsed, True) for i in void]
         for item in items:
@@ -170,6 +170,7 @@
         async with self.session.post(url, **more) as answer:
             told = forms.report(answer.headers.get("X-Load"))
             wait, rate = _milliseconds(answer.headers.get("X-Retry-In-Ms")), limit_of(told)
+            CALL.get().wait = wait  # it binds though the rest be spoilt
             said = await _bounded(answer)
             if len(items) > 1 and answer.status == 200:
                 ends = forms.ends(said)
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from math import isfinite
 
 import aiohttp
 from loguru import logger
@@ -15,6 +16,7 @@
 SILENT = 1.0  # more, and the watch counts as broken
 BARE = 60.0  # a destination without endpoints is one we know for so long
 PAUSE = 0.1  # between calls at least, if answers or failures come at once; a watch goes on within 200 ms
+UNREADABLE = (KeyError, TypeError, ValueError, ArithmeticError)  # what a value of the wrong kind raises
 
 
 class BadList(Exception):
@@ -29,16 +31,16 @@
     rows, endpoints = {}, []
     try:
         index, whole, entries = int(told["index"]), told["snapshot"] is True, list(told["endpoints"])
-    except (KeyError, TypeError, ValueError) as problem:
+    except UNREADABLE as problem:
         raise BadList(f"{type(problem).__name__}: {problem}") from None
     for entry in entries:
         try:
-            if entry["status"] == "removed" and entry["name"] not in known:
-                continue  # never here, or gone before
             row = {**known.get(entry["name"], {}), **entry}
+            if row["status"] == "removed" and entry["name"] not in known:
+                continue  # never here, or gone before
             endpoints.append(read_row(row))
             rows[row["name"]] = row
-        except (KeyError, TypeError, ValueError) as problem:
+        except UNREADABLE as problem:
             logger.warning("list: version {}: an entry was passed over: {!r}", index, problem)
     return index, it.ListUpdate(tuple(endpoints), whole=whole), rows
 
@@ -48,7 +50,10 @@
     listed = LISTED.get(row["status"], it.Listed.DRAINING)  # a word we do not know: nothing new goes there
     if not row["address"]:
         raise ValueError("no address")
-    return it.Endpoint(name, zone, kind, int(row["group"]), listed, float(row.get("weight", 1.0)))
+    weight = float(row.get("weight", 1.0))
+    if not isfinite(weight):
+        raise ValueError("the weight is no number")
+    return it.Endpoint(name, zone, kind, int(row["group"]), listed, weight)
 
 
 class Members:
@@ -60,14 +65,15 @@
 
     def learn(self, told: dict) -> it.ListUpdate:
         self.index, update, rows = read_list(told, self.rows)
+        for name in set(self.rows) - set(rows) if update.whole else ():
+            rows[name] = {**self.rows[name], "status": "removed"}
         self.rows.update(rows)
         return update
 
-    def leave(self, update: it.ListUpdate) -> set[str]:
-        """Drop the endpoints that this update ends, once the decisions know of it; returns their names."""
-        listed = {e.id for e in update.endpoints if e.listed is not it.Listed.GONE}
-        gone = (set(self.rows) if update.whole else {e.id for e in update.endpoints}) - listed
-        for name in gone & set(self.rows):
+    def leave(self) -> set[str]:
+        """Drop the rows that stand as removed, once the decisions know of it; returns their names."""
+        gone = {name for name, row in self.rows.items() if row["status"] == "removed"}
+        for name in gone:
             self.bare[int(self.rows.pop(name)["group"])] = self.clock()
         return gone
 
--- a/ryestack/wire/platform.py
+++ b/ryestack/wire/platform.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+MOST = 4 * 1024 * 1024  # bytes of an answer: a list of thousands of endpoints
+
 
 class Platform:
     """Asks at the address in force; a move breaks off what is open at the old one, and it is asked anew."""
@@ -28,7 +30,12 @@
             self.limits.add(limit)
             try:
                 async with self.session.request(method, f"http://{self.address}{path}", **more) as answer:
-                    return answer.status, await answer.read()
+                    body = bytearray()
+                    async for chunk in answer.content.iter_any():
+                        body += chunk
+                        if len(body) > MOST:
+                            raise aiohttp.ClientPayloadError("an answer without bounds")
+                    return answer.status, bytes(body)
             finally:
                 self.limits.discard(limit)
 
--- a/ryestack/wire/replies.py
+++ b/ryestack/wire/replies.py
@@ -29,6 +29,7 @@
     kept: bool = False  # the connection is one from before
     words: bool = False  # anything has come back
     status: int = 0
+    wait: float = 0.0
 
 
 CALL: ContextVar[Progress] = ContextVar("call")  # the call that the running task makes
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -56,7 +56,7 @@
         super().data_received(data)
         if self._messages and not hasattr(self._messages[-1][0], "headers"):  # the parser's own error
             self.spoilt = True
-            if self._request_in_progress or len(self._messages) > 1:
+            if self._waiter is None or len(self._messages) > 1:  # none waits: a request is under way
                 self.force_close()
             elif self.transport is not None:
                 self.transport.pause_reading()
@@ -97,6 +97,7 @@
             keepalive_timeout=IDLE,
             lingering_time=0.0,
             read_bufsize=BUFFER,
+            auto_decompress=False,  # a body stays the bytes that came
             logger=QUIET,
         )
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -6,6 +6,7 @@
 import tempfile
 import time
 import unittest
+from math import inf
 from types import SimpleNamespace
 
 import aiohttp
@@ -38,7 +39,7 @@
         made = Owner(settings(**more), 1, ledger, lambda: self.now, 1000.0)
         made.brain.round(0.0, [self.listed] if not ledger.owed else [])
         self.sent, self.told = [], []
-        made.calls = SimpleNamespace(forget=lambda _: None)
+        made.calls = SimpleNamespace(forget=lambda: None)
         made.calls.start = lambda _, items: self.sent.extend((i.id, i.push) for i in items)
         made.notices = SimpleNamespace(add=lambda name, notice: self.told.append((name, notice)))
         return made
@@ -246,7 +247,8 @@
     def test_what_is_wrong_is_named_in_one_line(self):
         wrong = (
             ("listen", "x", "listen"), ("discovery", "x:y", "discovery"),
-            ("settings", {}, "allowed"), ("known", {}, "index"),
+            ("settings", {}, "allowed"), ("known", {}, "index"), ("known", {"index": inf}, "infinity"),
+            ("limits", {"sockets": 9, "disk_mb": inf}, "wrong kind"),
         )
         for key, bad, word in wrong:
             path = config(self.folder, **{"discovery": "127.0.0.1:1", key: bad})
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,6 +1,8 @@
 import asyncio
 import json
 import unittest
+import zlib
+from math import inf
 
 import aiohttp
 
@@ -9,7 +11,7 @@
 from ryestack.wire.calls import Calls, Item
 from ryestack.wire.members import BadList, Members, watch
 from ryestack.wire.notices import Notices
-from ryestack.wire.platform import Platform
+from ryestack.wire.platform import MOST, Platform
 from ryestack.wire.server import REFUSED, TAKEN, UNREAD, Clients
 
 from .helpers import called, http, listed, members, settings, stand_in
@@ -109,6 +111,11 @@
             server.close()
             self.assertEqual((len(ports[-1]), ports[-1]), (1, ports[-2]), said)
 
+    async def test_a_wait_binds_though_the_rest_of_its_answer_is_spoilt(self):
+        said = b"HTTP/1.1 429 x\r\nX-Retry-In-Ms: 250\r\nContent-Length: 9\r\n\r\nx"
+        [o], _ = await called(lambda *_: said)
+        self.assertEqual((o.result, o.wait), (Result.BROKEN, 0.25))
+
     async def test_bytes_on_an_idle_connection_answer_no_call(self):
         told = asyncio.Queue()
         said = [http(200), http(503)]
@@ -134,11 +141,11 @@
         calls.start("a", [Item("n", 0, 1.0, "", b"", None)])
         await told.get()
         other = {**listed(address=address)["endpoints"][0], "name": "b"}
-        update = at.learn({**listed(index=2), "endpoints": [other]})
+        at.learn({**listed(index=2), "endpoints": [other]})
         calls.start("b", [Item("m", 0, 1.0, "", b"", None)])
         await told.get()
         self.assertEqual([r.endpoint for r in calls.kept], ["a", "b"])
-        calls.forget(update)  # the whole list, without a
+        calls.forget()  # the whole list was without a
         calls.start("a", [Item("o", 0, 1.0, "", b"", None)])
         [late] = await told.get()
         self.assertEqual(([r.endpoint for r in calls.kept], late.result), (["b"], Result.NOT_SENT))
@@ -194,6 +201,11 @@
         self.assertEqual((message.ntf.id, message.ntf.destination, message.body), ("n", 7, b"\x00\xff"))
         self.assertTrue(await message.heard)
 
+    async def test_a_body_stays_the_bytes_that_came(self):
+        for body in (zlib.compress(b"x" * 99), b"\x00no such coding"):
+            self.assertEqual((await self.post(data=body, Content_Encoding="deflate")).status, TAKEN)
+            self.assertEqual(self.got.pop().body, body)
+
     async def test_throttled_at_once_with_a_time_to_come_back(self):
         self.verdict = (REFUSED, 0.25)
         answer = await self.post()
@@ -310,7 +322,8 @@
         now = 5.0
         at = Members(lambda: now)
         at.learn(listed())
-        at.leave(at.learn({"index": 2, "snapshot": False, "endpoints": [{"name": "a", "status": "removed"}]}))
+        at.learn({"index": 2, "snapshot": False, "endpoints": [{"name": "a", "status": "removed"}]})
+        at.leave()
         self.assertEqual((at.rows, at.has(7)), ({}, True))
         now = 66.0
         self.assertEqual((at.has(7), at.bare), (False, {}))
@@ -332,6 +345,28 @@
         await calls.close()
         server.close()
 
+    def test_one_that_is_listed_again_before_it_was_dropped_stays(self):
+        at, row = members(), listed()["endpoints"][0]
+        at.learn({**listed(index=2), "endpoints": []})
+        at.learn({"index": 3, "snapshot": False, "endpoints": [{**row, "name": "b"}, row]})
+        self.assertEqual((at.leave(), sorted(at.rows)), (set(), ["a", "b"]))
+
+    def test_odd_numbers_in_a_list_are_bad_rows_or_a_bad_list(self):
+        at, row = members(), listed()["endpoints"][0]
+        rows = [{**row, "weight": inf}, {**row, "group": inf}, {"name": "a", "weight": 2}]
+        update = at.learn({"index": 2, "snapshot": False, "endpoints": rows})
+        self.assertEqual([(e.id, e.rate) for e in update.endpoints], [("a", 2.0)])
+        with self.assertRaises(BadList):
+            at.learn({"index": inf, "snapshot": False, "endpoints": []})
+
+    async def test_an_answer_of_the_platform_without_bounds_is_given_up(self):
+        server, address = await stand_in(lambda *_: http(200, b"x" * (MOST + 1)))
+        platform = Platform(address)
+        with self.assertRaises(aiohttp.ClientError):
+            await platform.ask("GET", "/", 3.0)
+        await platform.close()
+        server.close()
+
     def test_an_entry_that_cannot_be_read_hides_no_other(self):
         at = members()
         rows = [{"status": "up"}, 5, {"name": "b", "status": "up"}, {"name": "a", "status": "odd"}]
