--- a/ryestack/__main__.py
+++ b/ryestack/__main__.py
@@ -1,41 +1,22 @@
-"""python -m ryestack: one live relay, from LB_CONFIG and LB_STATE until SIGTERM."""
+"""python -m ryestack: one live relay, from LB_CONFIG and LB_STATE until SIGTERM.
 
-import asyncio
-import signal
-import sys
-
-from loguru import logger
-
-from .lifecycle.config import BadConfig, Config, load
-from .lifecycle.relay import Relay
+With arguments it is the command line, which is loaded then only: what runs a relay stays lean.
+"""
 
+import sys
 
-async def serve(config: Config) -> None:
-    relay = Relay(config)
-    try:
-        await relay.run()
-    finally:
-        await relay.close()
+STOPPED = 130  # by Ctrl-C before there was anything to wind up
 
 
 def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something that could reread
-    logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", diagnose=False)
-    try:
-        config = load()
-    except BadConfig as bad:
-        print(f"ryestack: {bad}", file=sys.stderr)
-        return 2
     try:
-        asyncio.run(serve(config))
-    except OSError as problem:
-        logger.error("ended: {}", problem)
-        return 1
-    except Exception:
-        logger.exception("ended by a fault of its own")
-        return 1
-    return 0
+        if sys.argv[1:]:
+            from .cli import main as run
+        else:
+            from .lifecycle.service import serve as run
+        return run()
+    except KeyboardInterrupt:
+        return STOPPED
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/ryestack/cli/check.py
@@ -0,0 +1,47 @@
+"""ryestack check: the platform's configuration and the operator file, without a socket."""
+
+import os
+import tempfile
+
+import typer
+
+from ..lifecycle.config import BadConfig, load
+from ..operator.layers import BadOperator, choose
+from . import choices
+from .output import FOUND, Json, console, print_json, unusable
+
+
+def check(
+    config: choices.Config = None,
+    operator: choices.OperatorFile = None,
+    sets: choices.Set = None,
+    as_json: Json = False,
+) -> None:
+    """Check what a relay would be started with; opens no socket and changes nothing."""
+    environ, found, told = choices.environment(config, None), [], None
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise unusable("--config or LB_CONFIG must name the configuration")
+    if not os.path.exists(path):
+        raise unusable(f"{path}: there is no such file")
+    try:
+        chosen = choose(operator, environ, choices.flags(sets)).values
+    except BadOperator as bad:
+        chosen, found = None, [str(fault) for fault in bad.faults]
+    with tempfile.TemporaryDirectory() as folder:  # which folder lasts is not asked
+        try:
+            told = load({"LB_CONFIG": path, "LB_STATE": folder}, chosen=chosen)
+        except BadConfig as bad:
+            found += str(bad).splitlines()
+    if as_json:
+        print_json({"good": not found, "faults": found})
+    elif found:
+        for line in found:
+            console().print(line, markup=False, soft_wrap=True)
+    else:
+        rows = told.known["endpoints"]
+        groups = {row.get("group") for row in rows}
+        console().print(
+            f"good: {told.name}, {len(rows)} endpoints of {len(groups)} destinations known", markup=False
+        )
+    raise typer.Exit(FOUND if found else 0)
--- /dev/null
+++ b/ryestack/cli/journal.py
@@ -0,0 +1,100 @@
+"""ryestack journal: show and verify."""
+
+import time
+from typing import Annotated
+
+import typer
+
+from ..store.inspect import Found, NoJournal, inspect, row
+from .output import FOUND, Json, console, print_json, table, unusable
+
+app = typer.Typer(no_args_is_help=True)
+Folder = Annotated[str, typer.Argument(help="The folder that lasts, of a live or a dead relay.")]
+
+
+def _found(folder: str) -> Found:
+    try:
+        return inspect(folder)
+    except NoJournal as bad:
+        raise unusable(str(bad)) from None
+
+
+def _state(found: Found) -> dict:
+    return {
+        "file": found.path,
+        "bytes": found.size,
+        "records": found.records,
+        "sound": found.sound(),
+        "senseless_at": found.senseless,
+        "damage": [{"at": d.at, "bytes": d.length, "tail": d.tail} for d in found.damage],
+        "owed": len(found.owed),
+        "notices": sum(o.notice is not None for o in found.owed.values()),
+        "may_have_run": sum(o.open != {} or o.maybe_at < float("inf") for o in found.owed.values()),
+        "lost_behind_damage": sorted(found.behind),
+        "rewriting": found.rewriting,
+    }
+
+
+def _lines(found: Found) -> list[str]:
+    lines = [f"{found.path}: {found.size} bytes, {found.records} records, {len(found.owed)} owed"]
+    for d in found.damage:
+        what = "a torn tail, as a kill within a write leaves" if d.tail else "damage"
+        lines.append(f"{found.path}: {d.length} bytes from {d.at} on are no record: {what}")
+    lines += [f"{found.path}: the record at {at} makes no sense" for at in found.senseless]
+    if found.behind:
+        lines.append(f"{len(found.behind)} owed stand behind the damage; a start would lose them")
+    if found.rewriting:
+        lines.append("a new file stands beside it: a rewrite is under way, or was cut short")
+    return lines
+
+
+@app.command()
+def show(folder: Folder, as_json: Json = False) -> None:
+    """What is owed, to whom, and what may have run; read-only. Keys and bodies are never shown."""
+    found, now = _found(folder), time.time()
+    rows = [{**row(o, now), "behind_damage": False} for o in found.owed.values()]
+    rows += [{**row(o, now), "behind_damage": True} for o in found.behind.values()]
+    if as_json:
+        print_json({**_state(found), "notifications": rows})
+        return
+    for line in _lines(found):
+        console().print(line, markup=False, soft_wrap=True)
+    columns = [
+        "id",
+        "destination",
+        "topic type",
+        "due in s",
+        "pushes",
+        "out",
+        "may have run",
+        "notice",
+        "behind damage",
+    ]
+    cells = [
+        [
+            r["id"],
+            r["destination"],
+            r["topic_type"],
+            r["due_in_s"],
+            r["pushes"],
+            ",".join(map(str, r["out"])) or "-",
+            "yes" if r["may_have_run"] else "no",
+            (r["notice"] or {}).get("state", "-"),
+            "yes" if r["behind_damage"] else "no",
+        ]
+        for r in rows
+    ]
+    if cells:
+        table("", columns, cells)
+
+
+@app.command()
+def verify(folder: Folder, as_json: Json = False) -> None:
+    """Whether the file is sound; status 1 where more is wrong than a kill within a write explains."""
+    found = _found(folder)
+    if as_json:
+        print_json(_state(found))
+    else:
+        for line in [*_lines(found), "sound" if found.sound() else "NOT sound"]:
+            console().print(line, markup=False, soft_wrap=True)
+    raise typer.Exit(0 if found.sound() else FOUND)
--- /dev/null
+++ b/ryestack/lab/trial.py
@@ -0,0 +1,187 @@
+"""The main job in one run: a platform, partners and a relay on free ports; load, faults, a kill, a judge."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import aiohttp
+
+from ..standins.partner import Partner
+from ..standins.platform import Platform
+from ..standins.stage import Change, Endpoint, Pace, Stage
+from ..standins.stage import Platform as PlatformStage
+from .load import Load, Plan, Topic, settled
+from .oracle import Judged
+
+TOPICS = [
+    Topic("balance", "repeatable", 12.0),
+    Topic("points", "collapsible", 12.0),
+    Topic("charge", "once-only", 12.0),
+]
+WINDOW = 6.0  # seconds, of the collapsible topic type
+LOAD = 9.0  # seconds of hand-ins
+FALLS, RETURNS, KILLED = 2.0, 5.5, 4.0  # seconds from the first hand-in
+READY = 8.0  # seconds that a relay may take to serve
+
+
+class TrialFailed(Exception):
+    """The trial itself could not be run; the text says why."""
+
+
+def stage(seed: int) -> Stage:
+    """Three partners: one that falls and comes back cold, one with a limit, one that is merely there."""
+    base = {"address": "127.0.0.1:0", "kind": "shop", "pace": Pace(mean=0.04)}
+    rows = [
+        Endpoint("falls-a", 1, weight=40.0, cold_time=3.0, **base),
+        Endpoint("falls-b", 1, weight=40.0, cold_time=3.0, **base),
+        Endpoint("limited-a", 2, weight=30.0, limit=30.0, **base),
+        Endpoint("well-a", 3, **base),
+        Endpoint("well-b", 3, **base),
+    ]
+    changes = [Change(after=FALLS, endpoint=name, mode="refuse") for name in ("falls-a", "falls-b")] + [
+        Change(after=RETURNS, endpoint=name, mode="cold") for name in ("falls-a", "falls-b")
+    ]
+    platform = PlatformStage("127.0.0.1:0", "127.0.0.1:0")
+    return Stage(endpoint=rows, at=changes, platform=platform, control="127.0.0.1:0", seed=seed)
+
+
+def platform_config(listen: str, discovery: str, known: dict, topics: list[Topic], seed: int) -> dict:
+    """A configuration in the platform's form for a stage."""
+    effects = {"repeatable": "safe", "collapsible": "keyed", "once-only": "unsafe"}
+    grades = [
+        {
+            "name": t.name, "effect": effects[t.effect], "targetMs": 2000.0, "deadlineMs": t.ttl * 1000.0,
+            "windowMs": WINDOW * 1000.0, "credit": 1.0, "lateShare": 0.4,
+        }
+        for t in topics
+    ]  # fmt: skip
+    return {
+        "name": "n0", "listen": listen, "discovery": discovery, "seed": f"{seed:x}",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+        "known": known,
+        "settings": {
+            "balancers": 1, "kinds": ["shop"], "weights": "nominal", "quantumMs": 5.0,
+            "specifics": {"callSlots": 32, "kindBatch": [1], "routesApart": [False], "late": "line"},
+            "allowed": {
+                "connIdleMs": 15000.0, "connectTimeoutMs": 1000.0, "maxAttempts": 12, "maxOpen": 1000,
+                "maxRetryAfterMs": 2000.0, "mayCancel": True, "retryAfter": True,
+            },
+            "grades": grades,
+            "projects": [{"name": "acme", "quotaPerS": 1000.0}],
+            "overShareWorth": 0.1,
+            "rules": {"coldShare": 0.3, "coldMs": 3000.0, "overloadFactor": 1.5, "fallMs": 1000.0},
+        },
+    }  # fmt: skip
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        return probe.getsockname()[1]
+
+
+class RelayProcess:
+    """A relay as a child of its own, so that a signal to us is none to it; close() leaves none."""
+
+    def __init__(self, config: dict, folder: Path, command: list[str] | None = None, cwd: Path | None = None):
+        self.config, self.folder, self.cwd = config, folder, cwd
+        self.command = command or [sys.executable, "-m", "ryestack"]
+        self.address, self.process = config["listen"], None
+        (folder / "state").mkdir(parents=True, exist_ok=True)
+        (folder / "config.json").write_text(json.dumps(config))
+
+    async def start(self) -> float:
+        """Seconds until it served."""
+        kept = {name: value for name, value in os.environ.items() if not name.startswith("RYESTACK_")}
+        env = {**kept, "LB_CONFIG": str(self.folder / "config.json"), "LB_STATE": str(self.folder / "state")}
+        began = time.monotonic()
+        with open(self.folder / "relay.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command, env=env, stdout=log, stderr=log, cwd=self.cwd, start_new_session=True
+            )
+        while time.monotonic() < began + READY:
+            if self.process.returncode is not None:
+                raise TrialFailed(f"the relay ended with {self.process.returncode}:\n{self.tail()}")
+            if await self.healthy():
+                return time.monotonic() - began
+            await asyncio.sleep(0.01)
+        raise TrialFailed(f"the relay did not serve within {READY:g} s:\n{self.tail()}")
+
+    async def healthy(self) -> bool:
+        try:
+            limit = aiohttp.ClientTimeout(total=0.5)
+            async with aiohttp.request("GET", f"http://{self.address}/_health", timeout=limit) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
+    def tail(self) -> str:
+        return "\n".join((self.folder / "relay.log").read_text(errors="replace").splitlines()[-8:])
+
+    async def kill(self, number: int = signal.SIGKILL) -> int:
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+        return await self.process.wait() if self.process else 0
+
+    async def close(self) -> None:
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+
+async def run(
+    folder: Path, rate: float, seed: int, say: Callable[[str], None], note: Callable[[int], None]
+) -> tuple[Judged, dict]:
+    """The whole trial; returns what was judged and a few facts of the run."""
+    partner = Partner(stage(seed))
+    platform = relay = None
+    try:
+        await partner.start()
+        addresses = {name: place.address for name, place in partner.places.items()}
+        platform = Platform(partner.stage, addresses)
+        await platform.start()
+        listen = f"127.0.0.1:{free_port()}"
+        config = platform_config(listen, platform.address, platform.listing(), TOPICS, seed)
+        relay = RelayProcess(config, folder)
+        first = await relay.start()
+        say(f"relay on {listen}, platform on {platform.address}, {len(addresses)} endpoints of 3 partners")
+        plan = Plan(TOPICS, [1, 2, 3], ["acme"], rate=rate, seconds=LOAD, seed=seed, window=WINDOW)
+        load = Load(plan, [listen], note)
+        partner.began = platform.began = time.monotonic()  # the timeline begins with the load
+        sending = asyncio.ensure_future(load.run())
+        try:
+            await asyncio.sleep(KILLED)
+            status = await relay.kill()
+            say(f"killed the relay {KILLED:g} s after the first hand-in (status {status}), its folder stays")
+            second = await relay.start()
+            say(f"it serves again after {second:.2f} s; destination 1 returns {RETURNS:g} s after the first")
+            await sending
+        finally:
+            sending.cancel()
+
+        async def collect():
+            books = partner.books, platform.books
+            return books[0].runs, books[1].notices, books[0].whole and books[1].whole
+
+        told = await settled(load, collect, max(t.ttl for t in TOPICS) + 2.0)
+        status = await relay.kill(signal.SIGTERM)
+        say(f"stopped the relay by SIGTERM: status {status}")
+        refused = sum(n for what, n in partner.books.calls.items() if what.endswith(" full"))
+        facts = {
+            "start_s": first,
+            "restart_s": second,
+            "turned_away_by_partners": refused,
+            "stop_status": status,
+        }
+        return told, facts
+    finally:
+        if relay:
+            await relay.close()
+        await partner.close()
+        if platform:
+            await platform.close()
--- /dev/null
+++ b/ryestack/lifecycle/assembly.py
@@ -0,0 +1,51 @@
+"""Puts a relay together: the ports that the configuration and the operator file name, round one owner."""
+
+from dataclasses import dataclass
+
+from ..ports import Courier, Directory, Ends, Front
+from ..store.journal import Journal
+from ..store.ledger import Ledger
+from ..wire.calls import Calls
+from ..wire.files import FileEnds
+from ..wire.members import Catalog, Fixed
+from ..wire.notices import Notices
+from ..wire.platform import Platform
+from ..wire.server import Clients
+from .config import Config
+from .owner import Owner
+
+OWN_SOCKETS = 32  # for the journal, the watch, notices, the log, what opens while others close
+CLIENTS_PART = 0.28  # of all: the front opens a third at most, and no more while idle ones fill that
+FEWEST = 8  # connections a side, however few descriptors there are
+DIRECTORIES = {"catalog": Catalog, "fixed": Fixed}
+
+
+@dataclass(slots=True)
+class Parts:
+    ledger: Ledger
+    owner: Owner
+    platform: Platform
+    directory: Directory
+    courier: Courier
+    ends: Ends
+    fronts: list[Front]
+
+
+def assemble(config: Config, clock, wall: float) -> Parts:
+    """clock: seconds, of the loop; wall: added to it, it gives the wall's time."""
+    settings, operator = config.settings, config.operator
+    ledger = Ledger(Journal(config.state, config.disk))
+    owner = Owner(settings, config.seed, ledger, clock, wall)
+    platform = Platform(config.discovery)
+    directory = DIRECTORIES[operator.directory.source](platform, config.known)
+    most = max(FEWEST, int(config.sockets * CLIENTS_PART))
+    left = max(FEWEST, config.sockets - most - OWN_SOCKETS)
+    members = directory.members
+    owner.courier = Calls(settings, members, clock, owner.put, left)
+    if operator.ends.sink == "file":
+        owner.ends = FileEnds(operator.ends.path, owner.told_platform)
+    else:
+        owner.ends = Notices(platform, owner.told_platform)
+    at = (config.host, config.port)
+    front = Clients(settings, members, clock, owner.hand_in, owner.withdraw, most, at)
+    return Parts(ledger, owner, platform, directory, owner.courier, owner.ends, [front])
--- a/ryestack/lifecycle/config.py
+++ b/ryestack/lifecycle/config.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .. import interface as it
+from ..operator.schema import Operator
 from ..settings import BadSettings, read_settings
 from ..wire.members import UNREADABLE, BadList, read_list
 
@@ -25,9 +26,15 @@
     disk: int
     known: dict
     settings: it.Settings
+    operator: Operator
 
 
-def load(environ=os.environ) -> Config:
+def load(environ=os.environ, operator=None, flags=None, chosen: Operator | None = None) -> Config:
+    """The platform's configuration and the operator's choices beside it; raises BadConfig, a line a fault.
+
+    operator: the operator file; flags: dotted key to text; chosen: choices that stand already.
+    """
+    chosen = chosen or _choose(environ, operator, flags)
     path, state = environ.get("LB_CONFIG"), environ.get("LB_STATE")
     if not path or not state:
         raise BadConfig("LB_CONFIG must name the configuration, LB_STATE a folder that lasts")
@@ -41,14 +48,26 @@
     except (ValueError, RecursionError) as problem:
         raise BadConfig(f"{path}: not JSON: {problem}") from None
     try:
-        return read(told, state)
+        return read(told, state, chosen)
     except (BadSettings, BadList) as problem:
         raise BadConfig(f"{path}: {problem}") from None
     except (*UNREADABLE, AttributeError) as problem:
         raise BadConfig(f"{path}: a value of the wrong kind: {problem}") from None
 
 
-def read(told: dict, state: str) -> Config:
+def _choose(environ, operator: str | None, flags: dict | None) -> Operator:
+    """Most relays choose nothing: what reads and checks choices is loaded where there are some."""
+    if not operator and not flags and not any(name.startswith("RYESTACK_") for name in environ):
+        return Operator()
+    from ..operator.layers import BadOperator, choose
+
+    try:
+        return choose(operator, environ, flags).values
+    except BadOperator as bad:
+        raise BadConfig(str(bad)) from None
+
+
+def read(told: dict, state: str, chosen: Operator) -> Config:
     def need(table, key, kind):
         value = table.get(key) if isinstance(table, dict) else None
         if not isinstance(value, kind) or isinstance(value, bool):
@@ -79,4 +98,5 @@
         disk=int(need(limits, "disk_mb", (int, float)) * 1_000_000),
         known=known,
         settings=read_settings(need(told, "settings", dict)),
+        operator=chosen,
     )
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -7,23 +7,23 @@
 import asyncio
 from collections import Counter, defaultdict
 
-from loguru import logger
-
 from .. import interface as it
-from ..brain import NEVER_RAN, Brain
+from ..brain import NEVER_RAN
 from ..interface import Result
+from ..observe.log import event
+from ..ports import Courier, Ends, HandIn, Item, Verdict
 from ..store.ledger import Ledger, Owed
-from ..wire.calls import Item
-from ..wire.server import FAILED, MALFORMED, REFUSED, TAKEN, HandIn
+from .watched import Watched
 
 
 class Owner:
     def __init__(self, settings: it.Settings, seed: int, ledger: Ledger, clock, wall: float):
         self.settings, self.ledger, self.clock = settings, ledger, clock
         self.wall = wall  # added to the clock, it gives the wall's time
-        self.brain = Brain(settings, seed)
+        self.brain = Watched(settings, seed)
         self.queue, self.filled = [], asyncio.Event()
-        self.calls = self.notices = None
+        self.courier: Courier = None  # these two are set once they can be built, before the first round
+        self.ends: Ends = None
         self.counts = Counter()
         self.fresh: dict[str, HandIn] = {}
 
@@ -58,7 +58,7 @@
 
     def round(self, events: list) -> None:
         self.fresh = {}
-        heard = [event for event in (self.BEFORE.get(type(e), _as_is)(self, e) for e in events) if event]
+        heard = [h for h in (self.BEFORE.get(type(e), _as_is)(self, e) for e in events) if h]
         asked = defaultdict(list)
         for action in self.brain.round(self.clock(), heard):
             asked[type(action)].append(action)
@@ -67,17 +67,17 @@
         for message in self.fresh.values():
             self.take(message)
         for action in asked[it.Cancel]:
-            self.calls.cancel(action.id, action.push)
+            self.courier.cancel(action.id, action.push)
         self.push(asked[it.Push])
-        if any(isinstance(event, it.ListUpdate) for event in heard):
-            self.calls.forget()
+        if any(isinstance(h, it.ListUpdate) for h in heard):
+            self.courier.forget()
         for action in asked[it.Wake]:
             asyncio.get_running_loop().call_later(action.after, self.put, [it.Woken()])
 
     def before_hand_in(self, message: HandIn):
         name = message.ntf.id
         if name in self.ledger.owed or name in self.fresh:
-            message.verdict.set_result((MALFORMED, 0.0))
+            message.verdict.set_result((Verdict.UNREADABLE, 0.0))
         elif self.held() >= self.settings.max_open or not self.ledger.has_room(message.body):
             self.turn_away(message)
         else:
@@ -107,13 +107,13 @@
         self.counts["throttled" if throttled else "expired"] += 1
         message = self.fresh.pop(action.id, None)
         if message:
-            message.verdict.set_result((REFUSED if throttled else FAILED, away))
+            message.verdict.set_result((Verdict.THROTTLED if throttled else Verdict.EXPIRED, away))
         elif action.id in self.ledger.owed:
             notice = {"state": "returned" if throttled else "failed"}
             if away > 0.0:
                 notice["after_ms"] = round(away * 1000.0)
             self.ledger.owe_notice(action.id, notice)
-            self.notices.add(action.id, notice)
+            self.ends.add(action.id, notice)
 
     def take(self, message: HandIn) -> None:
         n = message.ntf
@@ -122,7 +122,7 @@
         if self.ledger.take(owed):
             self.counts["taken"] += 1
             self.ledger.owed[n.id].heard = message.heard
-            message.verdict.set_result((TAKEN, 0.0))
+            message.verdict.set_result((Verdict.TAKEN, 0.0))
         else:
             self.turn_away(message)
             self.put([it.Withdrawn(n.id)])
@@ -130,7 +130,7 @@
     def turn_away(self, message: HandIn) -> None:
         """For want of room, not by a decision: the hold or the journal is full."""
         self.counts["turned away"] += 1
-        message.verdict.set_result((REFUSED, 0.0))
+        message.verdict.set_result((Verdict.THROTTLED, 0.0))
 
     def push(self, pushes: list[it.Push]) -> None:
         calls, unsent = defaultdict(list), []
@@ -147,7 +147,7 @@
             self.counts["pushes"] += 1
             calls[p.endpoint].append(Item(p.id, number, p.timeout, owed.key, owed.body, owed.heard))
         for endpoint, items in calls.items():
-            self.calls.start(endpoint, items)
+            self.courier.start(endpoint, items)
         if unsent:
             self.put(unsent)
 
@@ -160,14 +160,14 @@
             if not o.notice and o.topic not in topics:
                 self.ledger.owe_notice(o.id, {"state": "failed"})
             if o.notice:
-                self.notices.add(o.id, o.notice)
+                self.ends.add(o.id, o.notice)
             else:
                 maybe = o.first_maybe() - self.wall
                 due = o.due - self.wall
                 known.append(
                     it.Notification(o.id, due, o.dest, o.topic, o.customer, o.order_key, o.pushes, maybe)
                 )
-        logger.info("recovered {} owed messages, {} notices", len(known), len(self.ledger.owed) - len(known))
+        event("relay.recovered", owed=len(known), notices=len(self.ledger.owed) - len(known))
         self.round([update, *known])
 
     def settled(self) -> bool:
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -6,18 +6,10 @@
 import time
 from dataclasses import fields
 
-from loguru import logger
-
 from .. import interface as it
-from ..store.journal import Journal
-from ..store.ledger import Ledger
-from ..wire.calls import Calls
-from ..wire.members import Members, watch
-from ..wire.notices import Notices
-from ..wire.platform import Platform
-from ..wire.server import Clients
+from ..observe.log import event, flush
+from .assembly import assemble
 from .config import BadConfig, Config, load
-from .owner import Owner
 
 # (phase, what happened) -> (next phase, effect)
 PHASES = {
@@ -36,9 +28,6 @@
 SHORT = 3.2  # after SIGTERM: SIGKILL may come after 3.7, and calls, notices and the exit take some time
 LAST = 0.2  # for notices that are owed when calls are wound up
 LOOK = 0.05  # seconds between looks at whether all is settled
-SUMMARY = 10.0  # seconds between summary lines in the log
-OWN_SOCKETS = 32  # for the journal, the watch, notices, the log, what opens while others close
-CLIENTS_PART = 0.28  # of all: the front opens a third at most, and no more while idle ones fill that
 
 
 class Relay:
@@ -46,26 +35,14 @@
         self.config, self.phase = config, "starting"
         loop = asyncio.get_running_loop()
         self.clock, wall = loop.time, time.time() - loop.time()
-        self.members = Members()
-        self.known = self.members.learn(config.known)
-        self.ledger = Ledger(Journal(config.state, config.disk))
-        settings = config.settings
-        self.owner = Owner(settings, config.seed, self.ledger, self.clock, wall)
-        most = max(8, int(config.sockets * CLIENTS_PART))
-        left = max(8, config.sockets - most - OWN_SOCKETS)
-        self.calls = Calls(settings, self.members, self.clock, self.owner.put, left)
-        self.owner.calls = self.calls
-        self.platform = Platform(config.discovery)
-        self.notices = Notices(self.platform, self.owner.told_platform)
-        self.owner.notices = self.notices
-        owner = self.owner
-        self.clients = Clients(settings, self.members, self.clock, owner.hand_in, owner.withdraw, most)
+        self.parts = assemble(config, self.clock, wall)
+        self.ledger, self.owner = self.parts.ledger, self.parts.owner
         self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
         self.reread_asked = asyncio.Event()
 
     async def happen(self, what: str) -> None:
         self.phase, effect = PHASES[self.phase, what]
-        logger.info("phase: {} ({})", self.phase, what)
+        event("phase.changed", phase=self.phase, why=what)
         await getattr(self, effect)()
 
     async def run(self) -> None:
@@ -81,7 +58,7 @@
         await self.happen("asked to stop")
         await self.until(asyncio.sleep(ACCEPT))
         await self.happen("accepted long enough")
-        while self.clock() < self.stop_at + SHORT and not (self.owner.settled() and not self.clients.busy):
+        while self.clock() < self.stop_at + SHORT and not (self.owner.settled() and not self.busy()):
             await self.until(asyncio.sleep(LOOK))
         await self.happen("settled" if self.owner.settled() else "time is short")
         await self.happen("wound up")
@@ -95,36 +72,41 @@
                 task.result()
         await waiting
 
+    def busy(self) -> bool:
+        return any(front.busy for front in self.parts.fronts)
+
     async def recover(self) -> None:
         self.ledger.recover()
-        self.owner.recover(self.known)
+        self.owner.recover(self.parts.directory.known())
 
     async def open_door(self) -> None:
+        parts = self.parts
         lasting = [
             self.owner.run(),
-            self.notices.run(),
-            watch(self.platform, self.members, lambda update: self.owner.put([update])),
+            parts.ends.run(),
+            parts.directory.run(self.owner.put),
             self.summaries(),
             self.rereads(),
         ]
         self.tasks = [asyncio.ensure_future(each) for each in lasting]
-        await self.clients.listen(self.config.host, self.config.port)
-        self.clients.ready = True
-        logger.info("{} serves on {}:{}", self.config.name, self.config.host, self.config.port)
+        for front in parts.fronts:
+            event("front.open", protocol=front.protocol, address=await front.open())
 
     async def say_so(self) -> None:
-        self.clients.ready, self.clients.last_answers = False, True
+        for front in self.parts.fronts:
+            front.leave()
         self.owner.put([it.Leaving(self.stop_at + SHORT)])
 
     async def shut_door(self) -> None:
-        self.clients.stop_listening()
+        for front in self.parts.fronts:
+            front.shut()
 
     async def wind_up(self) -> None:
-        await self.calls.close()
+        await self.parts.courier.close()
         if self.owner.queue:
             self.owner.round(self.owner.take_queue())
         for _ in range(int(LAST / LOOK)):
-            if self.notices.waiting or self.clients.busy:
+            if self.parts.ends.waiting() or self.busy():
                 await asyncio.sleep(LOOK)
 
     async def end(self) -> None:
@@ -135,8 +117,8 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self.calls.close()
-        await self.platform.close()
+        await self.parts.courier.close()
+        await self.parts.platform.close()
         self.ledger.journal.close()
 
     async def rereads(self) -> None:
@@ -149,31 +131,31 @@
     async def reread(self) -> None:
         """Only the platform's address may change in a life; what is owed and who is connected stays."""
         try:
-            told = load()
+            told = load(chosen=self.config.operator)
         except BadConfig as bad:
-            logger.warning("configuration: not taken, the old one stays: {}", bad)
+            event("config.kept", why=str(bad))
             return
-        if self.platform.move(told.discovery):
-            logger.info("configuration: the platform is reached at {} from now on", told.discovery)
+        if self.parts.platform.move(told.discovery):
+            event("platform.moved", address=told.discovery)
         same = {f.name for f in fields(Config)} - {"discovery", "known", "seed"}
-        if any(getattr(told, name) != getattr(self.config, name) for name in same):
-            logger.warning("configuration: what else has changed holds from the next start")
+        if later := sorted(name for name in same if getattr(told, name) != getattr(self.config, name)):
+            event("config.later", keys=",".join(later))
 
     async def summaries(self) -> None:
         while True:
-            await asyncio.sleep(SUMMARY)
+            await asyncio.sleep(self.config.operator.log.summary)
             self.summary()
+            flush()
 
     def summary(self) -> None:
         used = resource.getrusage(resource.RUSAGE_SELF)
-        counts = ", ".join(f"{what} {count}" for what, count in sorted(self.owner.counts.items()))
-        logger.info(
-            "since start: {}; owed {}, calls {}, clients {}, journal {} bytes, cpu {:.2f} s, memory {} MB",
-            counts or "nothing",
-            len(self.ledger.owed),
-            len(self.calls.running),
-            len(self.clients.server.connections),
-            self.ledger.journal.size,
-            used.ru_utime + used.ru_stime,
-            used.ru_maxrss // 1024,
+        event(
+            "relay.summary",
+            counts=dict(self.owner.counts),
+            owed=len(self.ledger.owed),
+            out=self.parts.courier.out(),
+            clients=sum(front.connections() for front in self.parts.fronts),
+            journal=self.ledger.journal.size,
+            cpu=round(used.ru_utime + used.ru_stime, 2),
+            memory=used.ru_maxrss // 1024,
         )
--- /dev/null
+++ b/ryestack/ports.py
@@ -0,0 +1,116 @@
+"""What the owner of the decisions expects of the outside, free of any protocol.
+
+A Front hands notifications in and is told verdicts; a Courier starts and cancels calls and tells how they
+ended; a Directory tells list updates; an Ends sink takes the final answers that are owed. `lifecycle/` puts
+together the ones that the configuration names; no adapter knows another.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from . import interface as it
+
+if TYPE_CHECKING:
+    from asyncio import Future
+
+
+class Verdict(Enum):
+    """What the relay made of a hand-in."""
+
+    TAKEN = "taken"
+    THROTTLED = "throttled"  # handing it in again is harmless
+    EXPIRED = "expired"  # nothing is promised of its effect
+    UNREADABLE = "unreadable"  # it cannot be taken as it is: its id is in use
+
+
+@dataclass(slots=True)
+class HandIn:
+    """A notification that a client hands in.
+
+    verdict: what the relay made of it, (Verdict, seconds to stay away, 0 if none is told). heard: whether
+    its client was told that it is taken on; pushes wait for it. key: the partner's idempotency key, "" if
+    none; body: the bytes to deliver.
+    """
+
+    ntf: it.Notification
+    key: str
+    body: bytes
+    verdict: Future[tuple[Verdict, float]]
+    heard: Future[bool]
+
+
+@dataclass(slots=True)
+class Item:
+    """One notification of a call; heard tells whether its client knows that it is taken on (None: it does).
+
+    timeout: seconds.
+    """
+
+    id: str
+    push: int
+    timeout: float
+    key: str
+    body: bytes
+    heard: Future[bool] | None
+
+
+Tell = Callable[[Iterable[object]], None]  # puts events into the owner's queue, in one round together
+
+
+class Front(Protocol):
+    """Takes notifications from clients of one protocol; it calls `hand_in(HandIn)` and `withdraw(id)`."""
+
+    busy: int  # requests under way
+
+    async def open(self) -> str:
+        """Listen; returns the address. From here on it serves."""
+
+    def leave(self) -> None:
+        """A stop was asked for: say that no more should come, and take what still does."""
+
+    def shut(self) -> None:
+        """Take no more; answers under way go on."""
+
+    def connections(self) -> int: ...
+
+
+class Courier(Protocol):
+    """Carries pushes to endpoints and tells one Outcome for each."""
+
+    def start(self, endpoint: str, items: list[Item]) -> None: ...
+
+    def cancel(self, name: str, push: int) -> None: ...
+
+    def forget(self) -> None:
+        """The list has changed and the decisions know: let go of what is kept for endpoints gone."""
+
+    def out(self) -> int:
+        """Pushes without an outcome."""
+
+    async def close(self) -> None:
+        """End all that is out; each gets its outcome."""
+
+
+class Directory(Protocol):
+    """Follows where endpoints are."""
+
+    def known(self) -> it.ListUpdate:
+        """What is known before anything is asked."""
+
+    async def run(self, tell: Tell) -> None:
+        """Tell list updates until cancelled; what fails leaves the last list in force."""
+
+
+class Ends(Protocol):
+    """Takes final answers that are owed, and tells the ids that have arrived."""
+
+    def add(self, name: str, notice: dict) -> None:
+        """notice: {"state": "returned" | "failed"}, with "after_ms" where there is a time to come back."""
+
+    async def run(self) -> None: ...
+
+    def waiting(self) -> int: ...
--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -8,8 +8,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from loguru import logger
-
+from ..observe.log import event
 from .journal import FRAME, Journal
 
 LIVE_PART = 0.4  # of the allowance for what is owed: an old and a new file stand side by side at a rewrite
@@ -53,7 +52,7 @@
             except (ValueError, KeyError, TypeError, IndexError):
                 bad += 1
         if bad or self.journal.dropped:
-            logger.warning("journal: {} bad records, {} torn bytes dropped", bad, self.journal.dropped)
+            event("journal.torn", records=bad, bytes=self.journal.dropped)
 
     # -- promises: written first, and not made where there is no room --------------------------------
 
@@ -90,11 +89,11 @@
             self.journal.append(payload)
         except OSError as problem:
             if self.well:
-                logger.error("journal: cannot be written: {}", problem)
+                event("journal.blocked", why=str(problem))
             self.well = False
             return False
         if not self.well:
-            logger.info("journal: written again")
+            event("journal.flowing")
         self.well = True
         self.apply(payload)
         return True
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -1,14 +1,14 @@
 """Calls to endpoints: one call carries one message or several, and ends in one outcome for each."""
 
 import asyncio
-from dataclasses import dataclass
 from functools import partial
 
 import aiohttp
-from loguru import logger
 
 from .. import interface as it
 from ..interface import Result
+from ..observe.log import fault
+from ..ports import Item
 from ..settings import limit_of
 from . import forms
 from .replies import CALL, MOST_HEAD, Progress, Reply
@@ -36,18 +36,6 @@
 REST_OF_200, REST = 0.05, 0.25
 
 
-@dataclass(slots=True)
-class Item:
-    """One message of a call; heard tells whether its client knows that it is taken on."""
-
-    id: str
-    push: int
-    timeout: float
-    key: str
-    body: bytes
-    heard: asyncio.Future | None
-
-
 class Calls:
     """Starts and cancels calls; tell(events) puts their outcomes into the owner's queue together."""
 
@@ -107,6 +95,9 @@
         if len(idle) + len(set(self.running.values())) >= self.most and idle:
             min(idle, key=lambda r: r.idle_since).spoilt()
 
+    def out(self) -> int:
+        return len(self.running)
+
     async def close(self) -> None:
         tasks = set(self.running.values())
         for task in tasks:
@@ -133,7 +124,7 @@
         except (aiohttp.ClientError, OSError, ValueError):
             broke = Result.BROKEN
         except Exception:  # whatever it was, the message keeps its outcome
-            logger.exception("a call to {} failed in this program", endpoint)
+            fault("call.fault", endpoint=endpoint)
             broke = Result.BROKEN
         broke = broke if progress.connected else Result.NO_CONNECTION
         if not answers:
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -6,9 +6,9 @@
 from math import isfinite
 
 import aiohttp
-from loguru import logger
 
 from .. import interface as it
+from ..observe.log import event
 from .platform import Platform
 
 LISTED = {"up": it.Listed.READY, "draining": it.Listed.DRAINING, "removed": it.Listed.GONE}
@@ -41,7 +41,7 @@
             endpoints.append(read_row(row))
             rows[row["name"]] = row
         except UNREADABLE as problem:
-            logger.warning("list: version {}: an entry was passed over: {!r}", index, problem)
+            event("list.row_bad", version=index, why=repr(problem))
     return index, it.ListUpdate(tuple(endpoints), whole=whole), rows
 
 
@@ -89,6 +89,27 @@
         return self.rows[endpoint]["type"] if endpoint in self.rows else None
 
 
+class Catalog:
+    """The platform's registry as a Directory: its list, and the watch that follows it."""
+
+    def __init__(self, platform: Platform, known: dict):
+        self.platform, self.members = platform, Members()
+        self.first = self.members.learn(known)
+
+    def known(self) -> it.ListUpdate:
+        return self.first
+
+    async def run(self, tell) -> None:
+        await watch(self.platform, self.members, lambda update: tell([update]))
+
+
+class Fixed(Catalog):
+    """The list that the configuration knew, for good: nothing is asked."""
+
+    async def run(self, tell) -> None:
+        await asyncio.Event().wait()
+
+
 async def watch(platform: Platform, members: Members, tell) -> None:
     """Follow the list for as long as the process lives; a silent registry leaves the old one in force.
 
@@ -107,18 +128,14 @@
                 raise BadList(f"status {status}")
             update, address = members.learn(json.loads(body)), asked
             if update.endpoints or update.whole:
-                logger.info(
-                    "list: version {}, {} entries, whole {}",
-                    members.index,
-                    len(update.endpoints),
-                    update.whole,
-                )
+                told = {"entries": len(update.endpoints), "whole": update.whole}
+                event("list.changed", version=members.index, **told)
                 tell(update)
             if not well:
-                logger.info("list: the registry answers again")
+                event("list.flowing")
             well = True
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError, BadList) as problem:
             if well and asked == platform.address:
-                logger.warning("list: the registry does not answer, the old list holds: {!r}", problem)
+                event("list.blocked", why=repr(problem))
                 well = False
         await asyncio.sleep(began + PAUSE - asyncio.get_running_loop().time())
--- a/ryestack/wire/notices.py
+++ b/ryestack/wire/notices.py
@@ -5,8 +5,8 @@
 from collections import deque
 
 import aiohttp
-from loguru import logger
 
+from ..observe.log import event
 from .platform import Platform
 
 LINES = 200  # in one post
@@ -19,28 +19,31 @@
 
     def __init__(self, platform: Platform, done):
         self.platform, self.done = platform, done
-        self.waiting, self.more, self.well = deque(), asyncio.Event(), True
+        self.queue, self.more, self.well = deque(), asyncio.Event(), True
 
     def add(self, name: str, notice: dict) -> None:
-        self.waiting.append((name, json.dumps({"id": name, **notice}, separators=(",", ":"))))
+        self.queue.append((name, json.dumps({"id": name, **notice}, separators=(",", ":"))))
         self.more.set()
 
+    def waiting(self) -> int:
+        return len(self.queue)
+
     async def run(self) -> None:
         most = LINES
         while True:
             await self.more.wait()
-            some = [self.waiting[i] for i in range(min(most, len(self.waiting)))]
+            some = [self.queue[i] for i in range(min(most, len(self.queue)))]
             status = await self.post("\n".join(line for _, line in some) + "\n")
             if status == 204:
                 for _ in some:
-                    self.waiting.popleft()
+                    self.queue.popleft()
                 self.done([name for name, _ in some])
                 most = LINES
             else:  # one that cannot be read must not hold up the others
                 most = 1
-                self.waiting.rotate(-len(some) if len(some) == 1 else 0)
+                self.queue.rotate(-len(some) if len(some) == 1 else 0)
                 await asyncio.sleep(PAUSE)
-            if not self.waiting:
+            if not self.queue:
                 self.more.clear()
 
     async def post(self, body: str) -> int:
@@ -51,5 +54,5 @@
             status, why = 0, repr(problem)
         if self.well != (status == 204):
             self.well = status == 204
-            logger.log("INFO" if self.well else "WARNING", "notices: {}", "taken again" if self.well else why)
+            event("ends.flowing") if self.well else event("ends.blocked", why=why)
         return status
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -6,15 +6,14 @@
 import asyncio
 import logging
 import socket
-from dataclasses import dataclass
 
 import aiohttp
 from aiohttp import web
-from loguru import logger
 
 from .. import interface as it
+from ..observe.log import event
+from ..ports import HandIn, Verdict
 from . import forms
-from .members import Members
 
 IDLE = 2.2  # seconds: a connection with no open request may end after 2, and a bad client must hear within 3
 BODY = 2.6  # seconds for a first request from its connection on, for a later one from its head on
@@ -27,19 +26,12 @@
 TAKEN, REFUSED, FAILED, MALFORMED, TOO_SLOW, TOO_LARGE = 202, 503, 500, 400, 408, 413
 
 
-@dataclass(slots=True)
-class HandIn:
-    """A message that a client hands in.
-
-    verdict: what the relay made of it, (status, seconds to stay away). heard: whether its client
-    was told that it is taken on; pushes wait for it.
-    """
-
-    ntf: it.Notification
-    key: str
-    body: bytes
-    verdict: asyncio.Future
-    heard: asyncio.Future
+STATUS = {
+    Verdict.TAKEN: TAKEN,
+    Verdict.THROTTLED: REFUSED,
+    Verdict.EXPIRED: FAILED,
+    Verdict.UNREADABLE: MALFORMED,
+}
 
 
 class Door(web.RequestHandler):
@@ -84,12 +76,14 @@
 class Clients:
     """Serves clients; hand_in and withdraw put into the queue of the task that owns the decisions."""
 
-    def __init__(self, settings: it.Settings, members: Members, clock, hand_in, withdraw, most: int):
+    protocol = "http"
+
+    def __init__(self, settings: it.Settings, members, clock, hand_in, withdraw, most: int, at=("", 0)):
         self.topics = {t.name: t for t in settings.topic_types}
         self.customers = {c.name for c in settings.customers}
         self.members, self.clock, self.hand_in, self.withdraw = members, clock, hand_in, withdraw
         self.most, self.ready, self.last_answers, self.busy, self.unread = most, False, False, 0, 0
-        self.listener = None
+        self.listener, self.at = None, at
         # Reading on after an error would take in what its client still has to send: up to 60 MB.
         self.server = Doors(
             self.handle,
@@ -101,6 +95,21 @@
             logger=QUIET,
         )
 
+    async def open(self) -> str:
+        await self.listen(*self.at)
+        self.ready = True
+        host, port = self.listener.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    def leave(self) -> None:
+        self.ready, self.last_answers = False, True
+
+    def shut(self) -> None:
+        self.stop_listening()
+
+    def connections(self) -> int:
+        return len(self.server.connections)
+
     async def listen(self, host: str, port: int) -> None:
         sock = socket.create_server((host, port), backlog=BACKLOG)
         self.listener = await asyncio.get_running_loop().create_server(self.accept, sock=sock, backlog=BATCH)
@@ -112,6 +121,7 @@
         if len(connections) >= self.most:
             oldest = min(filter(Door.idle, connections), key=Door.ends, default=None)
             if oldest is None:
+                event("front.full", bound=self.most)
                 return Full()
             oldest.force_close()
         return self.server()
@@ -169,18 +179,19 @@
             self.unread -= len(body)
         loop = asyncio.get_running_loop()
         message, told = HandIn(ntf, key, bytes(body), loop.create_future(), loop.create_future()), False
-        status = TAKEN  # unless the owner says otherwise
+        verdict = Verdict.TAKEN  # unless the owner says otherwise
         self.hand_in(message)
         try:
-            status, away = await message.verdict
-            if status != TAKEN:
-                return self.answer(status, "", **({"Retry-After": f"{away:.3f}"} if away > 0.0 else {}))
+            verdict, away = await message.verdict
+            if verdict is not Verdict.TAKEN:
+                more = {"Retry-After": f"{away:.3f}"} if away > 0.0 else {}
+                return self.answer(STATUS[verdict], "", **more)
             answer = self.answer(TAKEN, "")
             told = await self.tell(request, answer)
             return answer
         finally:  # pushes wait for a client that was there to hear it
             message.heard.set_result(told)
-            if status == TAKEN and not told:
+            if verdict is Verdict.TAKEN and not told:
                 self.withdraw(ntf.id)
 
     async def tell(self, request: web.BaseRequest, answer: web.Response) -> bool:
@@ -226,5 +237,4 @@
     """Meets a connection past the bound: it ends at once, before anything is read."""
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        logger.debug("a connection past the bound was closed")
         transport.close()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,8 @@
 
 from ryestack import interface as it
 from ryestack.brain import Brain
-from ryestack.wire.calls import Calls, Item
+from ryestack.ports import Item
+from ryestack.wire.calls import Calls
 from ryestack.wire.members import Members
 
 RULES = it.Rules(cold_share=0.2, cold_time=10.0, overload_factor=2.0, fall_time=2.0, key_rest=1.0)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -16,9 +16,10 @@
 from ryestack.lifecycle.config import BadConfig, load
 from ryestack.lifecycle.owner import Owner
 from ryestack.lifecycle.relay import PHASES, Relay
+from ryestack.ports import HandIn, Verdict
 from ryestack.store.journal import Journal
 from ryestack.store.ledger import Ledger
-from ryestack.wire.server import MALFORMED, REFUSED, TAKEN, HandIn
+from ryestack.wire.server import TAKEN
 
 from .helpers import config, http, listed, settings, stand_in, take
 from .test_wire import HEAD
@@ -39,9 +40,9 @@
         made = Owner(settings(**more), 1, ledger, lambda: self.now, 1000.0)
         made.brain.round(0.0, [self.listed] if not ledger.owed else [])
         self.sent, self.told = [], []
-        made.calls = SimpleNamespace(forget=lambda: None)
-        made.calls.start = lambda _, items: self.sent.extend((i.id, i.push) for i in items)
-        made.notices = SimpleNamespace(add=lambda name, notice: self.told.append((name, notice)))
+        made.courier = SimpleNamespace(forget=lambda: None)
+        made.courier.start = lambda _, items: self.sent.extend((i.id, i.push) for i in items)
+        made.ends = SimpleNamespace(add=lambda name, notice: self.told.append((name, notice)))
         return made
 
     def setUp(self):
@@ -65,7 +66,7 @@
     async def test_journalled_then_answered_then_pushed(self):
         o, message = self.owner(), self.hand_in("n")
         o.round([message])
-        self.assertEqual((message.verdict.result(), self.sent), ((TAKEN, 0.0), [("n", 0)]))
+        self.assertEqual((message.verdict.result(), self.sent), ((Verdict.TAKEN, 0.0), [("n", 0)]))
         read = Ledger(Journal(self.folder, 100_000))
         read.recover()
         read.journal.close()
@@ -74,7 +75,7 @@
     async def test_an_end_at_once_answers_and_leaves_nothing_owed(self):
         o, message = self.owner(), self.hand_in("n", due=10.0)
         o.round([message])
-        self.assertEqual((message.verdict.result()[0], o.ledger.owed, self.told), (REFUSED, {}, []))
+        self.assertEqual((message.verdict.result()[0], o.ledger.owed, self.told), (Verdict.THROTTLED, {}, []))
 
     async def test_a_later_end_is_a_notice_and_is_owed_until_taken(self):
         o = self.owner()
@@ -108,19 +109,19 @@
     async def test_an_id_in_use_is_malformed_and_the_first_stays(self):
         o, twice = self.owner(), self.hand_in("n")
         o.round([self.hand_in("n"), twice])
-        self.assertEqual((twice.verdict.result()[0], list(o.ledger.owed)), (MALFORMED, ["n"]))
+        self.assertEqual((twice.verdict.result()[0], list(o.ledger.owed)), (Verdict.UNREADABLE, ["n"]))
 
     async def test_many_in_one_round_do_not_overfill_the_journal(self):
         o, many = self.owner(), [self.hand_in(f"n{i}", body=b"x" * 3_000) for i in range(90)]
         o.round(many)
         statuses = [m.verdict.result()[0] for m in many]
-        self.assertEqual(statuses.count(TAKEN), 10)
+        self.assertEqual(statuses.count(Verdict.TAKEN), 10)
         self.assertLess(o.ledger.journal.size, 50_000)
 
     async def test_nearly_full_refuses_and_a_full_disk_does_not_crash(self):
         o, large = self.owner(), self.hand_in("n", body=b"x" * 50_000)
         o.round([large])
-        self.assertEqual(large.verdict.result()[0], REFUSED)
+        self.assertEqual(large.verdict.result()[0], Verdict.THROTTLED)
         first = self.hand_in("m")
         o.round([first])
         o.ledger.journal.append = self.no_room
@@ -143,7 +144,7 @@
         with open(path) as file:
             told = json.load(file)
         probe = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-        self.listen = told["listen"] = "127.0.0.1:%d" % probe.sockets[0].getsockname()[1]
+        self.listen = told["listen"] = f"127.0.0.1:{probe.sockets[0].getsockname()[1]}"
         probe.close()
         told["known"]["endpoints"][0]["address"] = endpoint
         with open(path, "w") as file:
@@ -232,8 +233,9 @@
             limits = {"cores": 1.0, "memory_mb": 64, "sockets": sockets, "disk_mb": 3}
             path = config(self.folder, "127.0.0.1:1", limits=limits)
             relay = Relay(load({"LB_CONFIG": path, "LB_STATE": self.folder}))
-            self.assertLess(relay.clients.most, 0.9 * sockets / 3)
-            self.assertLess(relay.clients.most + relay.calls.most, sockets - 20)
+            [front], courier = relay.parts.fronts, relay.parts.courier
+            self.assertLess(front.most, 0.9 * sockets / 3)
+            self.assertLess(front.most + courier.most, sockets - 20)
             await relay.close()
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,8 +7,9 @@
 import aiohttp
 
 from ryestack.interface import Listed, Result
+from ryestack.ports import Item, Verdict
 from ryestack.wire import forms
-from ryestack.wire.calls import Calls, Item
+from ryestack.wire.calls import Calls
 from ryestack.wire.members import BadList, Members, watch
 from ryestack.wire.notices import Notices
 from ryestack.wire.platform import MOST, Platform
@@ -172,7 +173,7 @@
 
 class FromClients(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        self.got, self.gone, self.verdict = [], [], (TAKEN, 0.0)
+        self.got, self.gone, self.verdict = [], [], (Verdict.TAKEN, 0.0)
         clock = asyncio.get_running_loop().time
         self.clients = Clients(settings(), members(), clock, self.take, self.gone.append, 50)
         await self.clients.listen("127.0.0.1", 0)
@@ -207,7 +208,7 @@
             self.assertEqual(self.got.pop().body, body)
 
     async def test_throttled_at_once_with_a_time_to_come_back(self):
-        self.verdict = (REFUSED, 0.25)
+        self.verdict = (Verdict.THROTTLED, 0.25)
         answer = await self.post()
         self.assertEqual((answer.status, answer.headers["Retry-After"]), (503, "0.250"))
         self.assertEqual(self.gone, [])
@@ -263,7 +264,7 @@
     async def test_noise_behind_an_open_request_closes_at_once_and_withdraws_it(self):
         self.verdict = None
         said = await self.raw(RAW % 1 + b"x", b"\x00\xff\r\n\r\n", wait=0.05)
-        self.got[0].verdict.set_result((TAKEN, 0.0))
+        self.got[0].verdict.set_result((Verdict.TAKEN, 0.0))
         await asyncio.sleep(0.01)
         self.assertEqual((said, self.gone), (b"", ["n"]))
 
@@ -295,7 +296,7 @@
             await asyncio.sleep(0.01)
         writer.transport.abort()
         await asyncio.sleep(0.05)
-        self.got[0].verdict.set_result((TAKEN, 0.0))
+        self.got[0].verdict.set_result((Verdict.TAKEN, 0.0))
         self.assertFalse(await self.got[0].heard)
         self.assertEqual(self.gone, ["n"])
 
