--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import tempfile
 import unittest
 import zlib
 from math import inf
@@ -10,7 +11,8 @@
 from ryestack.ports import Item, Verdict
 from ryestack.wire import forms
 from ryestack.wire.calls import Calls
-from ryestack.wire.members import BadList, Members, watch
+from ryestack.wire.files import FileEnds
+from ryestack.wire.members import BadList, Fixed, Members, watch
 from ryestack.wire.notices import Notices
 from ryestack.wire.platform import MOST, Platform
 from ryestack.wire.server import REFUSED, TAKEN, UNREAD, Clients
@@ -442,6 +444,34 @@
         server.close()
 
 
+class WithoutThePlatform(unittest.IsolatedAsyncioTestCase):
+    async def test_ends_into_a_file_are_told_once_they_are_there_and_wait_for_room(self):
+        with tempfile.TemporaryDirectory() as folder:
+            told, path = [], f"{folder}/none/ends"
+            ends = FileEnds(path, told.extend)
+            ends.add("n", {"state": "failed"})
+            task = asyncio.ensure_future(ends.run())
+            await asyncio.sleep(0.05)
+            self.assertEqual((told, ends.waiting()), ([], 1))
+            ends.path = f"{folder}/ends"
+            ends.add("m", {"state": "returned", "after_ms": 5})
+            async with asyncio.timeout(5.0):
+                while len(told) < 2:
+                    await asyncio.sleep(0.02)
+            task.cancel()
+            with open(ends.path) as file:
+                self.assertEqual([json.loads(line)["id"] for line in file], ["n", "m"])
+
+    async def test_a_fixed_list_asks_nobody(self):
+        platform = Platform("127.0.0.1:9")
+        fixed, told = Fixed(platform, listed()), []
+        self.assertEqual([e.id for e in fixed.known().endpoints], ["a"])
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(fixed.run(told.append), 0.05)
+        await platform.close()
+        self.assertEqual(told, [])
+
+
 class Forms(unittest.TestCase):
     def test_durations_have_a_unit(self):
         self.assertAlmostEqual(forms.seconds("1500u"), 0.0015)
