--- a/ryestack/cli/app.py
+++ b/ryestack/cli/app.py
@@ -2,7 +2,7 @@
 
 import typer
 
-from . import check, config, journal, load, pages, serve, standin, trial, version
+from . import check, config, journal, lab, load, pages, serve, standin, trial, version
 
 HELP = """A relay that owes other firms' systems their messages and delivers them.
 
@@ -23,6 +23,7 @@
     journal.app, name="journal", help="What a relay's folder holds, live or dead; nothing is changed."
 )
 app.add_typer(standin.app, name="standin", help="Scripted partners and a platform on loopback.")
+app.add_typer(lab.app, name="lab", help="The emulator: days in simulated time, sweeps, hunts, reports.")
 app.command("load")(load.load)
 app.command("try")(trial.trial)
 app.command("version")(version.version)
--- /dev/null
+++ b/ryestack/lab/runner.py
@@ -0,0 +1,131 @@
+"""Plays scenarios: one day, or many side by side, in results that are plain values."""
+
+import hashlib
+import importlib.util
+import json
+import subprocess
+import sys
+import time
+import types
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+import numpy as np
+
+from .policies import POLICIES
+from .scenario import BadScenario, Scenario, table_of
+from .sim.world import World
+
+ROOT = Path(__file__).resolve().parents[2]
+PARTS = (0.5, 0.9, 0.99, 0.999)
+
+
+@dataclass(slots=True)
+class Day:
+    """One day played. summary: plain values for tables and files; the rest is for plots."""
+
+    summary: dict
+    series: dict[str, np.ndarray] = field(default_factory=dict)
+    heat: np.ndarray | None = None
+    times: np.ndarray | None = None
+    plan: list = field(default_factory=list)
+    trace: list[str] = field(default_factory=list)
+
+
+def policy_of(name: str):
+    """A policy by name; `ryestack@REV` is the module of a git revision. Raises BadScenario."""
+    if name in POLICIES:
+        return POLICIES[name]
+    if name.startswith("ryestack@"):
+        return brain_at(name.partition("@")[2])
+    raise BadScenario(
+        f"policy {name}: there is none of that name; known are {', '.join(POLICIES)}, ryestack@REV"
+    )
+
+
+def brain_at(revision: str):
+    """The decision module as it was at a git revision, with the types of now."""
+    name = "ryestack.brain_" + hashlib.sha256(revision.encode()).hexdigest()[:12]
+    if name not in sys.modules:
+        got = subprocess.run(
+            ["git", "show", f"{revision}:ryestack/brain.py"], cwd=ROOT, capture_output=True, text=True
+        )
+        if got.returncode:
+            raise BadScenario(f"revision {revision}: {got.stderr.strip().splitlines()[-1]}")
+        module = types.ModuleType(name)
+        module.__spec__ = importlib.util.spec_from_loader(name, loader=None)
+        module.__package__ = "ryestack"
+        sys.modules[name] = module
+        exec(compile(got.stdout, f"brain.py at {revision}", "exec"), module.__dict__)
+    return sys.modules[name].Brain
+
+
+def play(day: Scenario, seed: int, policy: str = "ryestack", trace=()) -> Day:
+    """One day from its seed: the same again each time, but for the times that the machine took."""
+    began = time.perf_counter()
+    world = World(day, seed, policy_of(policy), trace)
+    world.run()
+    wall = time.perf_counter() - began
+    inside = sum(r.inside for r in world.relays)
+    many = len(world.arrivals)
+    waits = np.array(world.accounts.times) if world.accounts.times else np.zeros(0)
+    quantiles = np.quantile(waits, PARTS).tolist() if len(waits) else [None] * len(PARTS)
+    summary = {
+        "scenario": day.name,
+        "policy": policy,
+        "seed": seed,
+        **world.accounts.score(world.counts),
+        "handed": many,
+        "delivered": len(waits),
+        **world.counts,
+        "late_again": world.judge.late_again,
+        "rules": {str(rule): count for rule, count in world.judge.counts.items()},
+        "broken": [f"rule {b.rule} at {b.at:.3f}, {b.id}: {b.what}" for b in world.judge.broken[:20]],
+        "faults": [f"{s.kind} at {s.at:.1f} for {s.span:.1f}" for s in world.plan],
+        **{f"p{p * 100:g}": q for p, q in zip(PARTS, quantiles, strict=True)},
+        "wall": {"seconds": wall, "inside": inside},
+    }
+    series = {name: values for name, values in world.series.items()}
+    heat = np.divide(
+        world.heat_done,
+        world.heat_asked,
+        where=world.heat_asked > 0,
+        out=np.full(world.heat_asked.shape, np.nan),
+    )
+    return Day(summary, series, heat, waits, world.plan, list(world.judge.lines))
+
+
+def bare(summary: dict) -> dict:
+    """A summary without what the machine makes different: same seed, same bytes."""
+    return {key: value for key, value in summary.items() if key != "wall"}
+
+
+def line_of(summary: dict) -> bytes:
+    return json.dumps(bare(summary), sort_keys=True, separators=(",", ":")).encode()
+
+
+def rules_broken(summary: dict) -> int:
+    return sum(summary["rules"].values())
+
+
+def mark_of(day: Scenario) -> str:
+    """A scenario's hash: the same for the same values, however its file is written."""
+    text = json.dumps(table_of(day), sort_keys=True, separators=(",", ":"))
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+def revision() -> str:
+    """Of the tree, with a + where the module differs from it."""
+    try:
+        head = subprocess.run(
+            ["git", "rev-parse", "--short=12", "HEAD"], cwd=ROOT, capture_output=True, text=True
+        )
+        changed = subprocess.run(["git", "diff", "--quiet", "HEAD", "--", "ryestack/brain.py"], cwd=ROOT)
+    except OSError:
+        return "unknown"
+    return (head.stdout.strip() or "unknown") + ("+" if changed.returncode == 1 else "")
+
+
+def copy_of(day: Scenario, **changes) -> Scenario:
+    return msgspec.structs.replace(day, **changes)
--- a/ryestack/operator/checks.py
+++ b/ryestack/operator/checks.py
@@ -6,7 +6,8 @@
 import difflib
 import re
 from dataclasses import dataclass
-from typing import Annotated, get_args, get_origin
+from types import UnionType
+from typing import Annotated, Union, get_args, get_origin
 
 import msgspec
 
@@ -98,6 +99,8 @@
     meta = get_args(kind)[1] if get_origin(kind) is Annotated else None
     plain = base(kind)
     choices = get_args(plain)
+    if get_origin(plain) in (Union, UnionType):
+        return " or ".join(allowed(c) for c in choices if c is not type(None))
     if choices and get_origin(plain) not in (list, tuple, dict):
         return "one of " + ", ".join(shown(c) for c in choices) if len(choices) > 1 else shown(choices[0])
     names = {str: "a text", bool: "true or false", int: "a whole number", float: "a number", list: "a list"}
