--- a/benchmarks/lab_scale.py
+++ b/benchmarks/lab_scale.py
@@ -26,7 +26,7 @@
             "seconds": seconds,
             "fleet": {"relays": relays},
             "group": [{"count": destinations, "zipf": 0.8}],
-            "traffic": {"rate": rate},
+            "traffic": {"rate": rate, "load": 1.0},
             "topic": [{"name": "a", "effect": "collapsible", "share": 3.0}, {"name": "b"}],
         }
     )
--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -95,14 +95,17 @@
         self.dest, self.single, self.random = dest, dest.kind.batch == 1, chance
         self.rules, self.relays, self.idle = settings.rules, settings.relays, settings.connection_idle
         self.rough = self.ROUGH if settings.rough_rates else 1.0
-        self.gain, self.at, self.cold = self.GAIN if self.single else 1.0, now, None  # inf: down; back since
+        self.gain, self.at = self.GAIN if self.single else 1.0, now
+        near = [] if dest.kind.apart else [r.pacer for r in dest.order]  # a new route shares their fate
+        self.cold = max((p.cold for p in near if p.cold is not None), default=None)  # inf: down; back since
         self.told = max(0.1, rate) if settings.told_rates else self.UNTOLD  # a list may tell none
         self.tokens = chance.random() ** (1.0 / self.told)  # a draw by rate among routes
-        self.back, self.refusals, self.hungry, self.bad_since = self.BACK, 0, 0.0, inf
-        self.wait_until = max((r.pacer.wait_until for r in dest.order if not dest.kind.apart), default=0.0)
+        self.back, self.refusals, self.hungry = self.BACK, 0, 0.0
+        self.bad_since = min((p.bad_since for p in near), default=inf)
+        self.wait_until = max((p.wait_until for p in near), default=0.0)
 
-    def part(self):
-        return self.told / self.relays / self.dest.sharing()
+    def part(self):  # cold, routes that share a fate share one bucket: a call takes from all of theirs
+        return self.told / self.relays / (self.dest.sharing() if self.cold is None else 1)
 
     def rate(self, now):
         part, share = self.part(), self.rules.cold_share
@@ -148,9 +151,12 @@
             self.back, self.at = self.back * 2**self.refusals, now
             self.tokens = -(1 + self.refusals) * self.random.random()
         if now + wait - self.bad_since > self.OUT_AFTER or self.dest.tally.out():
-            # The house's random wait: relays must not come back in step.
-            self.tokens = min(self.tokens, self.random.random()) if self.cold != inf else self.tokens
-            self.cold = inf
+            self.down(sent)
+
+    def down(self, since):
+        # The house's random wait: relays must not come back in step.
+        self.tokens = min(self.tokens, self.random.random()) if self.cold != inf else self.tokens
+        self.cold, self.bad_since = inf, min(self.bad_since, since)
 
 
 class Ntf:
@@ -410,6 +416,8 @@
         elif o.result is Result.FULL:
             self.turn(route, "heard" if o.wait else "failed")
             route.pacer.bad(call.sent, self.now, True, o.wait)
+            for pacer in route.dest.bound(route) if route.pacer.cold == inf else ():
+                pacer.down(call.sent)  # shut, it is so at all routes that share its fate: sisters come back cold
         elif o.result not in (Result.NOT_SENT, Result.CANCELLED) and not call.late and not o.stale:
             self.sick(call, o.result)
 
@@ -534,7 +542,9 @@
     def push(self, ntf, route):
         call = self.joins(route)
         times = route.dest.times.quantile(0.9)
-        route.pacer.took(call is None, self.now)
+        alone = route.dest.kind.apart or route.pacer.cold is None
+        for pacer in [route.pacer] if alone else route.dest.bound(route):
+            pacer.took(call is None, self.now)
         if call is None:
             call = self.travel[route.id] = Call(route, self.now)
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
--- a/ryestack/cli/lab.py
+++ b/ryestack/cli/lab.py
@@ -310,3 +310,63 @@
         for name, kind in POLICIES.items()
     ]
     table("", ["policy", "what it does"], rows)
+
+
+@app.command()
+def study(
+    name: Annotated[str, typer.Argument(help="One of those that `--list` tells.")] = "",
+    out: Annotated[str | None, typer.Option(help="A folder for its plots.")] = None,
+    seeds: Annotated[int, typer.Option(min=0, help="Seeds of each point; 0: as the study says.")] = 0,
+    rows: Annotated[str | None, typer.Option(help="JSON lines of its days; gone on with if there.")] = None,
+    cores: Cores = 0,
+    names: Annotated[bool, typer.Option("--list", help="The studies and their questions.")] = False,
+    as_json: Json = False,
+) -> None:
+    """Play a study: its question, a sweep, tables with intervals, plots."""
+    from ..lab import studies
+    from ..lab.compare import interval
+
+    if names or not name:
+        table("", ["study", "question"], [[n, s.question] for n, s in studies.STUDIES.items()])
+        return
+    if name not in studies.STUDIES:
+        raise unusable(f"study {name}: there is none of that name; known are {', '.join(studies.STUDIES)}")
+    one = studies.STUDIES[name]
+    points = sweeping.grid(one.vary)
+    jobs = sweeping.jobs_of(one.table, points, list(range(1, (seeds or one.seeds) + 1)), one.policies)
+    with _Bar(name) as bar:
+        found = sweeping.run(jobs, rows, bar, cores)
+    key, *others = one.vary
+    groups: dict[str, list[dict]] = {}
+    for row in found:
+        more = ", ".join(f"{k.split('.')[-1]} {row['keys'][k]}" for k in others if len(one.vary[k]) > 1)
+        groups.setdefault(" ".join(filter(None, [row["policy"], more])), []).append(row)
+    say(one.question)
+    results = {}
+    for figure in one.figures:
+        cells, curves = [], {}
+        for group, mine in groups.items():
+            curves[group] = [
+                interval([r[figure] for r in mine if r["keys"][key] == x]) for x in one.vary[key]
+            ]
+        for i, x in enumerate(one.vary[key]):
+            cells.append([x, *(f"{c[i][0]:.3f} ({c[i][1]:.3f} to {c[i][2]:.3f})" for c in curves.values())])
+        results[figure] = {g: dict(zip(map(str, one.vary[key]), c, strict=True)) for g, c in curves.items()}
+        if not as_json:
+            table(figure, [key, *curves], cells)
+        if out:
+            from ..lab import plots
+
+            Path(out).mkdir(parents=True, exist_ok=True)
+            title = f"{name}: {figure}, mean and 95%"
+            made = plots.curves(one.vary[key], curves, title, key, figure, one.log)
+            (Path(out) / f"{name}-{figure}.png").write_bytes(made)
+    broken = {g: sum(rules_broken(r) > 0 for r in mine) for g, mine in groups.items()}
+    if as_json:
+        print_json({"question": one.question, "figures": results, "days_with_a_rule_broken": broken})
+    else:
+        table(
+            "days with a rule broken",
+            ["policy", "days", "of"],
+            [[g, n, len(groups[g])] for g, n in broken.items()],
+        )
--- a/ryestack/lab/report.py
+++ b/ryestack/lab/report.py
@@ -62,9 +62,7 @@
         ("circuits open, over all relays", {"open": cut["open"]}, "routes"),
     ]
     made = [_image(title, plots.over_time(rows, title, unit, spans)) for title, rows, unit in images]
-    busiest = np.argsort(-np.nan_to_num(day.heat, nan=-1.0).shape[1] * np.ones(len(day.heat)), kind="stable")[
-        :BUSIEST
-    ]
+    busiest = np.argsort(np.isnan(day.heat).sum(axis=1), kind="stable")[:BUSIEST]
     title = "delivered, by destination and second of arrival"
     made.append(_image(title, plots.heat(day.heat[np.sort(busiest), :last], title)))
     made.append(_image("times", plots.histogram(day.times, "time to delivery")))
--- a/ryestack/lab/runner.py
+++ b/ryestack/lab/runner.py
@@ -35,7 +35,11 @@
 
 
 def policy_of(name: str):
-    """A policy by name; `ryestack@REV` is the module of a git revision. Raises BadScenario."""
+    """A policy by name; `ryestack@REV` is the module of a git revision, and `NAME:KEY=VALUE,...` one with
+    other constants, for studies. Raises BadScenario."""
+    name, colon, changes = name.partition(":")
+    if colon:
+        return _with(policy_of(name), changes)
     if name in POLICIES:
         return POLICIES[name]
     if name.startswith("ryestack@"):
@@ -45,6 +49,22 @@
     )
 
 
+def _with(kind, changes: str):
+    """The same policy with some of its numbers changed."""
+    told = {}
+    for change in changes.split(","):
+        key, _, value = change.partition("=")
+        try:
+            if not isinstance(getattr(kind, key), (int, float)):
+                raise ValueError
+            told[key] = type(getattr(kind, key))(float(value))
+        except (AttributeError, ValueError):
+            raise BadScenario(
+                f"policy {kind.__name__}: {change}: must be a number of it, as KEY=VALUE"
+            ) from None
+    return type(kind.__name__, (kind,), told)
+
+
 def brain_at(revision: str):
     """The decision module as it was at a git revision, with the types of now."""
     name = "ryestack.brain_" + hashlib.sha256(revision.encode()).hexdigest()[:12]
--- a/ryestack/lab/sim/accounts.py
+++ b/ryestack/lab/sim/accounts.py
@@ -58,6 +58,8 @@
             "worst_topic": _worst(asked.sum(axis=(0, 2)), gained.sum(axis=(0, 2))),
             "worst_customer": _worst(asked.sum(axis=(0, 1)), gained.sum(axis=(0, 1))),
         }
+        late = slice(int(self.day.seconds * 2.0 / 3.0), None)
+        last = _ratio(self.gained[late].sum(), self.asked[late].sum())
         weights = {name: getattr(goal, name) for name in parts}
         total = sum(weights.values()) or 1.0
         score = sum(parts[name] * weight for name, weight in weights.items()) / total
@@ -67,7 +69,12 @@
             "refused": goal.refused * counts["refused"] / many,
             "waste": goal.waste * counts["wasted"] / many,
         }
-        return {"G": score - sum(prices.values()), **parts, **{f"price_{k}": v for k, v in prices.items()}}
+        return {
+            "G": score - sum(prices.values()),
+            **parts,
+            "last_third": last,
+            **{f"price_{k}": v for k, v in prices.items()},
+        }
 
 
 def _ratio(gained: float, asked: float) -> float:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -346,5 +346,43 @@
         self.assertEqual(kinds(acts, it.Throttle), ["m"])
 
 
+class SharedFate(unittest.TestCase):
+    """Routes that share limits and outages: what one met holds at its sisters. Found by `lab hunt`."""
+
+    def shut(self, kind="shared"):
+        """A brain whose route a has just been told that its destination is shut for five seconds."""
+        made = brain(kind)
+        [(name, route)] = pushes(made.round(1.0, [take("n")]))
+        made.round(1.1, [end(name, route, Result.FULL, wait=5.0)])
+        return made, made.routes[route], made.routes["b" if route == "a" else "a"]
+
+    def test_shut_at_one_route_its_sisters_come_back_cold_too(self):
+        _, hit, sister = self.shut()
+        self.assertEqual((hit.pacer.cold, sister.pacer.cold), (inf, inf))
+        self.assertEqual(sister.pacer.bad_since, 1.0)
+        _, hit, sister = self.shut("apart")
+        self.assertEqual((hit.pacer.cold, sister.pacer.cold), (inf, None))
+
+    def test_a_route_listed_within_an_outage_is_as_cold_as_its_sisters(self):
+        for kind, cold in (("shared", inf), ("apart", None)):
+            made, _, _ = self.shut(kind)
+            made.round(2.0, [it.ListUpdate((it.Endpoint("c", "z", kind, 7, rate=50.0),))])
+            self.assertEqual(made.routes["c"].pacer.cold, cold)
+        made, hit, _ = self.shut()
+        hit.pacer.cold = 8.0  # back since
+        made.routes["a"].pacer.cold = made.routes["b"].pacer.cold = 8.0
+        made.round(9.0, [it.ListUpdate((it.Endpoint("c", "z", "shared", 7, rate=50.0),))])
+        self.assertEqual(made.routes["c"].pacer.cold, 8.0)
+
+    def test_cold_a_call_takes_from_the_buckets_of_all_sisters_and_they_fill_as_one(self):
+        made, hit, sister = self.shut()
+        hit.pacer.tokens = sister.pacer.tokens = 1.0
+        made.round(6.5, [take("m")])
+        self.assertLessEqual(max(hit.pacer.tokens, sister.pacer.tokens), 0.1)
+        self.assertEqual(hit.pacer.part(), 50.0)
+        hit.pacer.cold = None
+        self.assertEqual(hit.pacer.part(), 25.0)
+
+
 if __name__ == "__main__":
     unittest.main()
