--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -216,7 +216,10 @@
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
     OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.5, 3.0, 2.0  # times 9 in 10 stay under, there, all; seconds
-    TIMEOUT, TIMEOUT_LEAST = 6.0, 3.0  # the same for giving a push up: long, as overdue ones tell already
+    TIMEOUT, TIMEOUT_LEAST = (
+        6.0,
+        10.0,
+    )  # the same for giving a push up: overdue ones tell already, slow ones run
     ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
@@ -417,7 +420,9 @@
             self.turn(route, "heard" if o.wait else "failed")
             route.pacer.bad(call.sent, self.now, True, o.wait)
             for pacer in route.dest.bound(route) if route.pacer.cold == inf else ():
-                pacer.down(call.sent)  # shut, it is so at all routes that share its fate: sisters come back cold
+                pacer.down(
+                    call.sent
+                )  # shut, it is so at all routes that share its fate: sisters come back cold
         elif o.result not in (Result.NOT_SENT, Result.CANCELLED) and not call.late and not o.stale:
             self.sick(call, o.result)
 
