--- a/benchmarks/loops.py
+++ b/benchmarks/loops.py
@@ -69,5 +69,7 @@
         began = time.perf_counter()
         wait = kind()
         spent.append(time.perf_counter() - began)
-    print(f"plain {COUNT / spent[0]:.0f} customers/s, SimPy {COUNT / spent[1]:.0f}, ratio {spent[1] / spent[0]:.1f}; "
-          f"mean wait {wait:.3f}, theory {LOAD / (1 - LOAD):.3f}")  # fmt: skip
+    print(
+        f"plain {COUNT / spent[0]:.0f} customers/s, SimPy {COUNT / spent[1]:.0f}, ratio {spent[1] / spent[0]:.1f}"
+    )
+    print(f"mean wait {wait:.3f}, theory {LOAD / (1 - LOAD):.3f}")
--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -219,7 +219,7 @@
     TIMEOUT, TIMEOUT_LEAST = (
         6.0,
         10.0,
-    )  # the same for giving a push up: overdue ones tell already, slow ones run
+    )  # the same for giving a push up; the slow still run
     ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
@@ -420,9 +420,7 @@
             self.turn(route, "heard" if o.wait else "failed")
             route.pacer.bad(call.sent, self.now, True, o.wait)
             for pacer in route.dest.bound(route) if route.pacer.cold == inf else ():
-                pacer.down(
-                    call.sent
-                )  # shut, it is so at all routes that share its fate: sisters come back cold
+                pacer.down(call.sent)  # shut, all routes that share its fate are, and come back cold
         elif o.result not in (Result.NOT_SENT, Result.CANCELLED) and not call.late and not o.stale:
             self.sick(call, o.result)
 
