--- a/benchmarks/loops.py
+++ b/benchmarks/loops.py
@@ -69,7 +69,6 @@
         began = time.perf_counter()
         wait = kind()
         spent.append(time.perf_counter() - began)
-    print(
-        f"plain {COUNT / spent[0]:.0f} customers/s, SimPy {COUNT / spent[1]:.0f}, ratio {spent[1] / spent[0]:.1f}"
-    )
+    rate, other = (COUNT / each for each in spent)
+    print(f"plain {rate:.0f} customers/s, SimPy {other:.0f}, ratio {rate / other:.1f}")
     print(f"mean wait {wait:.3f}, theory {LOAD / (1 - LOAD):.3f}")
