--- a/ryestack/store/inspect.py
+++ b/ryestack/store/inspect.py
@@ -8,12 +8,9 @@
 from math import inf
 from pathlib import Path
 
-from .journal import FRAME, unframed
+from .journal import FRAME, following, unframed
 from .ledger import Ledger, Owed
 
-MARK = b'["'  # how each payload begins
-LARGEST = 1024 * 1024  # bytes of a payload that is believed: a body has 64 KiB at most
-
 
 class NoJournal(Exception):
     """There is no folder, or it cannot be read; the text says which."""
@@ -66,9 +63,9 @@
             found.owed = {name: _copy(owed) for name, owed in ledger.owed.items()}
             first = False
         if at < len(data):
-            following = _next(data, at + 1)
-            found.damage.append(Damage(at, following - at, following == len(data)))
-            at = following
+            begin = following(data, at + 1)
+            found.damage.append(Damage(at, begin - at, begin == len(data)))
+            at = begin
     found.behind = {n: o for n, o in ledger.owed.items() if n not in found.owed}
     return found
 
@@ -83,18 +80,6 @@
         at += FRAME.size + len(payload)
 
 
-def _next(data: bytes, at: int) -> int:
-    """Where the next whole record begins, else the end."""
-    mark = data.find(MARK, at + FRAME.size)
-    while mark >= 0:
-        head = mark - FRAME.size
-        length, _ = FRAME.unpack_from(data, head)
-        if length <= min(LARGEST, len(data) - mark) and unframed(data[head : mark + length])[0]:
-            return head
-        mark = data.find(MARK, mark + 1)
-    return len(data)
-
-
 def _copy(o: Owed) -> Owed:
     return Owed(
         o.id,
--- a/ryestack/store/journal.py
+++ b/ryestack/store/journal.py
@@ -12,6 +12,8 @@
 FRAME = struct.Struct(">II")  # length, checksum
 BLOCK = 512  # a file's size on disk is counted in whole blocks
 SPARE = 8 * BLOCK  # kept free of the allowance
+MARK = b'["'  # how each payload begins
+LARGEST = 1024 * 1024  # bytes of a payload that is believed: a body has 64 KiB at most
 
 
 def framed(payload: bytes) -> bytes:
@@ -31,12 +33,25 @@
     return records, at
 
 
+def following(data: bytes, at: int) -> int:
+    """Where the next whole record begins from there on, else the end. Damage is told so from a torn tail;
+    what stands behind it is not believed, since a body may hold bytes that look like a record."""
+    mark = data.find(MARK, at + FRAME.size)
+    while mark >= 0:
+        head = mark - FRAME.size
+        length, _ = FRAME.unpack_from(data, head)
+        if length <= min(LARGEST, len(data) - mark) and unframed(data[head : mark + length])[0]:
+            return head
+        mark = data.find(MARK, mark + 1)
+    return len(data)
+
+
 class Journal:
     """The file `owed` in a folder; while it is rewritten the new one stands beside it as `owed.new`."""
 
     def __init__(self, folder: str, allowance: int):
         self.path, self.fresh = Path(folder) / "owed", Path(folder) / "owed.new"
-        self.most, self.size, self.dropped = allowance - SPARE, 0, 0
+        self.most, self.size, self.dropped, self.damaged = allowance - SPARE, 0, 0, False
         self.file = None
 
     def read(self) -> list[bytes]:
@@ -45,8 +60,11 @@
         data = self.path.read_bytes() if self.path.exists() else b""
         records, self.size = unframed(data)
         self.dropped = len(data) - self.size
+        self.damaged = self.dropped > 0 and following(data, self.size + 1) < len(data)
         self.file = open(self.path, "ab", buffering=0)  # noqa: SIM115 - open as long as the process
-        if self.dropped:
+        if self.damaged:
+            self.size = len(data)  # it stays until a rewrite takes its place: a kill must find it again
+        elif self.dropped:
             self.file.truncate(self.size)
         return records
 
--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -13,6 +13,7 @@
 
 LIVE_PART = 0.4  # of the allowance for what is owed: an old and a new file stand side by side at a rewrite
 DEAD, SMALL = 4, 100_000  # past so many times what is owed and so many bytes a file is slow to read
+LONG_AGO = 0.0  # of the wall clock: past every window
 HISTORY = 256  # bytes kept for a message's pushes in a rewritten file
 
 
@@ -51,6 +52,14 @@
                 self.apply(payload)
             except (ValueError, KeyError, TypeError, IndexError):
                 bad += 1
+        if self.journal.damaged:  # pushes may have been written behind it: all that came before is in doubt
+            for owed in self.owed.values():
+                owed.maybe_at = min(owed.maybe_at, LONG_AGO)
+            try:
+                self.rewrite()
+            except OSError as problem:
+                event("journal.blocked", why=str(problem))
+                self.well = False  # the next write begins with a rewrite
         if bad or self.journal.dropped:
             event("journal.torn", records=bad, bytes=self.journal.dropped)
 
@@ -85,7 +94,7 @@
             large = self.journal.size > DEAD * self.live + SMALL
             # After a failure the file may lack what has happened, or end in a part of a record.
             if large or not self.well or not self.journal.fits(len(payload) + FRAME.size, self.live):
-                self.journal.rewrite([p for owed in self.owed.values() for p in self.summary(owed)])
+                self.rewrite()
             self.journal.append(payload)
         except OSError as problem:
             if self.well:
@@ -98,6 +107,9 @@
         self.apply(payload)
         return True
 
+    def rewrite(self) -> None:
+        self.journal.rewrite([p for owed in self.owed.values() for p in self.summary(owed)])
+
     # -- records ----------------------------------------------------------------------------------
 
     @staticmethod
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -145,5 +145,41 @@
         self.assertFalse(Path(self.folder, "owed.new").exists())
 
 
+class Damage(unittest.TestCase):
+    setUp, ledger = Store.setUp, Store.ledger
+
+    def damaged(self):
+        """A file of n, m and a push of n, with a bit of m's record turned over."""
+        first = self.ledger()
+        first.take(owed("n"))
+        at = first.journal.size
+        first.take(owed("m"))
+        first.push("n", 0, 40.0)
+        path = Path(self.folder, "owed")
+        data = bytearray(path.read_bytes())
+        data[at + 20] ^= 1
+        path.write_bytes(data)
+
+    def test_within_the_file_puts_what_came_before_in_doubt_for_all_lives_to_come(self):
+        self.damaged()
+        for _ in range(2):
+            self.assertEqual({n: o.first_maybe() for n, o in self.ledger().owed.items()}, {"n": 0.0})
+
+    def test_a_kill_or_a_full_disk_before_it_is_written_anew_finds_the_damage_again(self):
+        self.damaged()
+        read = Journal(self.folder, 100_000)
+        read.read()
+        read.close()  # killed here
+        blocked = Ledger(Journal(self.folder, 100_000))
+        blocked.journal.rewrite = self.no_room
+        blocked.recover()
+        self.assertEqual((blocked.well, blocked.take(owed("o"))), (False, False))
+        blocked.journal.close()
+        self.assertEqual(self.ledger().owed["n"].first_maybe(), 0.0)
+
+    def no_room(self, _):
+        raise OSError("no space left")
+
+
 if __name__ == "__main__":
     unittest.main()
