--- a/ryestack/benchlink/codec.py
+++ b/ryestack/benchlink/codec.py
@@ -130,6 +130,7 @@
 ACTIONS = {
     it.Push: lambda r, a: ["Route", r, a.id, a.endpoint, round(a.timeout * 1000.0, 3)],
     it.Cancel: lambda r, a: ["DropAttempt", r, a.id, a.push],
+    it.HangUp: lambda r, a: ["HangUp", r, a.endpoint],
     it.Throttle: lambda r, a: ["Decline", r, a.id, round(a.come_back * 1000.0, 3)],
     it.Expire: lambda r, a: ["Error", r, a.id],
     it.Wake: lambda r, a: ["Schedule", r, round(a.after * 1000.0, 3), 0],
--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -177,6 +177,7 @@
         self.id, self.dest, self.pacer = endpoint.id, dest, pacer
         self.state, self.until, self.calls, self.tally = "closed", 0.0, 0, Tally()
         self.silent, self.mute = False, False  # how its last failure was: not before it ran; no answer
+        self.sent, self.reused = -inf, True  # when a call last began; whether soon after another
         self.good_at, self.lanes = 0.0, {}  # when the youngest delivered push went; topic type -> shut until
 
     def needed(self):  # until when it is kept once it drains: it may be listed again
@@ -223,6 +224,8 @@
     ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
+    SHORT = 20.0  # seconds after a failed connection: one relay meets few, an outage's cost a handshake each
+    KEPT = 0.25  # of the time that an idle connection stays open: called less often, it is hung up
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
 
     def __init__(self, settings, seed):
@@ -234,7 +237,8 @@
         self.dests = defaultdict(lambda: Dest(self.times))
         self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, {}, {}
         self.slots, self.heap, self.seq, self.woken = settings.slots, [], 0, inf
-        self.acts, self.touched, self.travel, self.leaves = [], {}, {}, inf
+        self.acts, self.touched, self.travel, self.idle, self.leaves = [], {}, {}, {}, inf
+        self.short = {}  # kind of destination -> until when its endpoints count as short of connections
         if settings.asks_for_list:
             self.at(0.0, Brain.ask, None)
 
@@ -246,6 +250,7 @@
             _, _, what, subject = heapq.heappop(self.heap)
             what(self, subject)
         self.serve()
+        self.hang_up()
         if self.woken <= now + 1e-5:  # an adapter may round a wait down
             self.woken = inf
         if self.heap and self.heap[0][0] < self.woken:
@@ -382,6 +387,7 @@
             self.slots, route.dest.calls = self.slots + 1, route.dest.calls - 1
             route.calls -= not call.late
             self.late.pop(call, None)
+            self.idle[route.id] = route
         self.touch(route.dest)
         for each in ([route] if route.dest.kind.apart else route.dest.order) if o.limit else ():
             each.pacer.told, each.pacer.rough = o.limit, 1.0
@@ -426,6 +432,8 @@
 
     def sick(self, call, result):
         route, silent = call.route, result is not Result.NO_CONNECTION
+        if result is Result.NO_CONNECTION:
+            self.short[route.dest.kind.name] = self.now + self.SHORT
         route.silent, route.mute = silent, result in (None, Result.TIMED_OUT)
         for ntf, _ in call.items if silent else ():
             route.lanes[ntf.topic.name] = self.now + self.REST * self.random.uniform(0.7, 1.3)
@@ -550,6 +558,8 @@
             pacer.took(call is None, self.now)
         if call is None:
             call = self.travel[route.id] = Call(route, self.now)
+            route.reused = self.now - route.sent < self.set.connection_idle * self.KEPT
+            route.sent = self.now
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
             least = min(self.OVERDUE_LEAST, self.OVERDUE_ALL * self.times.quantile(0.9))
             self.at(self.now + max(least, self.OVERDUE * times), Brain.overdue, call)
@@ -561,6 +571,13 @@
         longest = inf if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, self.TIMEOUT * times)
         self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest)))
 
+    def hang_up(self):
+        """An idle connection fills a place that others lack, where endpoints take few: kept if used again soon."""
+        for route in self.idle.values():
+            if not route.calls and not route.reused and self.now < self.short.get(route.dest.kind.name, 0.0):
+                self.acts.append(it.HangUp(route.id))
+        self.idle = {}
+
     def plan(self, dest):
         when = min((r.pacer.ready_at(self.now) for r in dest.order if r.state != "draining"), default=inf)
         if self.slots <= 0:
--- a/ryestack/interface.py
+++ b/ryestack/interface.py
@@ -206,6 +206,13 @@
     push: int
 
 
+@dataclass(frozen=True, slots=True)
+class HangUp:
+    """Close the connections to the endpoint that stand idle."""
+
+    endpoint: str
+
+
 @dataclass(frozen=True, slots=True)
 class Throttle:
     """End the notification undelivered: trying again is harmless, after come_back if that is not 0."""
@@ -234,4 +241,4 @@
 
 
 Event = ListUpdate | Notification | Outcome | Withdrawn | Woken | Leaving
-Action = Push | Cancel | Throttle | Expire | Wake | AskForList
+Action = Push | Cancel | HangUp | Throttle | Expire | Wake | AskForList
