--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -77,6 +77,21 @@
         self.good, self.bad, self.at = self.good * fade + good, self.bad * fade + (not good), now
 
 
+class Flow:
+    """How often something happened of late, a second."""
+
+    HALF = 5.0  # seconds: a few calls of a small relay, a clump of a large one
+
+    def __init__(self):
+        self.sum, self.at = 0.0, 0.0
+
+    def add(self, now):
+        self.sum, self.at = 1.0 + self.sum * 0.5 ** ((now - self.at) / self.HALF), now
+
+    def rate(self, now):
+        return self.sum * 0.5 ** ((now - self.at) / self.HALF) * 0.693 / self.HALF
+
+
 class Pacer:
     """What one destination, or one route apart, may be sent: told rate, waits, refusals, warm-up."""
 
@@ -92,10 +107,11 @@
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
 
     def __init__(self, settings, dest, chance, now, rate):
-        self.dest, self.single, self.random = dest, dest.kind.batch == 1, chance
+        self.dest, self.random, self.taken = dest, chance, Flow()
+        self.objective = min((t.objective for t in settings.topic_types), default=0.0)
         self.rules, self.relays, self.idle = settings.rules, settings.relays, settings.connection_idle
         self.rough = self.ROUGH if settings.rough_rates else 1.0
-        self.gain, self.at = self.GAIN if self.single else 1.0, now
+        self.at = now
         near = [] if dest.kind.apart else [r.pacer for r in dest.order]  # a new route shares their fate
         self.cold = max((p.cold for p in near if p.cold is not None), default=None)  # inf: down; back since
         self.told = max(0.1, rate) if settings.told_rates else self.UNTOLD  # a list may tell none
@@ -104,32 +120,45 @@
         self.bad_since = min((p.bad_since for p in near), default=inf)
         self.wait_until = max((p.wait_until for p in near), default=0.0)
 
-    def part(self):  # cold, routes that share a fate share one bucket: a call takes from all of theirs
-        return self.told / self.relays / (self.dest.sharing() if self.cold is None else 1)
+    def part(self, now):
+        """Relays may be uneven: what a partner took of each sums to no more than it takes, as even parts do.
+
+        Cold, what each was asked for there does: an even part lies idle where most have nothing for it. Routes
+        that share a fate then share one bucket: a call takes from all of theirs.
+        """
+        if self.cold is None:
+            return max(self.told / self.relays / self.dest.sharing(), self.taken.rate(now))
+        return min(self.told, self.dest.asked.rate(now))
+
+    def gathers(self, now):  # else the next of a call comes after the objective: waiting gathers none
+        return self.dest.kind.batch > 1 and self.part(now) * self.objective >= 1.0
+
+    def gain(self, now):
+        return 1.0 if self.gathers(now) else self.GAIN
 
     def rate(self, now):
-        part, share = self.part(), self.rules.cold_share
+        part, share = self.part(now), self.rules.cold_share
         if self.cold is None:
-            return part * self.gain
+            return part * self.gain(now)
         share += (1.0 - share) * max(0.0, now - self.cold) / self.rules.cold_time
         self.cold = None if share >= 1.0 else self.cold
         return max(1e-3, min(part, part / self.rough * self.rules.overload_factor * share * self.COLD_PART))
 
     def ready_at(self, now):
         rate, start = self.rate(now), max(now, self.wait_until)
-        warm = self.cold is None  # else nothing gathers in a wait, or all relays would send at its end
+        warm, single = self.cold is None, not self.gathers(now)  # cold, nothing gathers in a wait, or all relays would send at its end
         since = self.at if warm else max(self.at, self.wait_until)
-        most = max(1.0, rate * self.BURST) if warm and self.single else 1.0
-        if not self.thin():
+        most = max(1.0, rate * self.BURST) if warm and single else 1.0
+        if not self.thin(now):
             self.tokens = min(most, self.tokens + rate * max(0.0, now - since))
         self.at, lack = now, max(0.0, 1.0 - 1e-6 - self.tokens)
         when = start + lack / rate
-        if warm and self.single:
+        if warm and single:
             when = min(when, max(self.hungry, self.dest.hungry, self.wait_until) + lack * self.back)
         return max(start, when)
 
-    def thin(self):
-        return self.cold is None and self.single and 0.0 < self.part() * self.idle < self.THIN
+    def thin(self, now):
+        return self.cold is None and not self.gathers(now) and 0.0 < self.part(now) * self.idle < self.THIN
 
     def took(self, first, now):
         self.tokens -= 1.0 if first else self.COLD_ITEM if self.cold is not None else 0.0
@@ -137,20 +166,23 @@
 
     def good(self, sent, now, here):
         if here:
+            self.taken.add(now)
             self.back, self.refusals = max(0.1, self.back * self.EASE), 0
-            self.tokens = 1.0 if self.thin() else self.tokens
+            self.tokens = 1.0 if self.thin(now) else self.tokens
         if sent >= self.bad_since or self.bad_since == inf:  # what went before the outage proves no return
             self.bad_since = inf
             self.cold = max(now, self.wait_until) if self.cold == inf else self.cold
 
-    def bad(self, sent, now, refused, wait=0.0):
+    def bad(self, sent, now, refused, wait=0.0, ran=True):
         self.bad_since = min(self.bad_since, sent)
         if refused:
             self.refusals, self.hungry = self.refusals + 1, now
             # At a random time: relays that a clump met refused together must not come again together.
             self.back, self.at = self.back * 2**self.refusals, now
             self.tokens = -(1 + self.refusals) * self.random.random()
-        if now + wait - self.bad_since > self.OUT_AFTER or self.dest.tally.out():
+        # Two that met no room may be chance where calls are few; a third, or what came to no answer, is not.
+        row = self.refusals if refused else self.dest.tally.ROW if ran else self.dest.tally.row
+        if (row >= self.dest.tally.ROW and now + wait - self.bad_since > self.OUT_AFTER) or self.dest.tally.out():
             self.down(sent)
 
     def down(self, since):
@@ -191,6 +223,7 @@
     def __init__(self, times):
         self.kind, self.order, self.parked, self.tally, self.calls = None, [], {}, Tally(), 0
         self.times, self.wake, self.hungry, self.usual, self.seen = Times(times), inf, 0.0, inf, 0
+        self.asked = Flow()
 
     def expected(self):
         return self.times.quantile(0.5)
@@ -324,6 +357,7 @@
             benefit *= self.set.over_share_benefit if over else 1.0
             row[1] += 0.0 if over else 1.0
         ntf = self.held[n.id] = Ntf(n, dest, topic, benefit)
+        dest.asked.add(self.now)
         if ntf.key:
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf  # those in turn, rest until
         self.again(ntf)
@@ -440,7 +474,7 @@
         for tally in (route.tally, route.dest.tally):
             tally.add(self.now, False)
         for pacer in route.dest.bound(route):
-            pacer.bad(call.sent, self.now, False)
+            pacer.bad(call.sent, self.now, False, ran=silent)
         self.turn(route, "tripped" if route.tally.out() else "failed")
 
     def overdue(self, call):
@@ -504,8 +538,8 @@
     def room(self, route):
         """Calls that a route holds before more would only queue; past it the route counts as refusing."""
         routes = sum(r.pacer is route.pacer for r in route.dest.order)
-        busy = route.pacer.part() / routes * min(route.dest.usual, route.dest.times.quantile(0.3))
-        return max(1.0, self.ROOM * route.pacer.gain * busy)
+        busy = route.pacer.part(self.now) / routes * min(route.dest.usual, route.dest.times.quantile(0.3))
+        return max(1.0, self.ROOM * route.pacer.gain(self.now) * busy)
 
     def open_to(self, dest):  # the routes that take a further one now, in a call of this round or a new one
         free = self.slots > 0 and dest.calls < self.cap(dest)
