--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -209,7 +209,6 @@
         self.id, self.dest, self.pacer = endpoint.id, dest, pacer
         self.state, self.until, self.calls, self.tally = "closed", 0.0, 0, Tally()
         self.silent, self.mute = False, False  # how its last failure was: not before it ran; no answer
-        self.sent, self.reused = -inf, True  # when a call last began; whether soon after another
         self.good_at, self.lanes = 0.0, {}  # when the youngest delivered push went; topic type -> shut until
 
     def needed(self):  # until when it is kept once it drains: it may be listed again
@@ -257,8 +256,8 @@
     ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
-    SHORT = 20.0  # seconds after a failed connection: one relay meets few, an outage's cost a handshake each
-    KEPT = 0.25  # of the time that an idle connection stays open: called less often, it is hung up
+    SHORT = 60.0  # seconds after a failed connection: one relay meets few, an outage's cost a handshake each
+    KEPT = 0.25  # calls in the time that an idle connection stays open: fewer, and most would close unused
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
 
     def __init__(self, settings, seed):
@@ -592,8 +591,6 @@
             pacer.took(call is None, self.now)
         if call is None:
             call = self.travel[route.id] = Call(route, self.now)
-            route.reused = self.now - route.sent < self.set.connection_idle * self.KEPT
-            route.sent = self.now
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
             least = min(self.OVERDUE_LEAST, self.OVERDUE_ALL * self.times.quantile(0.9))
             self.at(self.now + max(least, self.OVERDUE * times), Brain.overdue, call)
@@ -606,9 +603,10 @@
         self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest)))
 
     def hang_up(self):
-        """An idle connection fills a place that others lack, where endpoints take few: kept if used again soon."""
+        """An idle connection fills a place that others lack, where endpoints take few."""
         for route in self.idle.values():
-            if not route.calls and not route.reused and self.now < self.short.get(route.dest.kind.name, 0.0):
+            rare = route.pacer.part(self.now) * self.set.connection_idle < self.KEPT
+            if not route.calls and (rare or self.now < self.short.get(route.dest.kind.name, 0.0)):
                 self.acts.append(it.HangUp(route.id))
         self.idle = {}
 
