--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -244,6 +244,7 @@
 
 class Brain:
     REST = 5.0  # the design's circuit
+    REST_LANE = 20.0  # a sister serves the topic type meanwhile; few calls each, and each trial may lose one
     REST_SHORT = 1.5  # where a trial costs little: the answer, or the failed connection, came at once
     WALK_REST = 0.6  # before a walk begins anew: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
@@ -469,7 +470,7 @@
             self.short[route.dest.kind.name] = self.now + self.SHORT
         route.silent, route.mute = silent, result in (None, Result.TIMED_OUT)
         for ntf, _ in call.items if silent else ():
-            route.lanes[ntf.topic.name] = self.now + self.REST * self.random.uniform(0.7, 1.3)
+            route.lanes[ntf.topic.name] = self.now + self.REST_LANE * self.random.uniform(0.7, 1.3)
         for tally in (route.tally, route.dest.tally):
             tally.add(self.now, False)
         for pacer in route.dest.bound(route):
@@ -486,13 +487,18 @@
             self.sick(call, None)
 
     def free_a_slot(self):
-        """Late calls give way, the least lost first; covers hangs, silence; hurts where answers were slow."""
-        routes = (r for d in self.touched.values() if d.parked for r in d.order)
-        wanted = any(r.state == "closed" and r.pacer.wait_until <= self.now for r in routes)
-        if self.late and self.set.may_cancel and wanted:
-            least = min(self.late, key=lambda c: sum(n.benefit for n, _ in c.items if n.topic.effect is ONCE))
-            del self.late[least]
-            self.acts += [it.Cancel(n.id, push) for n, push in least.items]
+        """Late calls give way, the least lost first; covers hangs, silence; hurts where answers were slow.
+
+        For want of a slot any does, for want of a share one of that destination.
+        """
+        for dest in [d for d in self.touched.values() if d.parked] if self.late and self.set.may_cancel else ():
+            wanted = any(r.state == "closed" and r.pacer.wait_until <= self.now for r in dest.order)
+            free = self.slots > 0 and dest.calls < self.cap(dest)
+            late = [c for c in self.late if self.slots <= 0 or c.route.dest is dest]
+            if wanted and not free and late:
+                least = min(late, key=lambda c: sum(n.benefit for n, _ in c.items if n.topic.effect is ONCE))
+                del self.late[least]
+                self.acts += [it.Cancel(n.id, push) for n, push in least.items]
 
     # -- the rules' guard: every push and every throttling passes here ------------------------------
 
@@ -564,8 +570,9 @@
         return call if call and len(call.items) < route.dest.kind.batch else None
 
     def serve(self):
+        self.free_a_slot()  # the outcome that frees one comes back here
         if self.slots <= 0:
-            return self.free_a_slot()  # the outcome that frees one comes back here
+            return
         dests, self.touched = [d for d in self.touched.values() if d.parked], {}
         ranked = [sorted(d.parked.values(), key=self.rank, reverse=True) for d in dests if self.open_to(d)]
         for parked in sorted(ranked, key=lambda row: self.rank(row[0]), reverse=True):
