--- a/ryestack/benchlink/codec.py
+++ b/ryestack/benchlink/codec.py
@@ -3,7 +3,7 @@
 import json
 
 from .. import interface as it
-from ..settings import BadSettings, limit_of, read_settings
+from ..settings import BadSettings, left_of, limit_of, read_settings
 
 RESULTS = {
     "OK": it.Result.DELIVERED,
@@ -53,8 +53,8 @@
             raise self.bad(f"unknown code {code!r}")
         return RESULTS[code]
 
-    def limit(self) -> float:
-        return limit_of(self.next("pressure", dict, {}))
+    def report(self) -> dict:
+        return self.next("pressure", dict, {})
 
 
 def read_line(text: bytes, line: int) -> Fields:
@@ -105,7 +105,9 @@
     result, elapsed = f.result(), f.seconds("elapsedMs")
     ended, detail = f.next("noMore", bool, False), f.next("detail", int, 0)
     wait = detail / 1000.0 if result is it.Result.FULL else 0.0
-    return it.Outcome(name, push, endpoint, result, elapsed, ended, wait, f.limit())
+    told = f.report()
+    limit, left = limit_of(told), left_of(told)
+    return it.Outcome(name, push, endpoint, result, elapsed, ended, wait, limit, left=left)
 
 
 def _woken(f: Fields) -> it.Woken:
--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -80,22 +80,21 @@
 class Flow:
     """How often something happened of late, a second."""
 
-    HALF = 5.0  # seconds: a few calls of a small relay, a clump of a large one
-
-    def __init__(self):
-        self.sum, self.at = 0.0, 0.0
+    def __init__(self, half):
+        self.sum, self.at, self.half = 0.0, 0.0, half
 
     def add(self, now):
-        self.sum, self.at = 1.0 + self.sum * 0.5 ** ((now - self.at) / self.HALF), now
+        self.sum, self.at = 1.0 + self.sum * 0.5 ** ((now - self.at) / self.half), now
 
     def rate(self, now):
-        return self.sum * 0.5 ** ((now - self.at) / self.HALF) * 0.693 / self.HALF
+        return self.sum * 0.5 ** ((now - self.at) / self.half) * 0.693 / self.half
 
 
 class Pacer:
     """What one destination, or one route apart, may be sent: told rate, waits, refusals, warm-up."""
 
     GAIN = 1.5  # our part over the even one, as relays are uneven; 1 where calls carry many: waits gather
+    OWN = 30.0  # seconds, half-life: relays' parts are lasting; sooner, one delivery of a thin part shows as many
     BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
     BACK, EASE = 0.5, 0.925  # seconds a token lacking, twice that a refusal; eased so, balance is at 1 in 10
     THIN = 4.0  # calls in the time that an idle connection stays open: fewer lie at one route, by chance
@@ -107,7 +106,7 @@
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
 
     def __init__(self, settings, dest, chance, now, rate):
-        self.dest, self.random, self.taken = dest, chance, Flow()
+        self.dest, self.random, self.taken = dest, chance, Flow(self.OWN)
         self.objective = min((t.objective for t in settings.topic_types), default=0.0)
         self.rules, self.relays, self.idle = settings.rules, settings.relays, settings.connection_idle
         self.rough = self.ROUGH if settings.rough_rates else 1.0
@@ -197,6 +196,7 @@
         self.key, self.state, self.out = n.key if topic.keep_order else "", "parked", 0
         self.pushes, self.maybe_at = n.pushes, n.maybe_at  # its history, where a relay before us took it
         self.hops, self.past, self.rest_until = 0, "", 0.0  # the walk starts past the route named
+        self.refused = False  # its last push was, for a limit used up
 
 
 class Call:
@@ -217,12 +217,16 @@
 
 
 class Dest:
+    ASKED = 5.0  # seconds, half-life: some few notifications of a small relay, a clump of a large one
+    # Pushes after a refusal, for each notification asked: at a limit that refused calls use up, fleets that
+    # each come again a few times keep a partner refusing what it could take. At random to begin with.
+    CREDIT, CREDIT_MOST = 0.3, 3.0
     STEP, RISE = 16, 1.1  # deliveries, times: a spell of slowness is over before the usual pace has followed
 
     def __init__(self, times):
         self.kind, self.order, self.parked, self.tally, self.calls = None, [], {}, Tally(), 0
         self.times, self.wake, self.hungry, self.usual, self.seen = Times(times), inf, 0.0, inf, 0
-        self.asked = Flow()
+        self.asked, self.credit = Flow(self.ASKED), times.chance.random()
 
     def expected(self):
         return self.times.quantile(0.5)
@@ -258,6 +262,7 @@
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
     SHORT = 60.0  # seconds after a failed connection: one relay meets few, an outage's cost a handshake each
+    USED_UP = 0.2  # of a limit, told with a refusal: that low, it was the limit; the figure is late and noisy
     KEPT = 0.25  # calls in the time that an idle connection stays open: fewer, and most would close unused
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
 
@@ -266,6 +271,7 @@
         self.topics, self.kinds = ({x.name: x for x in xs} for xs in (settings.topic_types, settings.kinds))
         self.quota = {c.name: [c.quota / settings.relays, 0.0, 0.0] for c in settings.customers}
         self.times = Times()  # of all destinations
+        self.times.chance = self.random
         self.times.add(self.USUAL)
         self.dests = defaultdict(lambda: Dest(self.times))
         self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, {}, {}
@@ -358,6 +364,7 @@
             row[1] += 0.0 if over else 1.0
         ntf = self.held[n.id] = Ntf(n, dest, topic, benefit)
         dest.asked.add(self.now)
+        dest.credit = min(dest.CREDIT_MOST, dest.credit + dest.CREDIT)
         if ntf.key:
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf  # those in turn, rest until
         self.again(ntf)
@@ -443,7 +450,7 @@
         self.next_turn(ntf)
         if o.result not in NEVER_RAN and call.sent < ntf.maybe_at:
             ntf.maybe_at = call.sent
-        ntf.past, ntf.hops = route.id, ntf.hops + 1
+        ntf.past, ntf.hops, ntf.refused = route.id, ntf.hops + 1, o.result is Result.FULL and o.left < self.USED_UP
         self.step(ntf, "ended" if o.ended or o.result is Result.DELIVERED else "came to nothing")
 
     def judge(self, route, call, o):
@@ -588,6 +595,8 @@
 
     def takes(self, route, ntf):
         later = route.id > ntf.past and self.now >= ntf.rest_until
+        if ntf.refused and route.dest.credit < 1.0:
+            return False
         return later and self.suits(route, ntf) and self.may_push(ntf, route) and not self.shuns(route, ntf)
 
     def push(self, ntf, route):
@@ -605,6 +614,7 @@
         self.out[ntf.id, ntf.pushes] = call, ntf
         ntf.out, ntf.pushes = ntf.out + 1, ntf.pushes + 1
         ntf.dest.parked.pop(ntf.id, None)
+        ntf.dest.credit -= ntf.refused
         self.step(ntf, "pushed")
         longest = inf if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, self.TIMEOUT * times)
         self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest)))
@@ -612,8 +622,9 @@
     def hang_up(self):
         """An idle connection fills a place that others lack, where endpoints take few."""
         for route in self.idle.values():
-            rare = route.pacer.part(self.now) * self.set.connection_idle < self.KEPT
-            if not route.calls and (rare or self.now < self.short.get(route.dest.kind.name, 0.0)):
+            uses = route.pacer.part(self.now) * self.set.connection_idle
+            short = self.now < self.short.get(route.dest.kind.name, 0.0)
+            if not route.calls and uses < (Pacer.THIN if short else self.KEPT):
                 self.acts.append(it.HangUp(route.id))
         self.idle = {}
 
--- a/ryestack/interface.py
+++ b/ryestack/interface.py
@@ -155,7 +155,8 @@
 class Outcome:
     """How a push ended.
 
-    ended: the notification has its final answer already; limit: the calls a second told, 0 if none; stale:
+    ended: the notification has its final answer already; limit: the calls a second told, 0 if none; left: the
+    share of it that is left, 1 if none is told; stale:
     it broke on what was kept open from before, without a word, which tells nothing of the endpoint's health.
     """
 
@@ -168,6 +169,7 @@
     wait: float = 0.0
     limit: float = 0.0
     stale: bool = False
+    left: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/ryestack/lab/sim/relays.py
+++ b/ryestack/lab/sim/relays.py
@@ -146,6 +146,8 @@
                 wakes.append(action)
             elif kind is it.Cancel:
                 cancels.append(action)
+            elif kind is it.HangUp:
+                world.hang_up(self, action.endpoint)
             elif kind is not it.AskForList:
                 ends.append(action)
         cost = world.cpu_round + world.cpu_event * (len(heard) + len(pushes))
--- a/ryestack/lab/sim/world.py
+++ b/ryestack/lab/sim/world.py
@@ -355,6 +355,10 @@
     def is_full(self, route: Route, now: float) -> bool:
         return route.most_conns > 0 and route.open_conns(now, self.day.network.idle) >= route.most_conns
 
+    def hang_up(self, relay: Relay, endpoint: str) -> None:
+        if endpoint in self.routes:
+            self.routes[endpoint].conns.pop((relay.number, relay.life), None)
+
     def no_connection(self, call: Call) -> None:
         if not call.given_up and call.relay.life == call.life:
             call.state = "ended"
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -69,6 +69,8 @@
         for action in asked[it.Cancel]:
             self.courier.cancel(action.id, action.push)
         self.push(asked[it.Push])
+        for action in asked[it.HangUp]:
+            self.courier.hang_up(action.endpoint)
         if any(isinstance(h, it.ListUpdate) for h in heard):
             self.courier.forget()
         for action in asked[it.Wake]:
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -85,6 +85,9 @@
 
     def cancel(self, name: str, push: int) -> None: ...
 
+    def hang_up(self, endpoint: str) -> None:
+        """Close what stands idle to that endpoint; calls that are out go on."""
+
     def forget(self) -> None:
         """The list has changed and the decisions know: let go of what is kept for endpoints gone."""
 
--- a/ryestack/settings.py
+++ b/ryestack/settings.py
@@ -85,3 +85,9 @@
     """The limit in calls a second that an answer's report tells, 0 if none."""
     told = report.get("x1")
     return float(told) if isinstance(told, (int, float)) and 0.0 < told <= MOST_RATE else 0.0
+
+
+def left_of(report: dict) -> float:
+    """The share of that limit which is left, 1 if none is told: a share alone says nothing."""
+    told = report.get("x0")
+    return float(told) if isinstance(told, (int, float)) and 0.0 <= told <= 1.0 and limit_of(report) else 1.0
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -9,7 +9,7 @@
 from ..interface import Result
 from ..observe.log import fault
 from ..ports import Item
-from ..settings import limit_of
+from ..settings import left_of, limit_of
 from . import forms
 from .replies import CALL, MOST_HEAD, Progress, Reply
 
@@ -86,8 +86,13 @@
 
     def forget(self) -> None:
         """What stays open to endpoints that are gone ends here; calls that are out go on."""
-        gone = self.members.leave()
-        for reply in [r for r in self.kept if r.call is None and r.endpoint in gone]:
+        self.end_idle(self.members.leave())
+
+    def hang_up(self, endpoint: str) -> None:
+        self.end_idle({endpoint})
+
+    def end_idle(self, endpoints: set[str]) -> None:
+        for reply in [r for r in self.kept if r.call is None and r.endpoint in endpoints]:
             reply.spoilt()
 
     def make_room(self) -> None:
@@ -129,12 +134,12 @@
         broke = broke if progress.connected else Result.NO_CONNECTION
         if not answers:
             one = Result.DELIVERED if progress.status == 200 and len(items) == 1 else broke
-            answers = {item.id: (one, False, progress.wait, 0.0) for item in items}
+            answers = {item.id: (one, False, progress.wait, 0.0, 1.0) for item in items}
         elapsed, stale = self.clock() - began, broke is Result.BROKEN and progress.kept and not progress.words
         outcomes = [it.Outcome(i.id, i.push, endpoint, Result.NOT_SENT, elapsed, True) for i in void]
         for item in items:
-            result, ended, wait, rate = answers[item.id]
-            told = elapsed, ended, wait, rate, stale and result is broke
+            result, ended, wait, rate, left = answers[item.id]
+            told = elapsed, ended, wait, rate, stale and result is broke, left
             outcomes.append(it.Outcome(item.id, item.push, endpoint, result, *told))
         self.tell([o for o in outcomes if self.running.pop((o.id, o.push), None)])
 
@@ -147,7 +152,7 @@
         """Id to answer, once all of it has come."""
         address = self.members.address(endpoint)
         if address is None:  # it went off the list a moment ago
-            return {i.id: (Result.NOT_SENT, False, 0.0, 0.0) for i in items}
+            return {i.id: (Result.NOT_SENT, False, 0.0, 0.0, 1.0) for i in items}
         self.make_room()
         url, headers = f"http://{address}/receive", {"X-Deadline": forms.duration(until - self.clock())}
         if len(items) > 1:
@@ -160,13 +165,13 @@
         more = {"data": body, "headers": headers, "allow_redirects": False, "server_hostname": endpoint}
         async with self.session.post(url, **more) as answer:
             told = forms.report(answer.headers.get("X-Load"))
-            wait, rate = _milliseconds(answer.headers.get("X-Retry-In-Ms")), limit_of(told)
+            wait, limit = _milliseconds(answer.headers.get("X-Retry-In-Ms")), (limit_of(told), left_of(told))
             CALL.get().wait = wait  # it binds though the rest be spoilt
             said = await _bounded(answer)
             if len(items) > 1 and answer.status == 200:
                 ends = forms.ends(said)
-                return {i.id: _answer(WORDS, ends.get(i.id, "failed"), wait, rate) for i in items}
-            one = _answer(STATUS, answer.status, wait, rate, answer.headers)
+                return {i.id: _answer(WORDS, ends.get(i.id, "failed"), wait, limit) for i in items}
+            one = _answer(STATUS, answer.status, wait, limit, answer.headers)
             return {i.id: one for i in items}
 
 
@@ -179,9 +184,9 @@
     return bytes(body)
 
 
-def _answer(table: dict, said, wait: float, limit: float, headers=()) -> tuple:
+def _answer(table: dict, said, wait: float, limit: tuple, headers=()) -> tuple:
     result = Result.NOT_SENT if "X-No-Slot" in headers else table.get(said, Result.ERROR)
-    return result, said in OVER, wait, limit
+    return result, said in OVER, wait, *limit
 
 
 def _milliseconds(text: str | None) -> float:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -121,6 +121,7 @@
         b.round(1.0, [take("n", due=21.0)])
         self.assertEqual(pushes(b.round(2.0, [it.Woken()])), [("n", "a")])
         b.routes["a"].pacer.bad(2.0, 9.0, False)
+        b.round(9.0, [take("m", due=29.0)])
         self.assertLess(b.routes["a"].pacer.ready_at(9.0), 60.0)  # and after an outage it is tried again
 
     def test_key_order_and_rest(self):
@@ -139,8 +140,9 @@
     def test_cold_budget_after_an_outage(self):
         b = brain(rate=3.0, routes=("a",))
         pacer = b.routes["a"].pacer
+        b.round(9.0, [take(f"n{i}", due=29.0) for i in range(60)])  # asked for more than all it takes
         pacer.bad(6.0, 10.0, False)
-        self.assertAlmostEqual(pacer.rate(11.0), 3.0 * 2.0 * 0.2 * pacer.COLD_PART)
+        self.assertAlmostEqual(pacer.rate(10.0), 3.0 * 2.0 * 0.2 * pacer.COLD_PART)
 
     def test_a_delivery_of_a_push_from_before_the_outage_starts_no_warm_up(self):
         pacer = brain().routes["a"].pacer
