Collapsible ones go again in their hall; a long told wait proves an outage; tests of the move

Causes: closes() gave a narrower group no repeat and Route dropped the zone; the row of three that refusals need now left out the long wait that a shut destination tells, which is proof by itself.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -179,9 +179,10 @@
             # At a random time: relays that a clump met refused together must not come again together.
             self.back, self.at = self.back * 2**self.refusals, now
             self.tokens = -(1 + self.refusals) * self.random.random()
-        # Two that met no room may be chance where calls are few; a third, or what came to no answer, is not.
-        row = self.refusals if refused else self.dest.tally.ROW if ran else self.dest.tally.row
-        if (row >= self.dest.tally.ROW and now + wait - self.bad_since > self.OUT_AFTER) or self.dest.tally.out():
+        # Two that met no room may be chance where calls are few; a third, a long wait, no answer are not.
+        few = self.refusals < Tally.ROW if refused else not ran and self.dest.tally.row < Tally.ROW
+        long = wait > self.OUT_AFTER or (not few and now - self.bad_since > self.OUT_AFTER)
+        if long or self.dest.tally.out():
             self.down(sent)
 
     def down(self, since):
@@ -196,6 +197,7 @@
         self.key, self.state, self.out = n.key if topic.keep_order else "", "parked", 0
         self.pushes, self.maybe_at = n.pushes, n.maybe_at  # its history, where a relay before us took it
         self.hops, self.past, self.rest_until = 0, "", 0.0  # the walk starts past the route named
+        self.maybe_zone = ""  # where the first push that may have run went; not known of a life before
         self.refused = False  # its last push was, for a limit used up
 
 
@@ -206,7 +208,7 @@
 
 class Route:
     def __init__(self, endpoint, dest, pacer):
-        self.id, self.dest, self.pacer = endpoint.id, dest, pacer
+        self.id, self.zone, self.dest, self.pacer = endpoint.id, endpoint.zone, dest, pacer
         self.state, self.until, self.calls, self.tally = "closed", 0.0, 0, Tally()
         self.silent, self.mute = False, False  # how its last failure was: not before it ran; no answer
         self.good_at, self.lanes = 0.0, {}  # when the youngest delivered push went; topic type -> shut until
@@ -384,7 +386,8 @@
             self.at(ntf.rest_until, Brain.touch, ntf.dest)
 
     def again(self, ntf):
-        stuck = ntf.maybe_at < inf and (ntf.topic.effect is ONCE or self.now > self.closes(ntf))
+        zones = {r.zone for r in ntf.dest.order if r.state != "draining"} or {ntf.maybe_zone}
+        stuck = ntf.maybe_at < inf and not any(self.repeats(ntf, zone) for zone in zones)
         if stuck or ntf.pushes >= self.set.max_pushes or self.now + ntf.dest.expected() >= ntf.due:
             self.step(ntf, "given up")
         else:
@@ -449,7 +452,7 @@
                 self.at(self.keys[ntf.key][1], Brain.touch, other.dest)
         self.next_turn(ntf)
         if o.result not in NEVER_RAN and call.sent < ntf.maybe_at:
-            ntf.maybe_at = call.sent
+            ntf.maybe_at, ntf.maybe_zone = call.sent, ntf.maybe_zone or route.zone
         ntf.past, ntf.hops, ntf.refused = route.id, ntf.hops + 1, o.result is Result.FULL and o.left < self.USED_UP
         self.step(ntf, "ended" if o.ended or o.result is Result.DELIVERED else "came to nothing")
 
@@ -509,9 +512,12 @@
 
     # -- the rules' guard: every push and every throttling passes here ------------------------------
 
-    def closes(self, ntf):
-        span = ntf.topic.window - 0.05 if ntf.topic.group == "all" else 0.0  # a little early
-        return ntf.maybe_at + span if ntf.topic.effect is Effect.COLLAPSIBLE else inf
+    def repeats(self, ntf, zone):
+        """Rule 2, of one that may have run: may it go to an endpoint in that hall again?"""
+        if ntf.topic.effect is not Effect.COLLAPSIBLE:
+            return ntf.topic.effect is AGAIN
+        drops = ntf.topic.group == "all" or (ntf.topic.group == "zone" and zone == ntf.maybe_zone != "")
+        return drops and self.now < ntf.maybe_at + ntf.topic.window - 0.05  # a little early
 
     def may_push(self, ntf, route):
         if ntf.state != "parked" or ntf.out or self.now >= ntf.due or ntf.pushes >= self.set.max_pushes:
@@ -524,9 +530,7 @@
             turns, rest = self.keys[ntf.key]
             if next(iter(turns)) != ntf.id or (self.now < rest and not ntf.pushes):
                 return False
-        if ntf.maybe_at < inf and ntf.topic.effect is not AGAIN:  # rule 2
-            return ntf.topic.effect is not ONCE and self.now < self.closes(ntf)
-        return True
+        return ntf.maybe_at == inf or self.repeats(ntf, route.zone)
 
     def may_throttle(self, ntf):
         effect, never = ntf.topic.effect, ntf.maybe_at == inf
@@ -570,6 +574,7 @@
     def shuns(self, route, ntf):
         """One topic type may fail where others are taken: it goes by a sister meanwhile, be it the worse."""
         well = [r for r in ntf.dest.order if self.now >= r.lanes.get(ntf.topic.name, 0.0)]
+        well = [r for r in well if ntf.maybe_at == inf or self.repeats(ntf, r.zone)]
         return route not in well and any(r.state in ("closed", "trial") for r in well)
 
     def joins(self, route):
