--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -255,7 +255,7 @@
     WALK_REST = 0.6  # before a walk begins anew: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
-    OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.5, 3.0, 2.0  # times 9 in 10 stay under, there, all; seconds
+    OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.0, 3.0, 1.5  # times 9 in 10 stay under, there, all; seconds
     TIMEOUT, TIMEOUT_LEAST = (
         6.0,
         10.0,
@@ -265,6 +265,7 @@
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
     SHORT = 60.0  # seconds after a failed connection: one relay meets few, an outage's cost a handshake each
     USED_UP = 0.2  # of a limit, told with a refusal: that low, it was the limit; the figure is late and noisy
+    KEPT_SHORT = 16.0
     KEPT = 0.25  # calls in the time that an idle connection stays open: fewer, and most would close unused
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
 
@@ -629,7 +630,7 @@
         for route in self.idle.values():
             uses = route.pacer.part(self.now) * self.set.connection_idle
             short = self.now < self.short.get(route.dest.kind.name, 0.0)
-            if not route.calls and uses < (Pacer.THIN if short else self.KEPT):
+            if not route.calls and uses < (self.KEPT_SHORT if short else self.KEPT):
                 self.acts.append(it.HangUp(route.id))
         self.idle = {}
 
