Cold parts by what was delivered, never by what is asked: a broken fail-back; settings checked

Checks: every push of that second from the tap with its relay's state: 162 of 162 by relays that held it to be down, each with a part of 0.6 to 2.9 a second where the even one is 0.09: a surge, not our share. Ruled out: unproven outages (all had three in a row), warm-up clocks. Fault: Pacer.part by dest.asked (commit of parts).

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -99,7 +99,7 @@
     BACK, EASE = 0.5, 0.925  # seconds a token lacking, twice that a refusal; eased so, balance is at 1 in 10
     THIN = 4.0  # calls in the time that an idle connection stays open: fewer lie at one route, by chance
     OUT_AFTER = 3.0  # seconds without a delivery: it may come back cold; a limit's refusals are shorter
-    COLD_PART = 0.8  # of rule 4's budget: the rest is for chance and for relays with more than their part
+    COLD_PART = 0.7  # of rule 4's budget: the rest is for chance and for relays with more than their part
     KEEP = 60.0  # seconds that a drained route's outage is remembered
     COLD_ITEM = 0.05  # what a further item of a call weighs at a cold destination
     UNTOLD = 5.0  # calls a second, of all relays, where none are told: few destinations take less
@@ -122,12 +122,14 @@
     def part(self, now):
         """Relays may be uneven: what a partner took of each sums to no more than it takes, as even parts do.
 
-        Cold, what each was asked for there does: an even part lies idle where most have nothing for it. Routes
-        that share a fate then share one bucket: a call takes from all of theirs.
+        What is asked for there tells nothing: in a clump or a burst it is many times what the partner takes.
+        Cold, routes that share a fate share one bucket: a call takes from all of theirs.
         """
+        even = self.told / self.relays
         if self.cold is None:
-            return max(self.told / self.relays / self.dest.sharing(), self.taken.rate(now))
-        return min(self.told, self.dest.asked.rate(now))
+            return max(even / self.dest.sharing(), self.taken.rate(now))
+        ours = [self] if self.dest.kind.apart else {r.pacer: 0 for r in self.dest.order}
+        return max(even, min(self.told, sum(p.taken.rate(now) for p in ours)))
 
     def gathers(self, now):  # else the next of a call comes after the objective: waiting gathers none
         return self.dest.kind.batch > 1 and self.part(now) * self.objective >= 1.0
@@ -219,7 +221,6 @@
 
 
 class Dest:
-    ASKED = 5.0  # seconds, half-life: some few notifications of a small relay, a clump of a large one
     # Pushes after a refusal, for each notification asked: at a limit that refused calls use up, fleets that
     # each come again a few times keep a partner refusing what it could take. At random to begin with.
     CREDIT, CREDIT_MOST = 0.3, 3.0
@@ -228,7 +229,7 @@
     def __init__(self, times):
         self.kind, self.order, self.parked, self.tally, self.calls = None, [], {}, Tally(), 0
         self.times, self.wake, self.hungry, self.usual, self.seen = Times(times), inf, 0.0, inf, 0
-        self.asked, self.credit = Flow(self.ASKED), times.chance.random()
+        self.credit = times.chance.random()
 
     def expected(self):
         return self.times.quantile(0.5)
@@ -256,17 +257,15 @@
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
     OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.0, 3.0, 1.5  # times 9 in 10 stay under, there, all; seconds
-    TIMEOUT, TIMEOUT_LEAST = (
-        6.0,
-        10.0,
-    )  # the same for giving a push up; the slow still run
+    TIMEOUT, TIMEOUT_LEAST = 6.0, 10.0  # the same for giving a push up; the slow still run
     ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
     SHORT = 60.0  # seconds after a failed connection: one relay meets few, an outage's cost a handshake each
     USED_UP = 0.2  # of a limit, told with a refusal: that low, it was the limit; the figure is late and noisy
-    KEPT_SHORT = 16.0
-    KEPT = 0.25  # calls in the time that an idle connection stays open: fewer, and most would close unused
+    # Calls in the time that an idle connection stays open: fewer, and most would close unused, or, where they
+    # are short, one held stands idle more than half of the time.
+    KEPT, KEPT_SHORT = 0.25, 16.0
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
 
     def __init__(self, settings, seed):
@@ -366,7 +365,6 @@
             benefit *= self.set.over_share_benefit if over else 1.0
             row[1] += 0.0 if over else 1.0
         ntf = self.held[n.id] = Ntf(n, dest, topic, benefit)
-        dest.asked.add(self.now)
         dest.credit = min(dest.CREDIT_MOST, dest.credit + dest.CREDIT)
         if ntf.key:
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf  # those in turn, rest until
--- a/ryestack/lifecycle/config.py
+++ b/ryestack/lifecycle/config.py
@@ -6,7 +6,7 @@
 
 from .. import interface as it
 from ..operator.schema import Operator
-from ..settings import BadSettings, read_settings
+from ..settings import BadSettings, MixedShapes, check_shape, read_settings
 from ..wire.members import UNREADABLE, BadList, read_list
 
 
@@ -14,6 +14,10 @@
     """A configuration that cannot be used; the text says what is wrong in one line."""
 
 
+class Mixed(BadConfig):
+    """It mixes two shapes of deployment: it cannot be used as it stands."""
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -49,6 +53,8 @@
         raise BadConfig(f"{path}: not JSON: {problem}") from None
     try:
         return read(told, state, chosen)
+    except MixedShapes as problem:
+        raise Mixed(f"{path}: {problem}") from None
     except (BadSettings, BadList) as problem:
         raise BadConfig(f"{path}: {problem}") from None
     except (*UNREADABLE, AttributeError) as problem:
@@ -87,6 +93,10 @@
         seed = int(str(told.get("seed", "")), 16)
     except ValueError:
         raise BadConfig("seed must be hex digits") from None
+    settings = read_settings(need(told, "settings", dict))
+    check_shape(told["settings"])
+    if settings.asks_for_list and chosen.directory.source == "fixed":
+        raise MixedShapes("options.discovery is ask, but directory.source is fixed: nothing would be asked")
     return Config(
         name=need(told, "name", str),
         host=host,
@@ -97,6 +107,6 @@
         sockets=need(limits, "sockets", int),
         disk=int(need(limits, "disk_mb", (int, float)) * 1_000_000),
         known=known,
-        settings=read_settings(need(told, "settings", dict)),
+        settings=settings,
         operator=chosen,
     )
--- a/ryestack/settings.py
+++ b/ryestack/settings.py
@@ -2,8 +2,11 @@
 holds it, and so does a live relay's configuration.
 """
 
+from math import inf
+
 from . import interface as it
 
+GROUPS = ("all", "zone", "cell")  # cell: no deployment has it; it gets no repeat
 MOST_RATE = 1e9  # calls a second: what tells more cannot be read
 EFFECTS = {"safe": it.Effect.REPEATABLE, "keyed": it.Effect.COLLAPSIBLE, "unsafe": it.Effect.ONCE_ONLY}
 
@@ -12,12 +15,17 @@
     """Settings that cannot be used; the text names the key."""
 
 
+class MixedShapes(BadSettings):
+    """Settings of which each can be read, but that do not go together."""
+
+
 def read_settings(options: dict) -> it.Settings:
     """Settings from `options`; unknown keys are passed over, a missing required one is named."""
 
     def need(table, key, kinds=(int, float), where="options"):
         value = table.get(key) if isinstance(table, dict) else None
-        if not isinstance(value, kinds):
+        wrong = not isinstance(value, kinds) or isinstance(value, bool)
+        if wrong or (isinstance(value, (int, float)) and not 0.0 <= value < inf):
             raise BadSettings(f"{where}.{key} is missing or has the wrong type")
         return value
 
@@ -31,6 +39,9 @@
             return default
         return need(table, key, where=where) / 1000.0
 
+    def number(table, key, where, default):
+        return default if table.get(key) is None else need(table, key, where=where)
+
     def topic(row):
         effect = need(row, "effect", str, "grades[]")
         if effect not in EFFECTS:
@@ -40,8 +51,8 @@
             effect=EFFECTS[effect],
             objective=span(row, "targetMs", "grades[]"),
             ttl=span(row, "deadlineMs", "grades[]"),
-            benefit=row.get("credit", 1.0),
-            late_share=row.get("lateShare", 0.0),
+            benefit=number(row, "credit", "grades[]", 1.0),
+            late_share=number(row, "lateShare", "grades[]", 0.0),
             group=row.get("group") or "all",
             window=span(row, "windowMs", "grades[]", 0.0),
             keep_order=row.get("keepOrder") is True,
@@ -50,7 +61,7 @@
     return it.Settings(
         topic_types=tuple(topic(row) for row in need(options, "grades", list)),
         customers=tuple(
-            it.Customer(need(row, "name", str, "projects[]"), row.get("quotaPerS", 0.0))
+            it.Customer(need(row, "name", str, "projects[]"), number(row, "quotaPerS", "projects[]", 0.0))
             for row in options.get("projects") or []
         ),
         kinds=tuple(
@@ -66,8 +77,8 @@
         ),
         slots=need(specifics, "callSlots", int, "specifics"),
         max_open=need(allowed, "maxOpen", int, "allowed"),
-        relays=options.get("balancers") or 1,
-        over_share_benefit=options.get("overShareWorth", 1.0),
+        relays=number(options, "balancers", "options", 1) or 1,
+        over_share_benefit=number(options, "overShareWorth", "options", 1.0),
         late=it.Late.HALVES if specifics.get("late") == "halves" else it.Late.LINE,
         told_rates=options.get("weights") in ("nominal", "rough"),
         rough_rates=options.get("weights") == "rough",
@@ -81,6 +92,36 @@
     )
 
 
+def check_shape(options: dict) -> None:
+    """Refuses settings that mix two shapes of deployment: each would be read, and one passed over unseen."""
+
+    def refuse(key, why):
+        raise MixedShapes(f"options.{key} {why}")
+
+    specifics, zones = options.get("specifics") or {}, options.get("zones") or []
+    report = options.get("report") or {}
+    if report.get("source") == "silent" and report.get("names"):
+        refuse("report.names", "names values, but report.source is silent")
+    if options.get("overShareWorth") is not None and not options.get("projects"):
+        refuse("overShareWorth", "has no use without projects")
+    if options.get("discovery") not in (None, "push", "ask"):
+        refuse("discovery", f"is {options['discovery']!r}, must be push or ask")
+    for row in options.get("grades") or []:
+        group = row.get("group") or "all"
+        if group not in GROUPS:
+            refuse("grades[].group", f"is {group!r}, must be one of {', '.join(GROUPS)}")
+        if row.get("effect") == "keyed" and group == "zone":
+            if not row.get("windowMs"):
+                refuse("grades[].windowMs", "is missing, but grades[].group is zone")
+            if len(zones) < 2:
+                refuse("zones", "must name two or more, as grades[].group is zone")
+    counted = {"routesApart": "kinds", "kindBatch": "kinds", "feeByZone": "zones"}
+    for key, of in counted.items():
+        found, wanted = specifics.get(key), options.get(of) or []
+        if found and len(found) != len(wanted):
+            refuse(f"specifics.{key}", f"has {len(found)} entries, but {of} has {len(wanted)}")
+
+
 def limit_of(report: dict) -> float:
     """The limit in calls a second that an answer's report tells, 0 if none."""
     told = report.get("x1")
