--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -256,7 +256,7 @@
     WALK_REST = 0.6  # before a walk begins anew: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
-    OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.0, 3.0, 1.5  # times 9 in 10 stay under, there, all; seconds
+    OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.5, 3.0, 1.5  # times 9 in 10 stay under, there, all; seconds
     TIMEOUT, TIMEOUT_LEAST = 6.0, 10.0  # the same for giving a push up; the slow still run
     ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
     USUAL = 0.5  # a push's time before anything was measured
@@ -266,6 +266,7 @@
     # Calls in the time that an idle connection stays open: fewer, and most would close unused, or, where they
     # are short, one held stands idle more than half of the time.
     KEPT, KEPT_SHORT = 0.25, 16.0
+    ASK, ASK_LONGEST = 1.0, 8.0  # seconds that askings spread over; a registry that is late tells by then
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
 
     def __init__(self, settings, seed):
@@ -279,9 +280,10 @@
         self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, {}, {}
         self.slots, self.heap, self.seq, self.woken = settings.slots, [], 0, inf
         self.acts, self.touched, self.travel, self.idle, self.leaves = [], {}, {}, {}, inf
+        self.asking = self.ASK
         self.short = {}  # kind of destination -> until when its endpoints count as short of connections
         if settings.asks_for_list:
-            self.at(0.0, Brain.ask, None)
+            self.at(self.random.uniform(0.0, self.ASK), Brain.ask, None)  # a fleet may start at once
 
     def round(self, now, events):
         self.now, self.acts, self.travel = now, [], {}
@@ -307,8 +309,10 @@
         self.touched[id(dest)] = dest
 
     def on_list(self, update):
-        if update.failed:  # at a random time, so that relays do not ask in step
-            return self.at(self.now + self.random.uniform(0.5, 1.5), Brain.ask, None)
+        if update.failed:  # at a random time, later each time, so that relays do not ask in step
+            self.asking = min(self.ASK_LONGEST, self.asking * 2.0)
+            return self.at(self.now + self.asking * self.random.uniform(0.5, 1.0), Brain.ask, None)
+        self.asking = self.ASK
         listed = {e.id: e for e in update.endpoints}
         for e in listed.values():
             route = self.routes.get(e.id) or self.add_route(e)
@@ -613,7 +617,8 @@
             call = self.travel[route.id] = Call(route, self.now)
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
             least = min(self.OVERDUE_LEAST, self.OVERDUE_ALL * self.times.quantile(0.9))
-            self.at(self.now + max(least, self.OVERDUE * times), Brain.overdue, call)
+            few = 1.0 / self.set.slots  # the part of our slots that it holds: with two it matters more
+            self.at(self.now + max(least, (self.OVERDUE - few) * times), Brain.overdue, call)
         call.items, call.left = [*call.items, (ntf, ntf.pushes)], call.left + 1
         self.out[ntf.id, ntf.pushes] = call, ntf
         ntf.out, ntf.pushes = ntf.out + 1, ntf.pushes + 1
--- a/ryestack/settings.py
+++ b/ryestack/settings.py
@@ -102,8 +102,8 @@
     report = options.get("report") or {}
     if report.get("source") == "silent" and report.get("names"):
         refuse("report.names", "names values, but report.source is silent")
-    if options.get("overShareWorth") is not None and not options.get("projects"):
-        refuse("overShareWorth", "has no use without projects")
+    if (options.get("blend") or {}).get("worstTenant") and not options.get("projects"):
+        refuse("blend.worstTenant", "counts customers, but projects names none")
     if options.get("discovery") not in (None, "push", "ask"):
         refuse("discovery", f"is {options['discovery']!r}, must be push or ask")
     for row in options.get("grades") or []:
@@ -125,10 +125,10 @@
 def limit_of(report: dict) -> float:
     """The limit in calls a second that an answer's report tells, 0 if none."""
     told = report.get("x1")
-    return float(told) if isinstance(told, (int, float)) and 0.0 < told <= MOST_RATE else 0.0
+    return float(told) if type(told) in (int, float) and 0.0 < told <= MOST_RATE else 0.0
 
 
 def left_of(report: dict) -> float:
     """The share of that limit which is left, 1 if none is told: a share alone says nothing."""
     told = report.get("x0")
-    return float(told) if isinstance(told, (int, float)) and 0.0 <= told <= 1.0 and limit_of(report) else 1.0
+    return float(told) if type(told) in (int, float) and 0.0 <= told <= 1.0 and limit_of(report) else 1.0
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -181,7 +181,7 @@
 
             async def endpoint(reader, writer, connections=connections):
                 connections.append(writer)
-                while head := await reader.readuntil(b"\r\n\r\n"):
+                while not reader.at_eof() and (head := await reader.readuntil(b"\r\n\r\n")):
                     size = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
                     await reader.readexactly(size)
                     writer.write(http(200, X_Load='{"x0":0.5,"x1":50}' if "balancers" not in change else "{}"))
@@ -293,7 +293,7 @@
         zone = [{"name": "m", "effect": "keyed", "group": "zone", "targetMs": 1.0, "deadlineMs": 2.0}]
         mixed = (
             ({"report": {"names": ["x0", "x1"], "source": "silent"}}, "report.names"),
-            ({"projects": None, "overShareWorth": 0.1}, "overShareWorth"),
+            ({"projects": [], "blend": {"worstTenant": 0.1}}, "worstTenant"),
             ({"discovery": "gossip"}, "discovery"),
             ({"grades": [{**zone[0], "group": "planet"}]}, "group"),
             ({"grades": zone, "zones": ["x", "y"]}, "windowMs"),
