--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -94,7 +94,7 @@
     """What one destination, or one route apart, may be sent: told rate, waits, refusals, warm-up."""
 
     GAIN = 1.5  # our part over the even one, as relays are uneven; 1 where calls carry many: waits gather
-    OWN = 30.0  # seconds, half-life: relays' parts are lasting; sooner, one delivery of a thin part shows as many
+    OWN = 30.0  # seconds, half-life: parts are lasting; over 5 s one delivery of a thin one shows as many
     BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
     BACK, EASE = 0.5, 0.925  # seconds a token lacking, twice that a refusal; eased so, balance is at 1 in 10
     THIN = 4.0  # calls in the time that an idle connection stays open: fewer lie at one route, by chance
@@ -147,7 +147,8 @@
 
     def ready_at(self, now):
         rate, start = self.rate(now), max(now, self.wait_until)
-        warm, single = self.cold is None, not self.gathers(now)  # cold, nothing gathers in a wait, or all relays would send at its end
+        # Cold, nothing gathers in a wait, or all relays would send at its end.
+        warm, single = self.cold is None, not self.gathers(now)
         since = self.at if warm else max(self.at, self.wait_until)
         most = max(1.0, rate * self.BURST) if warm and single else 1.0
         if not self.thin(now):
@@ -456,7 +457,8 @@
         self.next_turn(ntf)
         if o.result not in NEVER_RAN and call.sent < ntf.maybe_at:
             ntf.maybe_at, ntf.maybe_zone = call.sent, ntf.maybe_zone or route.zone
-        ntf.past, ntf.hops, ntf.refused = route.id, ntf.hops + 1, o.result is Result.FULL and o.left < self.USED_UP
+        ntf.past, ntf.hops = route.id, ntf.hops + 1
+        ntf.refused = o.result is Result.FULL and o.left < self.USED_UP
         self.step(ntf, "ended" if o.ended or o.result is Result.DELIVERED else "came to nothing")
 
     def judge(self, route, call, o):
@@ -504,7 +506,9 @@
 
         For want of a slot any does, for want of a share one of that destination.
         """
-        for dest in [d for d in self.touched.values() if d.parked] if self.late and self.set.may_cancel else ():
+        if not self.late or not self.set.may_cancel:
+            return
+        for dest in [d for d in self.touched.values() if d.parked]:
             wanted = any(r.state == "closed" and r.pacer.wait_until <= self.now for r in dest.order)
             free = self.slots > 0 and dest.calls < self.cap(dest)
             late = [c for c in self.late if self.slots <= 0 or c.route.dest is dest]
