--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -621,7 +621,7 @@
             call = self.travel[route.id] = Call(route, self.now)
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
             least = min(self.OVERDUE_LEAST, self.OVERDUE_ALL * self.times.quantile(0.9))
-            few = 1.0 / self.set.slots  # the part of our slots that it holds: with two it matters more
+            few = 2.0 / self.set.slots**2  # it holds a part of our slots: of two, half; of ten no matter
             self.at(self.now + max(least, (self.OVERDUE - few) * times), Brain.overdue, call)
         call.items, call.left = [*call.items, (ntf, ntf.pushes)], call.left + 1
         self.out[ntf.id, ntf.pushes] = call, ntf
