--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -224,7 +224,7 @@
 class Dest:
     # Pushes after a refusal, for each notification asked: at a limit that refused calls use up, fleets that
     # each come again a few times keep a partner refusing what it could take. At random to begin with.
-    CREDIT, CREDIT_MOST = 0.3, 3.0
+    CREDIT, CREDIT_MOST = 0.5, 3.0
     STEP, RISE = 16, 1.1  # deliveries, times: a spell of slowness is over before the usual pace has followed
 
     def __init__(self, times):
