--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -257,7 +257,7 @@
     WALK_REST = 0.6  # before a walk begins anew: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE, SHARE_SICK = 0.75, 0.5  # of the slots, for a destination: the design's
-    OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.5, 3.0, 1.5  # times 9 in 10 stay under, there, all; seconds
+    OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.5, 3.0, 2.0  # times 9 in 10 stay under, there, all; seconds
     TIMEOUT, TIMEOUT_LEAST = 6.0, 10.0  # the same for giving a push up; the slow still run
     ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
     USUAL = 0.5  # a push's time before anything was measured
@@ -620,8 +620,8 @@
         if call is None:
             call = self.travel[route.id] = Call(route, self.now)
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
-            least = min(self.OVERDUE_LEAST, self.OVERDUE_ALL * self.times.quantile(0.9))
             few = 2.0 / self.set.slots**2  # it holds a part of our slots: of two, half; of ten no matter
+            least = min(self.OVERDUE_LEAST - few, self.OVERDUE_ALL * self.times.quantile(0.9))
             self.at(self.now + max(least, (self.OVERDUE - few) * times), Brain.overdue, call)
         call.items, call.left = [*call.items, (ntf, ntf.pushes)], call.left + 1
         self.out[ntf.id, ntf.pushes] = call, ntf
