--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -470,6 +470,16 @@
         queue_full = end("m", "a", Result.FULL, limit=50.0, left=0.9)
         self.assertEqual(pushes(b.round(1.2, [queue_full])), [("m", "b")])
 
+    def test_silence_shows_sooner_where_slots_are_few(self):
+        for slots, late in ((2, 1), (12, 0)):
+            b = brain(routes=("a",), slots=slots)
+            b.times.add(1.0)
+            b.round(1.0, [take("n")])
+            b.times.add(1.0)
+            [call] = {c for c, _ in b.out.values()}
+            due = [when for when, _, what, subject in b.heap if subject is call]
+            self.assertEqual(due[0] < 1.0 + 2.0 * b.dests[7].times.quantile(0.9) + 0.01, bool(late))
+
     def test_for_want_of_a_share_a_late_call_of_that_destination_gives_way(self):
         b = brain(routes=("a",), slots=2, may_cancel=True)
         b.round(1.0, [take("n")])
