--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -167,7 +167,7 @@
                 time.sleep(patience)
                 process.send_signal(signal.SIGINT)
                 _, err = process.communicate(timeout=20)
-            if not err.startswith(b"Could not import runpy"):  # the interpreter's own, before any of ours runs
+            if not err.startswith(b"Could not import runpy"):  # the interpreter's own, before any of ours
                 self.assertNotIn(b"Traceback", err, patience)
             self.assertIn(process.returncode, (130, -signal.SIGINT))
             self.assertEqual(self.relays(), [], patience)
