--- a/ryestack/benchlink/codec.py
+++ b/ryestack/benchlink/codec.py
@@ -3,7 +3,7 @@
 import json
 
 from .. import interface as it
-from ..settings import BadSettings, left_of, limit_of, read_settings
+from ..settings import MOST_RATE, BadSettings, left_of, limit_of, read_settings
 
 RESULTS = {
     "OK": it.Result.DELIVERED,
@@ -86,7 +86,8 @@
         if state not in LISTED:
             raise entry.bad(f"unknown stageState {state}")
         rate = entry.next("weight", (int, float), 1.0)
-        rows.append(it.Endpoint(name, zone, kind, cell, LISTED[state], float(rate)))
+        rate = float(rate) if 0.0 <= rate <= MOST_RATE else 1.0  # odd figures count as none told
+        rows.append(it.Endpoint(name, zone, kind, cell, LISTED[state], rate))
     return tuple(rows)
 
 
--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -93,7 +93,7 @@
 class Pacer:
     """What one destination, or one route apart, may be sent: told rate, waits, refusals, warm-up."""
 
-    GAIN = 1.5  # our part over the even one, as relays are uneven; 1 where calls carry many: waits gather
+    GAIN = 1.5  # over our part, as relays are uneven; 1 where a call gathers many: waits fill it
     OWN = 30.0  # seconds, half-life: parts are lasting; over 5 s one delivery of a thin one shows as many
     BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
     BACK, EASE = 0.5, 0.925  # seconds a token lacking, twice that a refusal; eased so, balance is at 1 in 10
@@ -227,14 +227,21 @@
     CREDIT, CREDIT_MOST = 0.5, 3.0
     STEP, RISE = 16, 1.1  # deliveries, times: a spell of slowness is over before the usual pace has followed
 
-    def __init__(self, times):
+    def __init__(self, times, chance, now):
         self.kind, self.order, self.parked, self.tally, self.calls = None, [], {}, Tally(), 0
         self.times, self.wake, self.hungry, self.usual, self.seen = Times(times), inf, 0.0, inf, 0
-        self.credit = times.chance.random()
+        self.credit, self.credit_at = chance.random(), now
 
     def expected(self):
         return self.times.quantile(0.5)
 
+    def earns(self, now):  # a second: as often as our part, so that what waits is never left without a chance
+        return self.CREDIT * max((p.part(now) for p in {r.pacer: 0 for r in self.order}), default=0.0)
+
+    def earn(self, now, asked=0):
+        gained = self.CREDIT * asked + self.earns(now) * (now - self.credit_at)
+        self.credit, self.credit_at = min(self.CREDIT_MOST, self.credit + gained), now
+
     def took(self, seconds):
         self.times.add(seconds)
         self.seen += 1
@@ -275,9 +282,8 @@
         self.topics, self.kinds = ({x.name: x for x in xs} for xs in (settings.topic_types, settings.kinds))
         self.quota = {c.name: [c.quota / settings.relays, 0.0, 0.0] for c in settings.customers}
         self.times = Times()  # of all destinations
-        self.times.chance = self.random
         self.times.add(self.USUAL)
-        self.dests = defaultdict(lambda: Dest(self.times))
+        self.dests = defaultdict(lambda: Dest(self.times, self.random, self.now))
         self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, {}, {}
         self.slots, self.heap, self.seq, self.woken = settings.slots, [], 0, inf
         self.acts, self.touched, self.travel, self.idle, self.leaves = [], {}, {}, {}, inf
@@ -370,7 +376,7 @@
             benefit *= self.set.over_share_benefit if over else 1.0
             row[1] += 0.0 if over else 1.0
         ntf = self.held[n.id] = Ntf(n, dest, topic, benefit)
-        dest.credit = min(dest.CREDIT_MOST, dest.credit + dest.CREDIT)
+        dest.earn(self.now, 1)
         if ntf.key:
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf  # those in turn, rest until
         self.again(ntf)
@@ -438,7 +444,7 @@
             self.idle[route.id] = route
         self.touch(route.dest)
         for each in ([route] if route.dest.kind.apart else route.dest.order) if o.limit else ():
-            each.pacer.told, each.pacer.rough = o.limit, 1.0
+            each.pacer.told, each.pacer.rough = max(0.1, o.limit), 1.0
         if o.wait > 0.0:  # each item of a call may tell a later end
             span = o.wait + 0.002  # a wait is told in whole milliseconds
             for each in [route] if route.dest.kind.apart else route.dest.order:
@@ -607,8 +613,9 @@
 
     def takes(self, route, ntf):
         later = route.id > ntf.past and self.now >= ntf.rest_until
-        if ntf.refused and route.dest.credit < 1.0:
-            return False
+        if ntf.refused:
+            route.dest.earn(self.now)
+            later = later and route.dest.credit >= 1.0 - 1e-6
         return later and self.suits(route, ntf) and self.may_push(ntf, route) and not self.shuns(route, ntf)
 
     def push(self, ntf, route):
@@ -620,7 +627,7 @@
         if call is None:
             call = self.travel[route.id] = Call(route, self.now)
             self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
-            few = 2.0 / self.set.slots**2  # it holds a part of our slots: of two, half; of ten no matter
+            few = min(0.5, 2.0 / self.set.slots**2)  # it holds that much more of our slots
             least = min(self.OVERDUE_LEAST - few, self.OVERDUE_ALL * self.times.quantile(0.9))
             self.at(self.now + max(least, (self.OVERDUE - few) * times), Brain.overdue, call)
         call.items, call.left = [*call.items, (ntf, ntf.pushes)], call.left + 1
@@ -643,6 +650,8 @@
 
     def plan(self, dest):
         when = min((r.pacer.ready_at(self.now) for r in dest.order if r.state != "draining"), default=inf)
+        if when <= self.now and dest.credit < 1.0 and any(n.refused for n in dest.parked.values()):
+            when = self.now + (1.0 - dest.credit) / max(1e-3, dest.earns(self.now))
         if self.slots <= 0:
             self.touch(dest)  # the next round may have one
         if self.now < when < inf and not self.now < dest.wake <= when:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -57,6 +57,16 @@
             said = sum(play(*batches), [])
             self.assertNotIn("Fatal", [line[0] for line in said], report)
 
+    def test_odd_rates_in_a_list_raise_nothing(self):
+        for rate in (-5, 0, 1e308, float("inf"), float("nan"), 10**400, 5e-324):
+            rows = [["c", "x", "shared", 8, 1, rate, None]]
+            asked = (100.0, [["Incoming", 3, "n", 9000.0, None, 8, "again"]])
+            told = (50.0, [["Catalog", 1, rows], ["Sync", 3, 0, 2, 1]])
+            said = play(told, asked, (5000.0, [["Timer", 3, 0]]))
+            lines = sum(said, [])
+            self.assertNotIn("Fatal", [line[0] for line in lines], rate)
+            self.assertIn(["Route", 3, "n", "c"], [line[:4] for line in lines], rate)
+
     def test_asking_spreads_and_backs_off_and_a_broken_subscription_is_renewed(self):
         ticks = [(10.0 * i, [["Timer", 3, 0]]) for i in range(1, 3000)]
         broken = {200: 1, 500: 2, 1200: 3}  # ticks at which an asking fails, or what it began breaks
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -463,13 +463,46 @@
     def test_after_a_limit_used_up_pushes_have_a_budget(self):
         b = brain(kind="apart", rate=50.0)
         b.round(0.5, [])
-        b.dests[7].credit = -1.0
+        b.dests[7].credit, b.dests[7].credit_at = -9.0, 1.0
         b.round(1.0, [take("n"), take("m")])
         used_up = end("n", "a", Result.FULL, limit=50.0, left=0.0)
         self.assertEqual(pushes(b.round(1.1, [used_up])), [])  # each asked earns half of one
         queue_full = end("m", "a", Result.FULL, limit=50.0, left=0.9)
         self.assertEqual(pushes(b.round(1.2, [queue_full])), [("m", "b")])
 
+    def test_what_waits_for_the_budget_is_sent_though_nothing_more_is_asked(self):
+        b = brain(routes=("a",), rate=20.0)
+        b.round(0.5, [])
+        b.dests[7].credit, b.dests[7].credit_at = -0.5, 1.0
+        b.round(1.0, [take("n")])
+        now, acts = 1.1, b.round(1.1, [end("n", "a", Result.FULL, limit=20.0, left=0.0)])
+        while not pushes(acts) and now < 9.0:
+            now += 0.1
+            acts = b.round(now, [it.Woken()])
+        self.assertLess(now, 5.0)
+        quiet = brain(kind="apart", rate=2.0, relays=4)  # woken by what it asked for alone
+        quiet.dests[7].credit, quiet.dests[7].credit_at = 0.0, 1.0
+        now, events, woken, sent = 1.0, [take("n")], [], []
+        while now < 19.0:
+            acts = quiet.round(now, events)
+            woken = [w for w in woken if w > now] + [now + a.after for a in acts if isinstance(a, it.Wake)]
+            sent += pushes(acts)
+            if pushes(acts):
+                [(name, route)], now = pushes(acts), now + 0.01
+                events = [end(name, route, Result.FULL, len(sent) - 1, limit=2.0, left=0.0)]
+            else:
+                now, events = min(woken, default=99.0) + 1e-4, [it.Woken()]
+        self.assertGreaterEqual(len(sent), 2)
+
+    def test_one_slot_and_odd_limits_are_no_special_case(self):
+        b = brain(routes=("a",), slots=1, relays=200)
+        b.round(1.0, [take("n")])
+        b.round(1.2, [it.Woken()])
+        self.assertEqual(b.routes["a"].tally.row, 0)  # not overdue at once
+        b.round(1.3, [end("n", "a", Result.DELIVERED, limit=5e-324)])
+        b.round(1.4, [take("m")])
+        b.round(5.0, [it.Woken()])
+
     def test_silence_shows_sooner_where_slots_are_few(self):
         for slots, late in ((2, 1), (12, 0)):
             b = brain(routes=("a",), slots=slots)
