--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -494,14 +494,20 @@
                 now, events = min(woken, default=99.0) + 1e-4, [it.Woken()]
         self.assertGreaterEqual(len(sent), 2)
 
-    def test_one_slot_and_odd_limits_are_no_special_case(self):
-        b = brain(routes=("a",), slots=1, relays=200)
+    def test_with_one_slot_a_call_is_not_overdue_at_once(self):
+        b = brain(routes=("a",), slots=1)
         b.round(1.0, [take("n")])
-        b.round(1.2, [it.Woken()])
-        self.assertEqual(b.routes["a"].tally.row, 0)  # not overdue at once
-        b.round(1.3, [end("n", "a", Result.DELIVERED, limit=5e-324)])
-        b.round(1.4, [take("m")])
-        b.round(5.0, [it.Woken()])
+        [call] = {c for c, _ in b.out.values()}
+        due = [when for when, _, what, subject in b.heap if subject is call]
+        self.assertGreaterEqual(due[0], 1.0 + 1.9 * b.dests[7].times.quantile(0.9))
+
+    def test_a_limit_too_small_to_divide_by_is_no_fault(self):
+        b = brain(routes=("a",), relays=200)
+        sent = pushes(b.round(1.0, [take("n")])) + pushes(b.round(2.0, [it.Woken()]))
+        self.assertEqual(sent, [("n", "a")])
+        b.round(2.1, [end("n", "a", Result.FULL, limit=5e-324, left=0.0)])
+        b.round(9.0, [take("m")])
+        self.assertGreaterEqual(b.routes["a"].pacer.rate(9.0), 0.1 / 200)
 
     def test_silence_shows_sooner_where_slots_are_few(self):
         for slots, late in ((2, 1), (12, 0)):
