--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -308,6 +308,10 @@
             self.acts.append(it.Wake(max(0.0, self.woken - now)))
         return self.acts
 
+    def avoided(self, endpoints):  # for people: which of them get nothing now
+        routes = [self.routes[e] for e in endpoints if e in self.routes]
+        return [r.id for r in routes if r.state != "closed" or self.now < r.pacer.wait_until]
+
     def at(self, when, what, subject):
         self.seq += 1
         heapq.heappush(self.heap, (when, self.seq, what, subject))
--- a/ryestack/lifecycle/config.py
+++ b/ryestack/lifecycle/config.py
@@ -23,6 +23,7 @@
     name: str
     host: str
     port: int
+    ops: tuple[str, int] | None  # the second address, for staff
     discovery: str
     state: str
     seed: int
@@ -52,7 +53,7 @@
     except (ValueError, RecursionError) as problem:
         raise BadConfig(f"{path}: not JSON: {problem}") from None
     try:
-        return read(told, state, chosen)
+        return read(told, state, chosen, environ.get("LB_OPS"))
     except MixedShapes as problem:
         raise Mixed(f"{path}: {problem}") from None
     except (BadSettings, BadList) as problem:
@@ -73,20 +74,23 @@
         raise BadConfig(str(bad)) from None
 
 
-def read(told: dict, state: str, chosen: Operator) -> Config:
+def read(told: dict, state: str, chosen: Operator, ops: str | None = None) -> Config:
+    """ops: of this process alone, where two of them read one file; else the file tells it."""
+
     def need(table, key, kind):
         value = table.get(key) if isinstance(table, dict) else None
         if not isinstance(value, kind) or isinstance(value, bool):
             raise BadConfig(f"{key} is missing or has the wrong type")
         return value
 
-    def address(key):
-        host, _, port = need(told, key, str).rpartition(":")
+    def address(key, said=None):
+        host, _, port = (need(told, key, str) if said is None else said).rpartition(":")
         if not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
             raise BadConfig(f"{key} must be address:port")
         return host, int(port)
 
     (host, port), _ = address("listen"), address("discovery")
+    staff = address("ops", ops or None) if ops or told.get("ops") is not None else None
     limits, known = need(told, "limits", dict), need(told, "known", dict)
     read_list(known, {})
     try:
@@ -101,6 +105,7 @@
         name=need(told, "name", str),
         host=host,
         port=port,
+        ops=staff,
         discovery=need(told, "discovery", str),
         state=state,
         seed=seed,
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -24,7 +24,9 @@
         self.queue, self.filled = [], asyncio.Event()
         self.courier: Courier = None  # these two are set once they can be built, before the first round
         self.ends: Ends = None
+        self.emptied = False  # drained by staff: nothing new is taken
         self.counts = Counter()
+        self.ended: Counter[tuple[str, str]] = Counter()  # by topic type and how it ended
         self.fresh: dict[str, HandIn] = {}
 
     # -- the queue --------------------------------------------------------------------------------
@@ -80,7 +82,7 @@
         name = message.ntf.id
         if name in self.ledger.owed or name in self.fresh:
             message.verdict.set_result((Verdict.UNREADABLE, 0.0))
-        elif self.held() >= self.settings.max_open or not self.ledger.has_room(message.body):
+        elif self.emptied or self.held() >= self.settings.max_open or not self.ledger.has_room(message.body):
             self.turn_away(message)
         else:
             self.fresh[name] = message
@@ -93,6 +95,8 @@
     def before_outcome(self, o: it.Outcome):
         self.counts[o.result.value] += 1
         if o.result is Result.DELIVERED or o.ended:
+            if o.result is Result.DELIVERED and o.id in self.ledger.owed:
+                self.ended[self.ledger.owed[o.id].topic, "delivered"] += 1
             self.ledger.over(o.id)
         else:
             self.ledger.outcome(o.id, o.push, o.result in NEVER_RAN)
@@ -106,11 +110,14 @@
         """An end at once answers the client; later it is a notice to the platform."""
         throttled = isinstance(action, it.Throttle)
         away = action.come_back if throttled else 0.0
-        self.counts["throttled" if throttled else "expired"] += 1
+        how = "throttled" if throttled else "expired"
+        self.counts[how] += 1
         message = self.fresh.pop(action.id, None)
         if message:
+            self.ended[message.ntf.topic_type, how] += 1
             message.verdict.set_result((Verdict.THROTTLED if throttled else Verdict.EXPIRED, away))
         elif action.id in self.ledger.owed:
+            self.ended[self.ledger.owed[action.id].topic, how] += 1
             notice = {"state": "returned" if throttled else "failed"}
             if away > 0.0:
                 notice["after_ms"] = round(away * 1000.0)
@@ -132,6 +139,7 @@
     def turn_away(self, message: HandIn) -> None:
         """For want of room, not by a decision: the hold or the journal is full."""
         self.counts["turned away"] += 1
+        self.ended[message.ntf.topic_type, "throttled"] += 1
         message.verdict.set_result((Verdict.THROTTLED, 0.0))
 
     def push(self, pushes: list[it.Push]) -> None:
@@ -172,6 +180,9 @@
         event("relay.recovered", owed=len(known), notices=len(self.ledger.owed) - len(known))
         self.round([update, *known])
 
+    def in_progress(self) -> int:
+        return sum(not owed.notice for owed in self.ledger.owed.values())
+
     def settled(self) -> bool:
         return not self.queue and not self.ledger.owed
 
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -4,10 +4,14 @@
 import resource
 import signal
 import time
+from collections import Counter
 from dataclasses import fields
+from functools import partial
 
 from .. import interface as it
+from ..observe import figures
 from ..observe.log import event, flush
+from ..wire.staff import Staff
 from .assembly import assemble
 from .config import BadConfig, Config, load
 
@@ -16,17 +20,29 @@
     ("starting", "begun"): ("recovering", "recover"),
     ("recovering", "recovered"): ("serving", "open_door"),
     ("serving", "asked to stop"): ("leaving", "say_so"),
+    ("serving", "told to drain"): ("emptying", "send_away"),
+    ("emptying", "sent away long enough"): ("empty", "end_idle"),
+    ("emptying", "told to resume"): ("serving", "resume"),
+    ("empty", "told to resume"): ("serving", "resume"),
+    ("emptying", "asked to stop"): ("leaving", "say_so"),
+    ("empty", "asked to stop"): ("leaving", "say_so"),
     ("leaving", "accepted long enough"): ("draining", "shut_door"),
     ("serving", "told to reread"): ("serving", "reread"),
+    ("emptying", "told to reread"): ("emptying", "reread"),
+    ("empty", "told to reread"): ("empty", "reread"),
     ("leaving", "told to reread"): ("leaving", "reread"),
     ("draining", "told to reread"): ("draining", "reread"),
     ("draining", "settled"): ("winding up", "wind_up"),
     ("draining", "time is short"): ("winding up", "wind_up"),
     ("winding up", "wound up"): ("ended", "end"),
 }
+# What staff ask for -> the phases in which it cannot be had. With no row in PHASES it holds already.
+REFUSED = {"told to drain": set(), "told to resume": {"leaving", "draining", "winding up", "ended"}}
+READY = {"serving", "emptying", "empty"}  # phases in which this process can serve
 ACCEPT = 0.45  # seconds after SIGTERM: new connections come for 0.4 by the protocol, and take a moment
 SHORT = 3.2  # after SIGTERM: SIGKILL may come after 3.7, and calls, notices and the exit take some time
 LAST = 0.2  # for notices that are owed when calls are wound up
+TEXT = "text/plain; charset=utf-8"
 LOOK = 0.05  # seconds between looks at whether all is settled
 
 
@@ -39,6 +55,8 @@
         self.ledger, self.owner = self.parts.ledger, self.parts.owner
         self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
         self.reread_asked = asyncio.Event()
+        self.loads = Counter()
+        self.staff, self.sending_away = None, None
 
     async def happen(self, what: str) -> None:
         self.phase, effect = PHASES[self.phase, what]
@@ -91,6 +109,64 @@
         self.tasks = [asyncio.ensure_future(each) for each in lasting]
         for front in parts.fronts:
             event("front.open", protocol=front.protocol, address=await front.open())
+        if self.config.ops:
+            calls = {
+                ("GET", "/-/ready"): self.ready,
+                ("GET", "/-/metrics"): self.metrics,
+                ("PUT", "/-/drain"): partial(self.asked, "told to drain"),
+                ("PUT", "/-/resume"): partial(self.asked, "told to resume"),
+            }
+            self.staff = Staff(calls, self.config.ops)
+            event("staff.open", address=await self.staff.open())
+
+    # -- what staff ask ---------------------------------------------------------------------------
+
+    async def ready(self) -> tuple[int, str, str]:
+        return (200, TEXT, "ready\n") if self.phase in READY else (503, TEXT, f"not ready: {self.phase}\n")
+
+    async def metrics(self) -> tuple[int, str, str]:
+        parts, owner = self.parts, self.owner
+        listed = parts.directory.members.listed()
+        values = {
+            "upstream_tries_total": parts.courier.written,
+            "in_progress": owner.in_progress(),
+            "known_endpoints": len(listed),
+            "skipped_endpoints": len(owner.brain.avoided(listed)),
+            "loads_total": self.loads["taken"],
+            "load_errors_total": self.loads["turned down"],
+        }
+        topics = [topic.name for topic in owner.settings.topic_types]
+        return 200, figures.TYPE, figures.text(owner.ended, topics, values)
+
+    async def asked(self, what: str) -> tuple[int, str, str]:
+        if self.phase in REFUSED[what]:
+            return 409, TEXT, f"it is {self.phase}\n"
+        if (self.phase, what) in PHASES:
+            await self.happen(what)
+        return 200, TEXT, f"{self.phase}\n"
+
+    async def send_away(self) -> None:
+        for front in self.parts.fronts:
+            front.leave()
+        loop = asyncio.get_running_loop()
+        self.sending_away = loop.call_later(ACCEPT, lambda: loop.create_task(self.sent_away()))
+
+    async def sent_away(self) -> None:
+        if self.phase == "emptying":
+            await self.happen("sent away long enough")
+
+    async def end_idle(self) -> None:
+        self.owner.emptied = True
+        for front in self.parts.fronts:
+            front.empty()
+
+    async def resume(self) -> None:
+        self.sending_away.cancel()
+        self.owner.emptied = False
+        for front in self.parts.fronts:
+            front.resume()
+
+    # -- the end ----------------------------------------------------------------------------------
 
     async def say_so(self) -> None:
         for front in self.parts.fronts:
@@ -116,6 +192,8 @@
         """Let go of all that is held, whatever phase the run came to."""
         for task in self.tasks:
             task.cancel()
+        if self.staff:
+            await self.staff.close()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.parts.courier.close()
         await self.parts.platform.close()
@@ -133,8 +211,10 @@
         try:
             told = load(chosen=self.config.operator)
         except BadConfig as bad:
+            self.loads["turned down"] += 1
             event("config.kept", why=str(bad))
             return
+        self.loads["taken"] += 1
         if self.parts.platform.move(told.discovery):
             event("platform.moved", address=told.discovery)
         same = {f.name for f in fields(Config)} - {"discovery", "known", "seed"}
--- /dev/null
+++ b/ryestack/observe/figures.py
@@ -0,0 +1,40 @@
+"""The figures that on-call staff and their collectors read, in the Prometheus text format (version 0.0.4).
+
+Counters are kept where the thing happens; here they are only read and written down when somebody asks.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+TYPE = "text/plain; version=0.0.4; charset=utf-8"
+PREFIX = "lb_"
+# How a notification ended -> the operators' word.
+OUTCOMES = {"delivered": "passed", "throttled": "dropped", "expired": "bad_gateway"}
+FIGURES = (  # name, type, meaning
+    ("upstream_tries_total", "counter", "messages written whole to endpoints"),
+    ("in_progress", "gauge", "messages taken and not ended"),
+    ("known_endpoints", "gauge", "endpoints in the list"),
+    ("skipped_endpoints", "gauge", "listed endpoints that the relay avoids now"),
+    ("loads_total", "counter", "configuration files taken at SIGHUP"),
+    ("load_errors_total", "counter", "configuration files turned down at SIGHUP"),
+)
+
+
+def text(handled: Counter, categories: Iterable[str], values: dict[str, int]) -> str:
+    """handled: by (topic type, how it ended); categories: the topic types to tell though none ended yet."""
+    lines = _head("handled_total", "counter", "messages ended: delivered; refused or handed back; failed")
+    for category in sorted({*categories, *(topic for topic, _ in handled)}):
+        for end, word in OUTCOMES.items():
+            labels = f'category="{_escaped(category)}",outcome="{word}"'
+            lines.append(f"{PREFIX}handled_total{{{labels}}} {handled[category, end]}")
+    for name, kind, meaning in FIGURES:
+        lines += [*_head(name, kind, meaning), f"{PREFIX}{name} {values[name]}"]
+    return "\n".join(lines) + "\n"
+
+
+def _head(name: str, kind: str, meaning: str) -> list[str]:
+    return [f"# HELP {PREFIX}{name} {meaning}", f"# TYPE {PREFIX}{name} {kind}"]
+
+
+def _escaped(label: str) -> str:
+    return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -116,6 +116,12 @@
         "after a planned stop: start it again with the same folder",
     ),
     ("platform.moved", "INFO", "address", "watch and notices have moved to this address"),
+    (
+        "staff.open",
+        "INFO",
+        "address",
+        "staff are answered at this address: /-/ready, /-/metrics, drain, resume",
+    ),
     (
         "relay.ended",
         "ERROR",
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -72,6 +72,12 @@
     def leave(self) -> None:
         """A stop was asked for: say that no more should come, and take what still does."""
 
+    def empty(self) -> None:
+        """It was left long enough: end what stands idle, but stay open and answer what still comes."""
+
+    def resume(self) -> None:
+        """Serve again, as before it was left or emptied."""
+
     def shut(self) -> None:
         """Take no more; answers under way go on."""
 
@@ -91,6 +97,8 @@
     def forget(self) -> None:
         """The list has changed and the decisions know: let go of what is kept for endpoints gone."""
 
+    written: int  # messages whose call went out whole
+
     def out(self) -> int:
         """Pushes without an outcome."""
 
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -42,6 +42,7 @@
     def __init__(self, settings: it.Settings, members, clock, tell, most: int):
         self.members, self.clock, self.tell, self.most = members, clock, tell, most
         self.running: dict[tuple[str, int], asyncio.Task] = {}
+        self.written = 0  # messages whose call went out whole
         self.kept: dict[Reply, None] = {}  # all connections to endpoints, the oldest first
         self.batch = {k.name: k.batch for k in settings.kinds}
         idle = settings.connection_idle * IDLE_PART
@@ -113,6 +114,7 @@
     async def run(self, endpoint: str, items: list[Item], timeout: float) -> None:
         began, limit, void, answers = self.clock(), asyncio.timeout(timeout), [], {}
         progress = Progress(endpoint, lambda: self.first_line(progress, limit, len(items) == 1))
+        progress.wrote = lambda: self.wrote(len(items))
         CALL.set(progress)  # for this task, which is this call's
         try:
             async with limit:
@@ -143,6 +145,9 @@
             outcomes.append(it.Outcome(item.id, item.push, endpoint, result, *told))
         self.tell([o for o in outcomes if self.running.pop((o.id, o.push), None)])
 
+    def wrote(self, messages: int) -> None:
+        self.written += messages
+
     def first_line(self, progress: Progress, limit: asyncio.Timeout, single: bool) -> None:
         rest = REST_OF_200 if single and progress.status == 200 else REST
         if not limit.expired():
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -82,6 +82,9 @@
         self.bare = {d: since for d, since in self.bare.items() if self.clock() < since + BARE}
         return destination in self.bare or any(int(r["group"]) == destination for r in self.rows.values())
 
+    def listed(self) -> list[str]:
+        return [name for name, row in self.rows.items() if row["status"] != "removed"]
+
     def address(self, endpoint: str) -> str | None:
         return self.rows[endpoint]["address"] if endpoint in self.rows else None
 
--- a/ryestack/wire/replies.py
+++ b/ryestack/wire/replies.py
@@ -25,6 +25,7 @@
 
     endpoint: str
     heard: object
+    wrote: object = None  # told once the call's last byte is written
     connected: bool = False
     kept: bool = False  # the connection is one from before
     words: bool = False  # anything has come back
@@ -68,6 +69,13 @@
         self.call.connected, self.call.kept, self.endpoint = True, bool(self.endpoint), self.call.endpoint
         self.head, self.passed, self.left = b"", 0, 0
 
+    def start_timeout(self) -> None:
+        """The library calls it once a request is written whole, and perhaps again."""
+        super().start_timeout()
+        if self.call is not None and self.call.wrote:
+            wrote, self.call.wrote = self.call.wrote, None
+            wrote()
+
     def data_received(self, data: bytes) -> None:
         if not data:  # the parser goes on after a pause
             return super().data_received(data)
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 
 import aiohttp
@@ -16,6 +17,7 @@
 from . import forms
 
 IDLE = 2.2  # seconds: a connection with no open request may end after 2, and a bad client must hear within 3
+SHORT_IDLE = 0.3  # the same while the relay is empty: whoever comes then asks at once
 BODY = 2.6  # seconds for a first request from its connection on, for a later one from its head on
 UNREAD = 2 * 1024 * 1024  # bytes of bodies not yet whole, over all connections
 BUFFER = 16 * 1024  # bytes that the library reads ahead on a connection
@@ -61,6 +63,15 @@
         """When it ends if no request comes."""
         return self._next_keepalive_close_time
 
+    def end_if_quiet(self) -> None:
+        """End it unless it has a request: one that came and is not read yet is answered, and ends it then."""
+        if self.transport is None or not self.idle():
+            return
+        waiting = select.poll()
+        waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        if not waiting.poll(0):
+            self.force_close()
+
     def until(self, now: float) -> float:
         """When the open request must have come whole."""
         return (self.since if self._request_count == 1 else now) + BODY
@@ -83,7 +94,7 @@
         self.customers = {c.name for c in settings.customers}
         self.members, self.clock, self.hand_in, self.withdraw = members, clock, hand_in, withdraw
         self.most, self.ready, self.last_answers, self.busy, self.unread = most, False, False, 0, 0
-        self.listener, self.at = None, at
+        self.listener, self.at, self.emptied = None, at, False
         # Reading on after an error would take in what its client still has to send: up to 60 MB.
         self.server = Doors(
             self.handle,
@@ -104,6 +115,14 @@
     def leave(self) -> None:
         self.ready, self.last_answers = False, True
 
+    def empty(self) -> None:
+        self.emptied = True
+        for connection in list(self.server.connections):
+            connection.end_if_quiet()
+
+    def resume(self) -> None:
+        self.ready, self.last_answers, self.emptied = True, False, False
+
     def shut(self) -> None:
         self.stop_listening()
 
@@ -124,7 +143,10 @@
                 event("front.full", bound=self.most)
                 return Full()
             oldest.force_close()
-        return self.server()
+        door = self.server()
+        if self.emptied:  # empty: what comes and says nothing may not stand idle
+            asyncio.get_running_loop().call_later(SHORT_IDLE, door.end_if_quiet)
+        return door
 
     def stop_listening(self) -> None:
         """Idle connections end at once, busy ones after their answer.
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -137,11 +137,11 @@
         raise OSError("no space left")
 
 
-class Process(Folder, unittest.IsolatedAsyncioTestCase):
+class Program(Folder):
     """The program itself on loopback, with stand-ins for an endpoint and the platform."""
 
-    async def start(self, endpoint, platform, **change):
-        path = config(self.folder, platform, change=change)
+    async def start(self, endpoint, platform, ops=None, **change):
+        path = config(self.folder, platform, change=change, **({"ops": ops} if ops else {}))
         with open(path) as file:
             told = json.load(file)
         probe = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
@@ -152,8 +152,8 @@
             json.dump(told, file)
         return await self.run_it(path)
 
-    async def run_it(self, path):
-        env = {**os.environ, "LB_CONFIG": path, "LB_STATE": self.folder}
+    async def run_it(self, path, **more):
+        env = {**os.environ, "LB_CONFIG": path, "LB_STATE": self.folder, **more}
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "ryestack", env=env, stderr=asyncio.subprocess.DEVNULL
         )
@@ -172,6 +172,8 @@
         except aiohttp.ClientError:
             return None
 
+
+class Process(Program, unittest.IsolatedAsyncioTestCase):
     async def test_one_build_serves_both_shapes_by_settings_alone(self):
         """Few connections and no customers: rare calls hang up. With connections to spare they are kept."""
         zones = {"zones": ["x", "y"], "grades": [{"name": "again", "effect": "keyed", "group": "zone",
