New settings at SIGHUP hold, whole or not at all; open notifications keep their rules

Lines at fault: reread kept discovery alone; read_settings took 0; nothing compared keys. Ruled out: drain, watch.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -107,9 +107,7 @@
 
     def __init__(self, settings, dest, chance, now, rate):
         self.dest, self.random, self.taken = dest, chance, Flow(self.OWN)
-        self.objective = min((t.objective for t in settings.topic_types), default=0.0)
-        self.rules, self.relays, self.idle = settings.rules, settings.relays, settings.connection_idle
-        self.rough = self.ROUGH if settings.rough_rates else 1.0
+        self.heed(settings)
         self.at = now
         near = [] if dest.kind.apart else [r.pacer for r in dest.order]  # a new route shares their fate
         self.cold = max((p.cold for p in near if p.cold is not None), default=None)  # inf: down; back since
@@ -119,6 +117,11 @@
         self.bad_since = min((p.bad_since for p in near), default=inf)
         self.wait_until = max((p.wait_until for p in near), default=0.0)
 
+    def heed(self, settings):
+        self.objective = min((t.objective for t in settings.topic_types), default=0.0)
+        self.rules, self.relays, self.idle = settings.rules, settings.relays, settings.connection_idle
+        self.rough = self.ROUGH if settings.rough_rates else 1.0
+
     def part(self, now):
         """Relays may be uneven: what a partner took of each sums to no more than it takes, as even parts do.
 
@@ -195,10 +198,11 @@
 
 
 class Ntf:
-    def __init__(self, n, dest, topic, benefit):
+    def __init__(self, n, dest, topic, benefit, most):
         self.id, self.due, self.dest, self.topic, self.benefit = n.id, n.due, dest, topic, benefit
         self.key, self.state, self.out = n.key if topic.keep_order else "", "parked", 0
         self.pushes, self.maybe_at = n.pushes, n.maybe_at  # its history, where a relay before us took it
+        self.most = n.most or most  # pushes that it may have in all
         self.hops, self.past, self.rest_until = 0, "", 0.0  # the walk starts past the route named
         self.maybe_zone = ""  # where the first push that may have run went; not known of a life before
         self.refused = False  # its last push was, for a limit used up
@@ -278,9 +282,8 @@
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
 
     def __init__(self, settings, seed):
-        self.set, self.random, self.now = settings, random.Random(seed), 0.0
-        self.topics, self.kinds = ({x.name: x for x in xs} for xs in (settings.topic_types, settings.kinds))
-        self.quota = {c.name: [c.quota / settings.relays, 0.0, 0.0] for c in settings.customers}
+        self.set, self.random, self.now, self.quota = settings, random.Random(seed), 0.0, {}
+        self.name(settings)
         self.times = Times()  # of all destinations
         self.times.add(self.USUAL)
         self.dests = defaultdict(lambda: Dest(self.times, self.random, self.now))
@@ -292,6 +295,17 @@
         if settings.asks_for_list:
             self.at(self.random.uniform(0.0, self.ASK), Brain.ask, None)  # a fleet may start at once
 
+    def name(self, settings):
+        self.topics, self.kinds = ({x.name: x for x in xs} for xs in (settings.topic_types, settings.kinds))
+        rows, old = [(c.name, c.quota / settings.relays) for c in settings.customers], self.quota
+        self.quota = {name: [quota, *old.get(name, (0, 0.0, 0.0))[1:]] for name, quota in rows}
+
+    def on_retuned(self, event):
+        self.slots, self.set = self.slots + event.settings.slots - self.set.slots, event.settings
+        self.name(self.set)
+        for route in self.routes.values():
+            route.pacer.heed(self.set)
+
     def round(self, now, events):
         self.now, self.acts, self.travel = now, [], {}
         for event in events:
@@ -370,7 +384,7 @@
             getattr(self, effect)(ntf)
 
     def on_notification(self, n):
-        topic, dest = self.topics[n.topic_type], self.dests[n.destination]
+        topic, dest = n.terms or self.topics[n.topic_type], self.dests[n.destination]
         benefit = topic.benefit
         if n.customer in self.quota:
             row = self.quota[n.customer]
@@ -379,7 +393,7 @@
             over = row[1] > even + 2.0 * even**0.5 + 1.0  # a relay's part is uneven by chance
             benefit *= self.set.over_share_benefit if over else 1.0
             row[1] += 0.0 if over else 1.0
-        ntf = self.held[n.id] = Ntf(n, dest, topic, benefit)
+        ntf = self.held[n.id] = Ntf(n, dest, topic, benefit, self.set.max_pushes)
         dest.earn(self.now, 1)
         if ntf.key:
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf  # those in turn, rest until
@@ -402,7 +416,7 @@
     def again(self, ntf):
         zones = {r.zone for r in ntf.dest.order if r.state != "draining"} or {ntf.maybe_zone}
         stuck = ntf.maybe_at < inf and not any(self.repeats(ntf, zone) for zone in zones)
-        if stuck or ntf.pushes >= self.set.max_pushes or self.now + ntf.dest.expected() >= ntf.due:
+        if stuck or ntf.pushes >= ntf.most or self.now + ntf.dest.expected() >= ntf.due:
             self.step(ntf, "given up")
         else:
             self.park(ntf)
@@ -537,7 +551,7 @@
         return drops and self.now < ntf.maybe_at + ntf.topic.window - 0.05  # a little early
 
     def may_push(self, ntf, route):
-        if ntf.state != "parked" or ntf.out or self.now >= ntf.due or ntf.pushes >= self.set.max_pushes:
+        if ntf.state != "parked" or ntf.out or self.now >= ntf.due or ntf.pushes >= ntf.most:
             return False  # rule 1, and no second copies
         if route.state == "draining" or self.now < route.pacer.wait_until:
             return False  # rules 3 and 6
@@ -586,7 +600,7 @@
         mine, others = ntf.topic.effect, (n for n in ntf.dest.parked.values() if self.now >= n.rest_until)
         ends = route.silent and (mine is ONCE or (mine is not AGAIN and route.state == "trial"))
         loses = ends and any(n.topic.effect not in (ONCE, mine) for n in others)
-        return self.joins(route) or not (route.tally.row and (loses or ntf.pushes * 2 >= self.set.max_pushes))
+        return self.joins(route) or not (route.tally.row and (loses or ntf.pushes * 2 >= ntf.most))
 
     def shuns(self, route, ntf):
         """One topic type may fail where others are taken: it goes by a sister meanwhile, be it the worse."""
@@ -668,5 +682,6 @@
         it.Outcome: on_outcome,
         it.Withdrawn: on_withdrawn,
         it.Woken: lambda self, event: None,
+        it.Retuned: on_retuned,
         it.Leaving: lambda self, event: setattr(self, "leaves", event.until),
     }
--- a/ryestack/interface.py
+++ b/ryestack/interface.py
@@ -138,7 +138,8 @@
     """A notification to deliver by due, a time of the clock.
 
     One that a relay owes from before a restart brings its history: the pushes made, and when the first
-    went that may have run.
+    went that may have run. terms, most: the rules and the number of pushes that it was taken under, where
+    settings may have changed since.
     """
 
     id: str
@@ -149,6 +150,8 @@
     key: str = ""
     pushes: int = 0
     maybe_at: float = inf
+    terms: TopicType | None = None
+    most: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +187,13 @@
     """A time asked for has come."""
 
 
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """Other settings hold from now on; what is held keeps the terms that it came with."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class Leaving:
     """This relay's process ends at that time of the clock; another takes over what it owes."""
@@ -242,5 +252,5 @@
     """Ask the registry for changes from now on, the whole list first if this relay is behind."""
 
 
-Event = ListUpdate | Notification | Outcome | Withdrawn | Woken | Leaving
+Event = ListUpdate | Notification | Outcome | Withdrawn | Woken | Leaving | Retuned
 Action = Push | Cancel | HangUp | Throttle | Expire | Wake | AskForList
--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -13,6 +13,7 @@
 from ..wire.server import Clients
 from .config import Config
 from .owner import Owner
+from .terms import Terms
 
 OWN_SOCKETS = 32  # for the journal, the watch, notices, the log, what opens while others close
 CLIENTS_PART = 0.28  # of all: the front opens a third at most, and no more while idle ones fill that
@@ -29,6 +30,7 @@
     courier: Courier
     ends: Ends
     fronts: list[Front]
+    terms: Terms
 
 
 def assemble(config: Config, clock, wall: float) -> Parts:
@@ -47,5 +49,6 @@
     else:
         owner.ends = Notices(platform, owner.told_platform)
     at = (config.host, config.port)
-    front = Clients(settings, members, clock, owner.hand_in, owner.withdraw, most, at)
-    return Parts(ledger, owner, platform, directory, owner.courier, owner.ends, [front])
+    terms = Terms(settings)
+    front = Clients(settings, terms, members, clock, owner.hand_in, owner.withdraw, most, at)
+    return Parts(ledger, owner, platform, directory, owner.courier, owner.ends, [front], terms)
--- a/ryestack/lifecycle/config.py
+++ b/ryestack/lifecycle/config.py
@@ -6,7 +6,7 @@
 
 from .. import interface as it
 from ..operator.schema import Operator
-from ..settings import BadSettings, MixedShapes, check_shape, read_settings
+from ..settings import BadSettings, MixedShapes, check_shape, lacking, read_settings
 from ..wire.members import UNREADABLE, BadList, read_list
 
 
@@ -32,14 +32,22 @@
     known: dict
     settings: it.Settings
     operator: Operator
+    told: dict  # the file as it came, less the list
 
 
-def load(environ=os.environ, operator=None, flags=None, chosen: Operator | None = None) -> Config:
+def load(
+    environ=os.environ,
+    operator=None,
+    flags=None,
+    chosen: Operator | None = None,
+    before: Config | None = None,
+) -> Config:
     """The platform's configuration and the operator's choices beside it; raises BadConfig, a line a fault.
 
-    operator: the operator file; flags: dotted key to text; chosen: choices that stand already.
+    operator: the operator file; flags: dotted key to text; chosen: choices that stand already; before: what
+    holds: its choices stand, and no key that it was told may be missing now.
     """
-    chosen = chosen or _choose(environ, operator, flags)
+    chosen = before.operator if before else chosen or _choose(environ, operator, flags)
     path, state = environ.get("LB_CONFIG"), environ.get("LB_STATE")
     if not path or not state:
         raise BadConfig("LB_CONFIG must name the configuration, LB_STATE a folder that lasts")
@@ -52,6 +60,8 @@
         raise BadConfig(f"{path}: {problem.strerror}") from None
     except (ValueError, RecursionError) as problem:
         raise BadConfig(f"{path}: not JSON: {problem}") from None
+    if before and (key := lacking(told, before.told)):
+        raise BadConfig(f"{path}: {key} is missing")
     try:
         return read(told, state, chosen, environ.get("LB_OPS"))
     except MixedShapes as problem:
@@ -114,4 +124,5 @@
         known=known,
         settings=settings,
         operator=chosen,
+        told={**told, "known": {}},
     )
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -12,7 +12,7 @@
 from ..interface import Result
 from ..observe.log import event
 from ..ports import Courier, Ends, HandIn, Item, Verdict
-from ..store.ledger import Ledger, Owed
+from ..store.ledger import Ledger, Owed, rules_of, terms_of
 from .watched import Watched
 
 
@@ -38,6 +38,11 @@
     def hand_in(self, message: HandIn) -> None:
         self.put([message])
 
+    def retune(self, settings: it.Settings) -> None:
+        """Between rounds; the module hears of it before all that comes after."""
+        self.settings = settings
+        self.put([it.Retuned(settings)])
+
     def withdraw(self, name: str) -> None:
         self.put([it.Withdrawn(name)])
 
@@ -127,7 +132,10 @@
     def take(self, message: HandIn) -> None:
         n = message.ntf
         due = n.due + self.wall
-        owed = Owed(n.id, due, n.destination, n.topic_type, n.customer, n.key, message.key, message.body)
+        rules = rules_of(n.terms, n.most) if n.terms else None
+        owed = Owed(
+            n.id, due, n.destination, n.topic_type, n.customer, n.key, message.key, message.body, rules
+        )
         if self.ledger.take(owed):
             self.counts["taken"] += 1
             self.ledger.owed[n.id].heard = message.heard
@@ -167,16 +175,16 @@
         """Hand what the lives before still owe to the module, with its history; it decides."""
         topics, known = {t.name for t in self.settings.topic_types}, []
         for o in list(self.ledger.owed.values()):
-            if not o.notice and o.topic not in topics:
+            terms, most = terms_of(o.topic, o.rules)
+            if not o.notice and not terms and o.topic not in topics:
                 self.ledger.owe_notice(o.id, {"state": "failed"})
             if o.notice:
                 self.ends.add(o.id, o.notice)
             else:
                 maybe = o.first_maybe() - self.wall
                 due = o.due - self.wall
-                known.append(
-                    it.Notification(o.id, due, o.dest, o.topic, o.customer, o.order_key, o.pushes, maybe)
-                )
+                head = o.id, due, o.dest, o.topic, o.customer, o.order_key
+                known.append(it.Notification(*head, o.pushes, maybe, terms, most))
         event("relay.recovered", owed=len(known), notices=len(self.ledger.owed) - len(known))
         self.round([update, *known])
 
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -5,7 +5,7 @@
 import signal
 import time
 from collections import Counter
-from dataclasses import fields
+from dataclasses import fields, replace
 from functools import partial
 
 from .. import interface as it
@@ -54,7 +54,7 @@
         self.parts = assemble(config, self.clock, wall)
         self.ledger, self.owner = self.parts.ledger, self.parts.owner
         self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
-        self.reread_asked = asyncio.Event()
+        self.reread_asked = asyncio.Semaphore(0)
         self.loads = Counter()
         self.staff, self.sending_away = None, None
 
@@ -68,7 +68,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop_asked.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reread_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reread_asked.release)
         await self.happen("begun")
         await self.happen("recovered")
         await self.until(self.stop_asked.wait())
@@ -201,15 +201,14 @@
 
     async def rereads(self) -> None:
         while True:
-            await self.reread_asked.wait()
-            self.reread_asked.clear()
+            await self.reread_asked.acquire()  # a signal each, also where several come together
             if (self.phase, "told to reread") in PHASES:  # else it ends, and has nothing more to learn
                 await self.happen("told to reread")
 
     async def reread(self) -> None:
-        """Only the platform's address may change in a life; what is owed and who is connected stays."""
+        """The platform's address and the settings may change in a life, the whole file or nothing of it."""
         try:
-            told = load(chosen=self.config.operator)
+            told = load(before=self.config)
         except BadConfig as bad:
             self.loads["turned down"] += 1
             event("config.kept", why=str(bad))
@@ -217,7 +216,15 @@
         self.loads["taken"] += 1
         if self.parts.platform.move(told.discovery):
             event("platform.moved", address=told.discovery)
-        same = {f.name for f in fields(Config)} - {"discovery", "known", "seed"}
+        if told.settings != self.config.settings:
+            self.parts.terms.change(told.settings, self.clock())
+            self.owner.retune(told.settings)
+            for part in (self.parts.courier, *self.parts.fronts):
+                part.retune(told.settings)
+            event("settings.changed", topics=",".join(t.name for t in told.settings.topic_types))
+        now_held = {"discovery": told.discovery, "settings": told.settings, "told": told.told}
+        self.config = replace(self.config, **now_held)
+        same = {f.name for f in fields(Config)} - {"known", "seed"}
         if later := sorted(name for name in same if getattr(told, name) != getattr(self.config, name)):
             event("config.later", keys=",".join(later))
 
--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -144,6 +144,12 @@
         "what the lives before left: so many go on by their history, so many ends are told again",
         "a high number after each start: look why it is killed",
     ),
+    (
+        "settings.changed",
+        "INFO",
+        "topics",
+        "a reread file holds from here on; open notifications keep the rules they were taken under",
+    ),
     (
         "relay.summary",
         "INFO",
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -78,6 +78,9 @@
     def resume(self) -> None:
         """Serve again, as before it was left or emptied."""
 
+    def retune(self, settings: it.Settings) -> None:
+        """Other settings hold from now on."""
+
     def shut(self) -> None:
         """Take no more; answers under way go on."""
 
@@ -99,6 +102,9 @@
 
     written: int  # messages whose call went out whole
 
+    def retune(self, settings: it.Settings) -> None:
+        """Other settings hold for calls from now on."""
+
     def out(self) -> int:
         """Pushes without an outcome."""
 
--- a/ryestack/settings.py
+++ b/ryestack/settings.py
@@ -29,6 +29,11 @@
             raise BadSettings(f"{where}.{key} is missing or has the wrong type")
         return value
 
+    def above_0(value, key):
+        if value <= 0:
+            raise BadSettings(f"{key} must be above 0")
+        return value
+
     allowed, rules = need(options, "allowed", dict), need(options, "rules", dict)
     specifics = need(options, "specifics", dict)
     kinds = need(options, "kinds", list)
@@ -50,7 +55,7 @@
             name=need(row, "name", str, "grades[]"),
             effect=EFFECTS[effect],
             objective=span(row, "targetMs", "grades[]"),
-            ttl=span(row, "deadlineMs", "grades[]"),
+            ttl=above_0(span(row, "deadlineMs", "grades[]"), "grades[].deadlineMs"),
             benefit=number(row, "credit", "grades[]", 1.0),
             late_share=number(row, "lateShare", "grades[]", 0.0),
             group=row.get("group") or "all",
@@ -82,7 +87,7 @@
         late=it.Late.HALVES if specifics.get("late") == "halves" else it.Late.LINE,
         told_rates=options.get("weights") in ("nominal", "rough"),
         rough_rates=options.get("weights") == "rough",
-        max_pushes=need(allowed, "maxAttempts", int, "allowed"),
+        max_pushes=above_0(need(allowed, "maxAttempts", int, "allowed"), "allowed.maxAttempts"),
         may_cancel=allowed.get("mayCancel") is True,
         max_come_back=span(allowed, "maxRetryAfterMs", "allowed", 0.0) if allowed.get("retryAfter") else 0.0,
         asks_for_list=options.get("discovery") == "ask",
@@ -92,6 +97,28 @@
     )
 
 
+def lacking(new, old, where: str = "") -> str:
+    """The first key that old has and new lacks, "" if none; in rows of a list, one that all alike have."""
+    if isinstance(old, dict):
+        for key, value in old.items():
+            at = f"{where}.{key}" if where else key
+            if value is not None and (not isinstance(new, dict) or new.get(key) is None):
+                return at
+            if deeper := lacking(new.get(key), value, at):
+                return deeper
+    elif (
+        isinstance(old, list) and isinstance(new, list) and all(isinstance(row, dict) for row in [*old, *new])
+    ):
+        for row in new:
+            alike = [o for o in old if o.get("effect") == row.get("effect")] or old
+            common = [key for key in (alike[0] if alike else ()) if all(key in o for o in alike)]
+            if gone := [
+                key for key in common if row.get(key) is None and all(o[key] is not None for o in alike)
+            ]:
+                return f"{where}[].{gone[0]}"
+    return ""
+
+
 def check_shape(options: dict) -> None:
     """Refuses settings that mix two shapes of deployment: each would be read, and one passed over unseen."""
 
--- a/ryestack/store/inspect.py
+++ b/ryestack/store/inspect.py
@@ -90,6 +90,7 @@
         o.order_key,
         "",
         b"",
+        o.rules,
         o.pushes,
         o.maybe_at,
         dict(o.open),
--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -8,11 +8,13 @@
 from dataclasses import dataclass, field
 from math import inf
 
+from .. import interface as it
 from ..observe.log import event
 from .journal import FRAME, Journal
 
 LIVE_PART = 0.4  # of the allowance for what is owed: an old and a new file stand side by side at a rewrite
 DEAD, SMALL = 4, 100_000  # past so many times what is owed and so many bytes a file is slow to read
+UNUSED = 32  # terms that no message has any more: past so many a start leaves them out
 LONG_AGO = 0.0  # of the wall clock: past every window
 HISTORY = 256  # bytes kept for a message's pushes in a rewritten file
 
@@ -29,6 +31,7 @@
     order_key: str
     key: str
     body: bytes
+    rules: list | None = None  # the terms it was taken under, as rules_of gives them
     pushes: int = 0
     maybe_at: float = inf  # when the first push went that may have run
     open: dict[int, float] = field(default_factory=dict)  # pushes without an outcome, and when they went
@@ -43,6 +46,7 @@
 class Ledger:
     def __init__(self, journal: Journal):
         self.journal, self.owed, self.live, self.well = journal, {}, 0, True
+        self.rules: list[list] = []  # those that the file names so far, by number
 
     def recover(self) -> None:
         """Read what the lives before have left; a record that makes no sense is passed over."""
@@ -52,9 +56,13 @@
                 self.apply(payload)
             except (ValueError, KeyError, TypeError, IndexError):
                 bad += 1
+        used = [rules for rules in self.rules if any(o.rules == rules for o in self.owed.values())]
+        if unused := len(self.rules) - len(used) > UNUSED:
+            self.rules = used
         if self.journal.damaged:  # pushes may have been written behind it: all that came before is in doubt
             for owed in self.owed.values():
                 owed.maybe_at = min(owed.maybe_at, LONG_AGO)
+        if self.journal.damaged or unused:
             try:
                 self.rewrite()
             except OSError as problem:
@@ -69,7 +77,11 @@
         return self.live + len(body) + 2 * HISTORY <= self.journal.most * LIVE_PART
 
     def take(self, owed: Owed) -> bool:
-        return self.has_room(owed.body) and self.write(self.taken(owed))
+        if not self.has_room(owed.body):
+            return False
+        if owed.rules and owed.rules not in self.rules and not self.write(record("rules", "", owed.rules)):
+            return False
+        return self.write(self.taken(owed))
 
     def push(self, name: str, push: int, at: float) -> bool:
         return self.write(record("push", name, push, at))
@@ -108,15 +120,16 @@
         return True
 
     def rewrite(self) -> None:
-        self.journal.rewrite([p for owed in self.owed.values() for p in self.summary(owed)])
+        named = [record("rules", "", each) for each in self.rules]
+        self.journal.rewrite([*named, *(p for owed in self.owed.values() for p in self.summary(owed))])
 
     # -- records ----------------------------------------------------------------------------------
 
-    @staticmethod
-    def taken(o: Owed) -> bytes:
+    def taken(self, o: Owed) -> bytes:
         maybe = None if o.maybe_at == inf else o.maybe_at
         before = o.pushes - len(o.open)
-        head = [o.id, o.due, o.dest, o.topic, o.customer, o.order_key, o.key, before, maybe]
+        rules = self.rules.index(o.rules) if o.rules else None
+        head = [o.id, o.due, o.dest, o.topic, o.customer, o.order_key, o.key, before, maybe, rules]
         return record("taken", *head, body=o.body)
 
     def summary(self, o: Owed) -> list[bytes]:
@@ -129,12 +142,17 @@
         self.APPLY[kind](self, name, rest, body)
 
     def on_taken(self, name: str, rest: list, body: bytes) -> None:
-        due, dest, topic, customer, order_key, key, pushes, maybe = rest
+        due, dest, topic, customer, order_key, key, pushes, maybe, *rules = rest  # none in an older file
+        rules = self.rules[rules[0]] if rules and rules[0] is not None else None
         maybe = inf if maybe is None else maybe
-        owed = Owed(name, due, dest, topic, customer, order_key, key, body, pushes, maybe)
+        owed = Owed(name, due, dest, topic, customer, order_key, key, body, rules, pushes, maybe)
         self.owed[name] = owed
         self.resize(owed, len(body) + 2 * HISTORY)
 
+    def on_rules(self, _: str, rest: list, __: bytes) -> None:
+        terms_of("", rest[0])  # what cannot be read is no rule
+        self.rules.append(rest[0])
+
     def on_push(self, name: str, rest: list, _: bytes) -> None:
         owed = self.owed[name]
         owed.open[rest[0]] = rest[1]
@@ -159,6 +177,7 @@
         owed.size = size
 
     APPLY = {
+        "rules": on_rules,
         "taken": on_taken,
         "push": on_push,
         "outcome": on_outcome,
@@ -167,5 +186,18 @@
     }
 
 
+def rules_of(t: it.TopicType, most: int) -> list:
+    """The terms of a notification as the journal writes them."""
+    span = [t.objective, t.ttl, t.benefit, t.late_share, t.group, t.window, t.keep_order]
+    return [t.effect.value, *span, most]
+
+
+def terms_of(name: str, rules: list | None) -> tuple[it.TopicType | None, int]:
+    if rules is None:
+        return None, 0
+    effect, *span, most = rules
+    return it.TopicType(name, it.Effect(effect), *span), most
+
+
 def record(*values, body: bytes = b"") -> bytes:
     return json.dumps(values, separators=(",", ":")).encode() + b"\n" + body
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -44,7 +44,7 @@
         self.running: dict[tuple[str, int], asyncio.Task] = {}
         self.written = 0  # messages whose call went out whole
         self.kept: dict[Reply, None] = {}  # all connections to endpoints, the oldest first
-        self.batch = {k.name: k.batch for k in settings.kinds}
+        self.retune(settings)
         idle = settings.connection_idle * IDLE_PART
         connector = aiohttp.TCPConnector(
             limit=0,
@@ -56,12 +56,15 @@
             connector=connector,
             max_line_size=MOST_HEAD,
             max_field_size=MOST_HEAD,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=settings.connect_timeout or None),
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
             auto_decompress=False,
         )
 
+    def retune(self, settings: it.Settings) -> None:
+        self.batch = {k.name: k.batch for k in settings.kinds}
+        self.limits = aiohttp.ClientTimeout(total=None, sock_connect=settings.connect_timeout or None)
+
     def start(self, endpoint: str, items: list[Item]) -> None:
         """Send the messages of one turn, as many in a call as that kind of endpoint takes."""
         most = self.batch.get(self.members.kind(endpoint), 1)
@@ -167,7 +170,13 @@
             if items[0].key:
                 headers["Idempotency-Key"] = items[0].key
         # The name keeps connections apart by endpoint: another at the same address gets none of them.
-        more = {"data": body, "headers": headers, "allow_redirects": False, "server_hostname": endpoint}
+        more = {
+            "data": body,
+            "headers": headers,
+            "timeout": self.limits,
+            "allow_redirects": False,
+            "server_hostname": endpoint,
+        }
         async with self.session.post(url, **more) as answer:
             told = forms.report(answer.headers.get("X-Load"))
             wait, limit = _milliseconds(answer.headers.get("X-Retry-In-Ms")), (limit_of(told), left_of(told))
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -89,9 +89,11 @@
 
     protocol = "http"
 
-    def __init__(self, settings: it.Settings, members, clock, hand_in, withdraw, most: int, at=("", 0)):
-        self.topics = {t.name: t for t in settings.topic_types}
-        self.customers = {c.name for c in settings.customers}
+    def __init__(
+        self, settings: it.Settings, terms, members, clock, hand_in, withdraw, most: int, at=("", 0)
+    ):
+        self.terms = terms  # of(topic type, now) -> its terms and number of pushes, or None
+        self.retune(settings)
         self.members, self.clock, self.hand_in, self.withdraw = members, clock, hand_in, withdraw
         self.most, self.ready, self.last_answers, self.busy, self.unread = most, False, False, 0, 0
         self.listener, self.at, self.emptied = None, at, False
@@ -112,6 +114,9 @@
         host, port = self.listener.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
 
+    def retune(self, settings: it.Settings) -> None:
+        self.customers = {c.name for c in settings.customers}
+
     def leave(self) -> None:
         self.ready, self.last_answers = False, True
 
@@ -228,7 +233,7 @@
 
     def read(self, headers, now: float) -> tuple[it.Notification, str]:
         name = forms.token(headers.get("X-Request-Id", ""), "X-Request-Id")
-        topic = self.topics.get(headers.get("X-Class", ""))
+        topic, most = self.terms.of(headers.get("X-Class", ""), now)
         if topic is None:
             raise forms.BadForm("X-Class names no topic type")
         customer = headers.get("X-Tenant", "")
@@ -244,7 +249,8 @@
         order_key = headers.get("X-Key", "")
         if order_key:
             forms.token(order_key, "X-Key")
-        return it.Notification(name, due, dest, topic.name, customer, order_key), key
+        n = it.Notification(name, due, dest, topic.name, customer, order_key, terms=topic, most=most)
+        return n, key
 
     def answer(self, status: int, text: str, last: bool = False, **headers: str) -> web.Response:
         answer = web.Response(status=status, text=text and text + "\n", headers=headers)
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,148 @@
+"""New settings at SIGHUP: whole or not at all; open notifications keep the rules they were taken under."""
+
+import asyncio
+import json
+import signal
+import unittest
+from dataclasses import replace
+
+from ryestack import interface as it
+from ryestack.interface import Effect, Result
+from ryestack.lifecycle.config import BadConfig, load
+from ryestack.lifecycle.terms import GRACE, Terms, stricter
+from ryestack.settings import lacking
+from ryestack.wire.server import MALFORMED, TAKEN
+
+from .helpers import TOPICS, brain, config, end, kinds, pushes, settings, take
+from .test_lifecycle import Folder, OwnerTask
+from .test_staff import Staffed
+
+AGAIN, MERGE, ONCE, _ = TOPICS
+
+
+def tuned(*topics, **more):
+    return replace(settings(**more), topic_types=topics)
+
+
+class Rules(unittest.TestCase):
+    def test_a_dropped_name_is_taken_for_a_while_under_its_old_rules(self):
+        terms = Terms(tuned(AGAIN))
+        terms.change(tuned(MERGE), 10.0)
+        self.assertEqual((terms.of("again", 10.1)[0], terms.of("merge", 10.1)[0]), (AGAIN, MERGE))
+        self.assertIsNone(terms.of("again", 10.0 + GRACE)[0])
+        self.assertIsNone(terms.of("never", 10.1)[0])
+
+    def test_while_either_may_be_meant_the_stricter_holds(self):
+        for new, old in ((Effect.REPEATABLE, Effect.ONCE_ONLY), (Effect.ONCE_ONLY, Effect.REPEATABLE)):
+            terms = Terms(tuned(replace(ONCE, effect=old), max_pushes=3))
+            terms.change(tuned(replace(ONCE, effect=new), max_pushes=6), 10.0)
+            for now, effect, most in ((11.0, Effect.ONCE_ONLY, 3), (12.0, new, 6)):
+                topic, pushes_left = terms.of("once", now)
+                self.assertEqual((topic.effect, pushes_left), (effect, most))
+        narrow = replace(MERGE, group="zone", window=4.0)
+        self.assertEqual((stricter(MERGE, narrow).group, stricter(narrow, MERGE).window), ("zone", 4.0))
+        self.assertEqual(stricter(AGAIN, narrow).window, 4.0)
+
+    def test_a_second_change_forgets_nothing_that_may_still_be_meant(self):
+        terms = Terms(tuned(ONCE))
+        terms.change(tuned(replace(ONCE, effect=Effect.REPEATABLE)), 10.0)
+        terms.change(tuned(AGAIN), 11.0)
+        self.assertEqual(terms.of("once", 11.5)[0].effect, Effect.ONCE_ONLY)
+
+    def test_the_module_keeps_what_a_notification_came_with(self):
+        b = brain()
+        b.round(1.0, [take("n", "once"), take("m", "again")])
+        changed = tuned(replace(ONCE, effect=Effect.REPEATABLE), AGAIN, max_pushes=1, slots=20)
+        fails = [end("n", "a", Result.BROKEN), end("m", "a", Result.ERROR)]
+        acts = b.round(1.1, [it.Retuned(changed), *fails])
+        self.assertEqual((kinds(acts, it.Expire), pushes(acts)), (["n"], [("m", "b")]))
+        acts = b.round(1.2, [take("o", "once")]) + b.round(1.3, [end("o", "b", Result.ERROR)])
+        self.assertEqual(kinds(acts, it.Throttle), ["o"])  # one push is all that it may have now
+        self.assertEqual(b.slots + len({id(call) for call, _ in b.out.values()}), 20)
+
+
+class Whole(Folder, unittest.TestCase):
+    def test_what_is_missing_is_named(self):
+        old = {"a": {"b": 1, "c": None}, "rows": [{"effect": "x", "k": 1, "w": 2}, {"effect": "y", "k": 1}]}
+        self.assertEqual(lacking(old, old), "")
+        for new, key in (
+            ({"rows": old["rows"]}, "a"), ({"a": {}, "rows": []}, "a.b"),
+            ({"a": {"b": 2}, "rows": [{"effect": "y"}]}, "rows[].k"),
+            ({"a": {"b": 2}, "rows": [{"effect": "x", "k": 3}]}, "rows[].w"),
+            ({"a": {"b": 2}, "rows": [{"effect": "y", "k": 3}]}, ""),
+        ):
+            self.assertEqual(lacking(new, old), key)
+
+    def test_no_number_above_0_is_refused_at_a_start_too(self):
+        row = {"name": "n", "effect": "safe", "targetMs": 1.0, "deadlineMs": 2.0}
+        for bad in (0, -1, "9", None, True, [1], float("nan"), float("inf")):
+            for change, key in (({"grades": [{**row, "deadlineMs": bad}]}, "deadlineMs"),
+                                ({"allowed": {"maxAttempts": bad, "maxOpen": 1}}, "maxAttempts")):
+                path = config(self.folder, "127.0.0.1:1", change=change)
+                with self.assertRaisesRegex(BadConfig, key):
+                    load({"LB_CONFIG": path, "LB_STATE": self.folder})
+
+
+class Kept(OwnerTask):
+    """OwnerTask's tests run here once more, with notifications that bring their terms."""
+
+    def hand_in(self, name, topic="again", due=30.0, body=b"x"):
+        message = super().hand_in(name, topic, due, body)
+        terms = {t.name: t for t in TOPICS}[topic]
+        message.ntf = replace(message.ntf, terms=terms, most=6)
+        return message
+
+    async def test_a_restart_after_a_change_goes_by_the_old_rules(self):
+        o = self.owner()
+        o.round([self.hand_in("n", "once"), self.hand_in("m", "merge")])
+        changed = tuned(replace(ONCE, effect=Effect.REPEATABLE))
+        self.now += 1.0
+        made = self.owner()
+        made.retune(changed)
+        made.recover(self.listed)
+        self.now += 0.1
+        made.round([*made.take_queue(), it.Woken()])
+        self.assertEqual((self.told, self.sent), ([("n", {"state": "failed"})], [("m", 1)]))
+        made.ledger.rewrite()
+        again = self.owner().ledger.owed["m"].rules
+        self.assertEqual(again, ["collapsible", 2.0, 20.0, 1.0, 0.0, "all", 6.0, False, 6])
+
+
+class Signal(Staffed, unittest.IsolatedAsyncioTestCase):
+    """The running program."""
+
+    async def hup(self, taken, turned_down):
+        self.process.send_signal(signal.SIGHUP)
+        await self.until(("lb_loads_total", ()), taken)
+        await self.until(("lb_load_errors_total", ()), turned_down)
+
+    async def test_a_bad_file_changes_nothing_and_a_good_one_all(self):
+        path = f"{self.folder}/config.json"
+        with open(path) as file:
+            good = file.read()
+        told = json.loads(good)
+        told["settings"]["grades"][0]["name"] = "fresh"
+        lacks = json.loads(good)
+        del lacks["settings"]["grades"][0]["windowMs"]
+        turned_down = 0
+        for bad in ("", good[:200], json.dumps(lacks), json.dumps({**told, "ops": None})):
+            with open(path, "w") as file:
+                file.write(bad)
+            turned_down += 1
+            await self.hup(0, turned_down)
+        self.assertEqual(await self.ask("POST", "/api"), TAKEN)
+        self.assertEqual(await self.ask("POST", "/api", **{"X-Class": "fresh"}), MALFORMED)
+        with open(path, "w") as file:
+            json.dump(told, file)
+        await self.hup(1, turned_down)
+        self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "m", "X-Class": "fresh"}), TAKEN)
+        self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "o"}), TAKEN)  # told as before
+        await asyncio.sleep(GRACE)
+        self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "p"}), MALFORMED)
+
+
+del OwnerTask  # else it runs from here again
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -63,7 +63,7 @@
             self.assertEqual(PHASES[phase, "asked to stop"][0], "leaving")
 
 
-class Address(Program, unittest.IsolatedAsyncioTestCase):
+class Staffed(Program):
     async def asyncSetUp(self):
         probe = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
         self.ops = f"127.0.0.1:{probe.sockets[0].getsockname()[1]}"
@@ -102,6 +102,8 @@
             await asyncio.sleep(0.02)
         self.fail(f"{name} is {told[name]}, not {value}")
 
+
+class Address(Staffed, unittest.IsolatedAsyncioTestCase):
     async def test_figures_are_what_peers_saw(self):
         self.assertEqual(await self.ask("POST", "/api"), TAKEN)
         told = await self.until(handled("again", "passed"), 1)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from ryestack.interface import Listed, Result
+from ryestack.lifecycle.terms import Terms
 from ryestack.ports import Item, Verdict
 from ryestack.wire import forms
 from ryestack.wire.calls import Calls
@@ -195,7 +196,8 @@
     async def asyncSetUp(self):
         self.got, self.gone, self.verdict = [], [], (Verdict.TAKEN, 0.0)
         clock = asyncio.get_running_loop().time
-        self.clients = Clients(settings(), members(), clock, self.take, self.gone.append, 50)
+        terms = Terms(settings())
+        self.clients = Clients(settings(), terms, members(), clock, self.take, self.gone.append, 50)
         await self.clients.listen("127.0.0.1", 0)
         self.clients.ready = True
         host, port = self.clients.listener.sockets[0].getsockname()
