A repeat begins within its window; a second process takes over without a client turned away

A probe in the courier of pushes written over 0.03 s after their decision: 39 repeats, all 1.001 s late: first packets lost in the outage come again after a second. Lines at fault: Brain.repeats looked at the clock at the decision only, Calls.run let a connection that came up later carry the call. Now Push.begin bounds it.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -521,7 +521,8 @@
         if call.left < len(call.items):
             return
         call.late, call.route.calls = True, call.route.calls - 1  # it takes no room: its like may never end
-        self.late[call] = None
+        if call.items[0][0].state != "afar":
+            self.late[call] = None
         if call.route.good_at <= call.sent:  # else younger ones came back: it is heavy, or its answer lost
             self.sick(call, None)
 
@@ -548,7 +549,10 @@
         if ntf.topic.effect is not Effect.COLLAPSIBLE:
             return ntf.topic.effect is AGAIN
         drops = ntf.topic.group == "all" or (ntf.topic.group == "zone" and zone == ntf.maybe_zone != "")
-        return drops and self.now < ntf.maybe_at + ntf.topic.window - 0.05  # a little early
+        return drops and self.now < self.last_begin(ntf)
+
+    def last_begin(self, ntf):  # a push that connects late must not begin past it; a little early
+        return ntf.maybe_at + (inf if ntf.topic.effect is AGAIN else ntf.topic.window - 0.05)
 
     def may_push(self, ntf, route):
         if ntf.state != "parked" or ntf.out or self.now >= ntf.due or ntf.pushes >= ntf.most:
@@ -636,7 +640,15 @@
             later = later and route.dest.credit >= 1.0 - 1e-6
         return later and self.suits(route, ntf) and self.may_push(ntf, route) and not self.shuns(route, ntf)
 
-    def push(self, ntf, route):
+    def on_overheard(self, e):
+        route = self.routes.get(e.endpoint)
+        for name, push, topic in e.items if route else ():
+            ntf = Ntf(it.Notification(name, inf, 0, ""), route.dest, topic, 0.0, 1)
+            ntf.state, ntf.out = "afar", 1
+            self.start(ntf, route, push)
+        self.travel.pop(e.endpoint, None)  # nothing of ours can join it
+
+    def start(self, ntf, route, push):
         call = self.joins(route)
         times = route.dest.times.quantile(0.9)
         alone = route.dest.kind.apart or route.pacer.cold is None
@@ -648,14 +660,19 @@
             few = min(0.5, 2.0 / self.set.slots**2)  # it holds that much more of our slots
             least = min(self.OVERDUE_LEAST - few, self.OVERDUE_ALL * self.times.quantile(0.9))
             self.at(self.now + max(least, (self.OVERDUE - few) * times), Brain.overdue, call)
-        call.items, call.left = [*call.items, (ntf, ntf.pushes)], call.left + 1
-        self.out[ntf.id, ntf.pushes] = call, ntf
+        call.items, call.left = [*call.items, (ntf, push)], call.left + 1
+        self.out[ntf.id, push] = call, ntf
+
+    def push(self, ntf, route):
+        self.start(ntf, route, ntf.pushes)
         ntf.out, ntf.pushes = ntf.out + 1, ntf.pushes + 1
         ntf.dest.parked.pop(ntf.id, None)
         ntf.dest.credit -= ntf.refused
         self.step(ntf, "pushed")
-        longest = inf if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, self.TIMEOUT * times)
-        self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest)))
+        times = self.TIMEOUT * route.dest.times.quantile(0.9)
+        longest = inf if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, times)
+        begin = self.last_begin(ntf) - self.now
+        self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest), begin))
 
     def hang_up(self):
         """An idle connection fills a place that others lack, where endpoints take few."""
@@ -683,5 +700,6 @@
         it.Withdrawn: on_withdrawn,
         it.Woken: lambda self, event: None,
         it.Retuned: on_retuned,
+        it.Overheard: on_overheard,
         it.Leaving: lambda self, event: setattr(self, "leaves", event.until),
     }
--- a/ryestack/cli/journal.py
+++ b/ryestack/cli/journal.py
@@ -12,7 +12,7 @@
 Folder = Annotated[str, typer.Argument(help="The folder that lasts, of a live or a dead relay.")]
 
 
-def _found(folder: str) -> Found:
+def _found(folder: str) -> list[Found]:
     try:
         return inspect(folder)
     except NoJournal as bad:
@@ -52,12 +52,12 @@
 def show(folder: Folder, as_json: Json = False) -> None:
     """What is owed, to whom, and what may have run; read-only. Keys and bodies are never shown."""
     found, now = _found(folder), time.time()
-    rows = [{**row(o, now), "behind_damage": False} for o in found.owed.values()]
-    rows += [{**row(o, now), "behind_damage": True} for o in found.behind.values()]
+    rows = [{**row(o, now), "behind_damage": False} for f in found for o in f.owed.values()]
+    rows += [{**row(o, now), "behind_damage": True} for f in found for o in f.behind.values()]
     if as_json:
-        print_json({**_state(found), "notifications": rows})
+        print_json({**_state(found[0]), "beside": [_state(f) for f in found[1:]], "notifications": rows})
         return
-    for line in _lines(found):
+    for line in [line for f in found for line in _lines(f)]:
         console().print(line, markup=False, soft_wrap=True)
     columns = [
         "id",
@@ -92,9 +92,10 @@
 def verify(folder: Folder, as_json: Json = False) -> None:
     """Whether the file is sound; status 1 where more is wrong than a kill within a write explains."""
     found = _found(folder)
+    sound = all(f.sound() for f in found)
     if as_json:
-        print_json(_state(found))
+        print_json({**_state(found[0]), "beside": [_state(f) for f in found[1:]]})
     else:
-        for line in [*_lines(found), "sound" if found.sound() else "NOT sound"]:
+        for line in [*(line for f in found for line in _lines(f)), "sound" if sound else "NOT sound"]:
             console().print(line, markup=False, soft_wrap=True)
-    raise typer.Exit(0 if found.sound() else FOUND)
+    raise typer.Exit(0 if sound else FOUND)
--- a/ryestack/interface.py
+++ b/ryestack/interface.py
@@ -175,6 +175,17 @@
     left: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class Overheard:
+    """A call that another process of this relay began: it counts as ours, and its outcomes come as ours do.
+
+    items: id, push and topic type of each notification in it.
+    """
+
+    endpoint: str
+    items: tuple[tuple[str, int, TopicType], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Withdrawn:
     """The client has taken the notification back."""
@@ -203,11 +214,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Push:
-    """Send the notification to the endpoint; timeout in seconds."""
+    """Send the notification to the endpoint; timeout in seconds, begin: the same for its first byte."""
 
     id: str
     endpoint: str
     timeout: float
+    begin: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,5 +264,5 @@
     """Ask the registry for changes from now on, the whole list first if this relay is behind."""
 
 
-Event = ListUpdate | Notification | Outcome | Withdrawn | Woken | Leaving | Retuned
+Event = ListUpdate | Notification | Outcome | Withdrawn | Woken | Leaving | Retuned | Overheard
 Action = Push | Cancel | HangUp | Throttle | Expire | Wake | AskForList
--- /dev/null
+++ b/ryestack/lifecycle/learnt.py
@@ -0,0 +1,66 @@
+"""What a module has learnt, as plain values, for the process after it to begin with. Pure; decides nothing.
+
+Times are of the machine's monotonic clock, which both processes of an upgrade read.
+"""
+
+from ..brain import Brain, Dest, Flow, Pacer, Route, Tally, Times
+
+KEPT = {
+    Route: "state until silent mute good_at lanes",
+    Pacer: "told rough tokens at back refusals hungry bad_since cold wait_until",
+    Flow: "sum at",
+    Tally: "row good bad at",
+    Dest: "usual seen hungry credit credit_at",
+    Times: "bins count",
+}
+
+
+def told(brain: Brain) -> dict:
+    return {
+        "routes": {r.id: [_facts(part) for part in _of_route(r)] for r in brain.routes.values()},
+        "dests": {str(n): [_facts(part) for part in _of_dest(d)] for n, d in brain.dests.items()},
+        "short": brain.short,
+        "times": _facts(brain.times),
+    }
+
+
+def take(brain: Brain, learnt: dict) -> None:
+    """Into a module that knows the list already; what it does not know is passed over."""
+    for name, parts in learnt.get("routes", {}).items():
+        if route := brain.routes.get(name):
+            drains = route.state == "draining"
+            _learn(_of_route(route), parts)
+            route.state = "draining" if drains else route.state
+            if route.state == "open":
+                brain.at(route.until, Brain.route_due, route)
+    for number, parts in learnt.get("dests", {}).items():
+        if (dest := brain.dests.get(int(number))) is not None:
+            _learn(_of_dest(dest), parts)
+    brain.short = dict(learnt.get("short", {}))
+    _learn([brain.times], [learnt.get("times", {})])
+
+
+def careful(brain: Brain) -> None:
+    """Nothing could be told: every partner may be one that is just back from an outage."""
+    for route in brain.routes.values():
+        route.pacer.cold = brain.now
+
+
+def _of_route(r: Route) -> list:
+    return [r, r.tally, r.pacer, r.pacer.taken]
+
+
+def _of_dest(d: Dest) -> list:
+    return [d, d.tally, d.times]
+
+
+def _facts(thing) -> dict:
+    return {name: getattr(thing, name) for name in KEPT[type(thing)].split()}
+
+
+def _learn(things: list, parts: list[dict]) -> None:
+    for thing, facts in zip(things, parts, strict=True):
+        known = KEPT[type(thing)].split()
+        vars(thing).update({name: value for name, value in facts.items() if name in known})
+        if isinstance(thing, Times):
+            thing.found = {}
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import Counter, defaultdict
+from dataclasses import dataclass
 
 from .. import interface as it
 from ..brain import NEVER_RAN
@@ -13,9 +14,20 @@
 from ..observe.log import event
 from ..ports import Courier, Ends, HandIn, Item, Verdict
 from ..store.ledger import Ledger, Owed, rules_of, terms_of
+from . import learnt
 from .watched import Watched
 
 
+@dataclass(frozen=True, slots=True)
+class Afar:
+    """How a push of another process of this relay ended."""
+
+    outcome: it.Outcome
+
+
+TOLD = ("elapsed", "ended", "wait", "limit", "stale", "left")  # of an outcome, in words between processes
+
+
 class Owner:
     def __init__(self, settings: it.Settings, seed: int, ledger: Ledger, clock, wall: float):
         self.settings, self.ledger, self.clock = settings, ledger, clock
@@ -28,6 +40,8 @@
         self.counts = Counter()
         self.ended: Counter[tuple[str, str]] = Counter()  # by topic type and how it ended
         self.fresh: dict[str, HandIn] = {}
+        self.kin = []  # lines to the other processes of this relay: each hears of our calls
+        self.afar: dict[tuple[str, int], tuple[object, str]] = {}  # their pushes: whose, and where
 
     # -- the queue --------------------------------------------------------------------------------
 
@@ -97,7 +111,11 @@
     def held(self) -> int:
         return len(self.ledger.owed) + len(self.fresh)
 
+    def before_afar(self, event: Afar):
+        return event.outcome if self.afar.pop((event.outcome.id, event.outcome.push), None) else None
+
     def before_outcome(self, o: it.Outcome):
+        self.tell("ended", o.id, o.push, o.endpoint, o.result.value, *(getattr(o, name) for name in TOLD))
         self.counts[o.result.value] += 1
         if o.result is Result.DELIVERED or o.ended:
             if o.result is Result.DELIVERED and o.id in self.ledger.owed:
@@ -163,18 +181,32 @@
                 unsent.append(it.Outcome(p.id, number, p.endpoint, Result.NOT_SENT))
                 continue
             self.counts["pushes"] += 1
-            calls[p.endpoint].append(Item(p.id, number, p.timeout, owed.key, owed.body, owed.heard))
+            calls[p.endpoint].append(Item(p.id, number, p.timeout, owed.key, owed.body, owed.heard, p.begin))
         for endpoint, items in calls.items():
             self.courier.start(endpoint, items)
+            if self.kin:
+                self.tell("began", endpoint, [(i.id, i.push, self.ledger.owed[i.id].topic) for i in items])
         if unsent:
             self.put(unsent)
 
     # -- start and stop ---------------------------------------------------------------------------
 
-    def recover(self, update: it.ListUpdate) -> None:
-        """Hand what the lives before still owe to the module, with its history; it decides."""
+    def recover(self, update: it.ListUpdate, told: dict | None = None, beside: bool = False) -> None:
+        """Hand what the lives before still owe to the module, with its history; it decides.
+
+        told: what the process before us had learnt; beside: it lives, told or not.
+        """
+        self.round([update])
+        if told is not None:
+            learnt.take(self.brain, told)
+        elif beside:
+            learnt.careful(self.brain)
+        self.adopt(list(self.ledger.owed.values()))
+        self.round(self.take_queue())
+
+    def adopt(self, left: list[Owed]) -> None:
         topics, known = {t.name for t in self.settings.topic_types}, []
-        for o in list(self.ledger.owed.values()):
+        for o in left:
             terms, most = terms_of(o.topic, o.rules)
             if not o.notice and not terms and o.topic not in topics:
                 self.ledger.owe_notice(o.id, {"state": "failed"})
@@ -185,8 +217,46 @@
                 due = o.due - self.wall
                 head = o.id, due, o.dest, o.topic, o.customer, o.order_key
                 known.append(it.Notification(*head, o.pushes, maybe, terms, most))
-        event("relay.recovered", owed=len(known), notices=len(self.ledger.owed) - len(known))
-        self.round([update, *known])
+        event("relay.recovered", owed=len(known), notices=len(left) - len(known))
+        self.put(known)
+
+    # -- the other processes of this relay ----------------------------------------------------------
+
+    def tell(self, *word) -> None:
+        for line in self.kin:
+            line.say(*word)
+
+    def hear(self, line, word: list) -> None:
+        """A call of theirs began or ended: the module counts it with ours."""
+        kind, *rest = word
+        if kind == "began":
+            topics = {t.name: t for t in self.settings.topic_types}
+            any_ = next(iter(topics.values()))
+            endpoint, items = rest
+            self.afar.update({(name, push): (line, endpoint) for name, push, _ in items})
+            told = tuple((name, push, topics.get(topic, any_)) for name, push, topic in items)
+            self.put([it.Overheard(endpoint, told)])
+        elif kind == "ended":
+            name, push, endpoint, result, *more = rest
+            facts = dict(zip(TOLD, more, strict=True))
+            self.put([Afar(it.Outcome(name, push, endpoint, Result(result), **facts))])
+
+    def out(self) -> list:
+        """Our calls that are out, as "began" tells them."""
+        return [
+            (
+                call.route.id,
+                [(n.id, push, n.topic.name) for n, push in call.items if (n.id, push) in self.brain.out],
+            )
+            for call in {id(c): c for c, n in self.brain.out.values() if n.state != "afar"}.values()
+        ]
+
+    def gone(self, line) -> None:
+        """What it had out ends with it; whoever owes those notifications has its history of them."""
+        if line in self.kin:
+            self.kin.remove(line)
+        theirs = [(key, at) for key, (whose, at) in self.afar.items() if whose is line]
+        self.put([Afar(it.Outcome(*key, at, Result.CANCELLED)) for key, at in theirs])
 
     def in_progress(self) -> int:
         return sum(not owed.notice for owed in self.ledger.owed.values())
@@ -197,6 +267,7 @@
     BEFORE = {
         HandIn: before_hand_in,
         it.Outcome: before_outcome,
+        Afar: before_afar,
         it.Withdrawn: before_withdrawn,
     }
 
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -12,14 +12,20 @@
 from ..observe import figures
 from ..observe.log import event, flush
 from ..wire.staff import Staff
+from . import learnt
 from .assembly import assemble
 from .config import BadConfig, Config, load
+from .line import PATIENCE, Line, Post, answer, hail
+from .succession import Succession
 
 # (phase, what happened) -> (next phase, effect)
 PHASES = {
     ("starting", "begun"): ("recovering", "recover"),
     ("recovering", "recovered"): ("serving", "open_door"),
     ("serving", "asked to stop"): ("leaving", "say_so"),
+    ("serving", "relieved"): ("draining", "hand_door"),
+    ("emptying", "relieved"): ("draining", "hand_door"),
+    ("empty", "relieved"): ("draining", "hand_door"),
     ("serving", "told to drain"): ("emptying", "send_away"),
     ("emptying", "sent away long enough"): ("empty", "end_idle"),
     ("emptying", "told to resume"): ("serving", "resume"),
@@ -43,6 +49,7 @@
 SHORT = 3.2  # after SIGTERM: SIGKILL may come after 3.7, and calls, notices and the exit take some time
 LAST = 0.2  # for notices that are owed when calls are wound up
 TEXT = "text/plain; charset=utf-8"
+WORD = 0.3  # for the word of a process after us that it serves, where a stop comes first
 LOOK = 0.05  # seconds between looks at whether all is settled
 
 
@@ -51,12 +58,17 @@
         self.config, self.phase = config, "starting"
         loop = asyncio.get_running_loop()
         self.clock, wall = loop.time, time.time() - loop.time()
+        self.line = hail(config.state)
+        self.succession, self.post = Succession(), Post(config.state, self.hailed)
         self.parts = assemble(config, self.clock, wall)
         self.ledger, self.owner = self.parts.ledger, self.parts.owner
         self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
         self.reread_asked = asyncio.Semaphore(0)
         self.loads = Counter()
         self.staff, self.sending_away = None, None
+        self.kin_asked, self.served = asyncio.Event(), asyncio.Event()
+        self.lines: set[Line] = set()
+        self.following: set[asyncio.Task] = set()
 
     async def happen(self, what: str) -> None:
         self.phase, effect = PHASES[self.phase, what]
@@ -73,9 +85,14 @@
         await self.happen("recovered")
         await self.until(self.stop_asked.wait())
         self.stop_at = self.clock()
-        await self.happen("asked to stop")
-        await self.until(asyncio.sleep(ACCEPT))
-        await self.happen("accepted long enough")
+        if self.succession.heir == "starting":  # its word that it serves may be on its way
+            await self.until(asyncio.wait([asyncio.ensure_future(self.served.wait())], timeout=WORD))
+        if self.succession.relieved():
+            await self.happen("relieved")
+        else:
+            await self.happen("asked to stop")
+            await self.until(asyncio.sleep(ACCEPT))
+            await self.happen("accepted long enough")
         while self.clock() < self.stop_at + SHORT and not (self.owner.settled() and not self.busy()):
             await self.until(asyncio.sleep(LOOK))
         await self.happen("settled" if self.owner.settled() else "time is short")
@@ -91,11 +108,30 @@
         await waiting
 
     def busy(self) -> bool:
-        return any(front.busy for front in self.parts.fronts)
+        """Requests under way; once another process serves, connections too: a request may be on its way."""
+        fronts, relieved = self.parts.fronts, self.succession.relieved()
+        return any(front.busy or (relieved and front.connections()) for front in fronts)
 
     async def recover(self) -> None:
+        learnt, out = await self.elder_tells() if self.line else (None, [])
         self.ledger.recover()
-        self.owner.recover(self.parts.directory.known())
+        beside = bool(self.ledger.journal.beside())
+        if beside or self.line:
+            self.succession.elder_is("found")
+            self.share()
+        for endpoint, items in out:
+            self.owner.hear(self.line, ["began", endpoint, items])
+        self.owner.recover(self.parts.directory.known(), learnt, beside)
+
+    async def elder_tells(self) -> tuple[dict | None, list]:
+        await self.line.open()
+        try:
+            async with asyncio.timeout(PATIENCE):
+                if (word := await self.line.word()) and word[0] == "learnt":
+                    return word[1], word[2]
+        except TimeoutError:
+            event("line.broken", why="the process before us did not tell what it has learnt")
+        return None, []
 
     async def open_door(self) -> None:
         parts = self.parts
@@ -105,10 +141,18 @@
             parts.directory.run(self.owner.put),
             self.summaries(),
             self.rereads(),
+            self.adopts(),
         ]
         self.tasks = [asyncio.ensure_future(each) for each in lasting]
         for front in parts.fronts:
-            event("front.open", protocol=front.protocol, address=await front.open())
+            door = self.line.door if self.line else None
+            beside = self.succession.elder != "none"
+            event("front.open", protocol=front.protocol, address=await front.open(door, beside))
+        if self.line:
+            self.line.say("serves")
+            self.follow(self.line, self.succession.elder_is)
+        self.post.open()
+        self.kin_asked.set()
         if self.config.ops:
             calls = {
                 ("GET", "/-/ready"): self.ready,
@@ -166,6 +210,73 @@
         for front in self.parts.fronts:
             front.resume()
 
+    # -- the other processes of this relay ----------------------------------------------------------
+
+    def share(self) -> None:
+        processes = self.succession.processes()
+        for part in (self.ledger.journal, self.parts.courier, *self.parts.fronts):
+            part.share(processes)
+
+    def hailed(self, conn) -> None:
+        """A process that is to take over from us has started."""
+        line = answer(conn, self.parts.fronts[0].door()) if self.phase in READY else None
+        if line is None:
+            conn.close()
+            return
+        self.succession.heir_is("hailed")
+        self.share()
+        self.follow(line, self.succession.heir_is)
+
+    def follow(self, line: Line, relation) -> None:
+        task = asyncio.ensure_future(self.listen(line, relation))
+        self.following.add(task)
+        task.add_done_callback(self.following.discard)
+
+    async def listen(self, line: Line, relation) -> None:
+        """Hear what the other process says until it is gone, and tell it all that we do."""
+        if line.writer is None:
+            await line.open()
+            line.say("learnt", learnt.told(self.owner.brain), self.owner.out())
+        self.owner.kin.append(line)
+        self.lines.add(line)
+        while word := await line.word():
+            if word == ["serves"]:
+                relation("serves")
+                self.served.set()
+                event("heir.serves")
+            else:
+                self.owner.hear(line, word)
+                for other in self.lines - {line}:
+                    other.say(*word)
+        line.close()
+        self.lines.discard(line)
+        self.owner.gone(line)
+        if relation == self.succession.heir_is and self.phase in READY:
+            self.post.close()  # the one that is gone may have taken our place in the folder
+            self.post.open()
+        relation("gone")
+        event("kin.gone")
+        self.share()
+        self.kin_asked.set()
+
+    async def adopts(self) -> None:
+        """While another process has a file here, look whether it is gone: what it owed is ours then."""
+        while True:
+            await self.kin_asked.wait()
+            self.kin_asked.clear()
+            while self.ledger.journal.beside():
+                if self.phase in READY and (left := self.ledger.adopt()):
+                    self.owner.adopt(left)
+                await asyncio.sleep(LOOK)
+            if not self.lines:
+                self.succession.elder_is("gone")
+                self.share()
+
+    async def hand_door(self) -> None:
+        for front in self.parts.fronts:
+            front.relieved()
+        self.owner.put([it.Leaving(self.stop_at + SHORT)])
+
     # -- the end ----------------------------------------------------------------------------------
 
     async def say_so(self) -> None:
@@ -194,6 +305,11 @@
             task.cancel()
         if self.staff:
             await self.staff.close()
+        self.post.close()
+        for task in self.following:
+            task.cancel()
+        for line in self.lines:
+            line.close()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.parts.courier.close()
         await self.parts.platform.close()
--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -66,6 +66,12 @@
         "*",
     ),
     ("front.open", "INFO", "protocol address", "clients are served at this address"),
+    (
+        "journal.adopted",
+        "INFO",
+        "file owed",
+        "what a process that is gone left in a file of its own is this one's now",
+    ),
     (
         "journal.blocked",
         "ERROR",
@@ -91,6 +97,16 @@
         "*",
     ),
     ("list.changed", "INFO", "version entries whole", "the registry told a change", "nothing", "*"),
+    ("heir.serves", "INFO", "", "the process after this one serves clients; a stop now hands them over"),
+    ("kin.gone", "INFO", "", "the other process of this relay is gone; what it still owed is taken over"),
+    ("line.broken", "WARNING", "why", "the line to the other process of an upgrade broke off", "its log"),
+    (
+        "line.none",
+        "WARNING",
+        "why",
+        "no line for an upgrade could be opened: one would work by the journal's lock and a shared port only",
+        "the state folder's file system",
+    ),
     ("list.flowing", "INFO", "", "the registry answers again"),
     (
         "list.row_bad",
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from typing import TYPE_CHECKING, Protocol
 
 from . import interface as it
@@ -47,7 +48,7 @@
 class Item:
     """One notification of a call; heard tells whether its client knows that it is taken on (None: it does).
 
-    timeout: seconds.
+    timeout: seconds, of the whole call; begin: the same for its first byte, for after that it may not go.
     """
 
     id: str
@@ -56,6 +57,7 @@
     key: str
     body: bytes
     heard: Future[bool] | None
+    begin: float = inf
 
 
 Tell = Callable[[Iterable[object]], None]  # puts events into the owner's queue, in one round together
@@ -66,8 +68,20 @@
 
     busy: int  # requests under way
 
-    async def open(self) -> str:
-        """Listen; returns the address. From here on it serves."""
+    async def open(self, door=None, beside: bool = False) -> str:
+        """Listen; returns the address. From here on it serves.
+
+        door: the listening socket of the process before us, if it handed one over; beside: it lives.
+        """
+
+    def door(self) -> int | None:
+        """The descriptor that clients come to, to hand over."""
+
+    def relieved(self) -> None:
+        """Another process serves here from now on: take no more, and let go of those there are."""
+
+    def share(self, processes: int) -> None:
+        """So many processes share the relay's descriptors now."""
 
     def leave(self) -> None:
         """A stop was asked for: say that no more should come, and take what still does."""
@@ -105,6 +119,9 @@
     def retune(self, settings: it.Settings) -> None:
         """Other settings hold for calls from now on."""
 
+    def share(self, processes: int) -> None:
+        """So many processes share the relay's descriptors now."""
+
     def out(self) -> int:
         """Pushes without an outcome."""
 
--- a/ryestack/store/inspect.py
+++ b/ryestack/store/inspect.py
@@ -8,6 +8,7 @@
 from math import inf
 from pathlib import Path
 
+from . import files
 from .journal import FRAME, following, unframed
 from .ledger import Ledger, Owed
 
@@ -43,12 +44,16 @@
         return not self.senseless and all(d.tail for d in self.damage)
 
 
-def inspect(folder: str) -> Found:
-    """Raises NoJournal."""
-    path = Path(folder) / "owed"
+def inspect(folder: str) -> list[Found]:
+    """Each file of the folder, the first one also where there is none; raises NoJournal."""
     if not Path(folder).is_dir():
         raise NoJournal(f"{folder}: is no folder")
-    found = Found(str(path), rewriting=path.with_name("owed.new").exists())
+    first = Path(folder) / files.NAMES[0]
+    return [_inspect(path) for path in [first, *files.others(Path(folder), first)]]
+
+
+def _inspect(path: Path) -> Found:
+    found = Found(str(path), rewriting=files.fresh(path).exists())
     try:
         data = path.read_bytes() if path.exists() else b""
     except OSError as problem:
--- a/ryestack/store/journal.py
+++ b/ryestack/store/journal.py
@@ -8,6 +8,9 @@
 import struct
 import zlib
 from pathlib import Path
+from typing import NamedTuple
+
+from . import files
 
 FRAME = struct.Struct(">II")  # length, checksum
 BLOCK = 512  # a file's size on disk is counted in whole blocks
@@ -46,34 +49,58 @@
     return len(data)
 
 
+class Torn(NamedTuple):
+    """What a file holds: whole records, bytes behind them, whether that is more than a kill explains."""
+
+    records: list[bytes]
+    size: int
+    dropped: int
+    damaged: bool
+
+
+def torn(data: bytes) -> Torn:
+    records, size = unframed(data)
+    dropped = len(data) - size
+    return Torn(records, size, dropped, dropped > 0 and following(data, size + 1) < len(data))
+
+
 class Journal:
-    """The file `owed` in a folder; while it is rewritten the new one stands beside it as `owed.new`."""
+    """This process's file in a folder; while it is rewritten the new one stands beside it, with `.new`."""
 
     def __init__(self, folder: str, allowance: int):
-        self.path, self.fresh = Path(folder) / "owed", Path(folder) / "owed.new"
-        self.most, self.size, self.dropped, self.damaged = allowance - SPARE, 0, 0, False
+        self.folder, self.path, self.allowance = Path(folder), Path(folder) / files.NAMES[0], allowance
+        self.size, self.dropped, self.damaged = 0, 0, False
         self.file = None
+        self.share(1)
+
+    def share(self, processes: int) -> None:
+        """The allowance is the folder's: so many processes write in it now."""
+        self.most = self.allowance // processes - SPARE
 
     def read(self) -> list[bytes]:
-        """All records of the lives before; opens the file for more."""
-        self.fresh.unlink(missing_ok=True)
-        data = self.path.read_bytes() if self.path.exists() else b""
-        records, self.size = unframed(data)
-        self.dropped = len(data) - self.size
-        self.damaged = self.dropped > 0 and following(data, self.size + 1) < len(data)
-        self.file = open(self.path, "ab", buffering=0)  # noqa: SIM115 - open as long as the process
+        """All records of the file that is ours now; opens it for more."""
+        self.path, fd = files.own(self.folder)
+        self.file = open(fd, "ab", buffering=0)  # noqa: SIM115 - open as long as the process
+        files.fresh(self.path).unlink(missing_ok=True)
+        found = torn(self.path.read_bytes())
+        self.size, self.dropped, self.damaged = found.size, found.dropped, found.damaged
         if self.damaged:
-            self.size = len(data)  # it stays until a rewrite takes its place: a kill must find it again
+            self.size += found.dropped  # it stays until a rewrite takes its place: a kill must find it again
         elif self.dropped:
             self.file.truncate(self.size)
-        return records
+        return found.records
+
+    def beside(self) -> list[Path]:
+        """The files of other processes, dead or alive."""
+        return files.others(self.folder, self.path)
 
     def fits(self, more: int, live: int) -> bool:
         """Whether so many bytes can be appended and the live ones still be rewritten beside the file."""
         return self.size + more + live <= self.most
 
-    def append(self, payload: bytes) -> None:
-        data = framed(payload)
+    def append(self, *payloads: bytes) -> None:
+        """All of them or none."""
+        data = b"".join(map(framed, payloads))
         if self.file.write(data) != len(data):  # a part of a record would hide all that follow it
             self.file.truncate(self.size)
             raise OSError("the journal took only a part of a record")
@@ -81,15 +108,17 @@
 
     def rewrite(self, payloads: list[bytes]) -> None:
         """Put these records in place of all; the old file stands until the new one is whole."""
-        data = b"".join(map(framed, payloads))
-        fresh = open(self.fresh, "ab", buffering=0)  # noqa: SIM115 - it becomes the file
+        data, beside = b"".join(map(framed, payloads)), files.fresh(self.path)
+        fresh = open(beside, "ab", buffering=0)  # noqa: SIM115 - it becomes the file
         try:
+            if not files.grasp(fresh.fileno()):  # the name must never stand for a file without its lock
+                raise OSError("the new journal is held by another process")
             if fresh.write(data) != len(data):
                 raise OSError("no room for a new journal")
-            os.replace(self.fresh, self.path)
+            os.replace(beside, self.path)
         except OSError:
             fresh.close()
-            self.fresh.unlink(missing_ok=True)
+            beside.unlink(missing_ok=True)
             raise
         self.file.close()
         self.file, self.size = fresh, len(data)
--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -10,7 +10,8 @@
 
 from .. import interface as it
 from ..observe.log import event
-from .journal import FRAME, Journal
+from . import files
+from .journal import FRAME, Journal, torn
 
 LIVE_PART = 0.4  # of the allowance for what is owed: an old and a new file stand side by side at a rewrite
 DEAD, SMALL = 4, 100_000  # past so many times what is owed and so many bytes a file is slow to read
@@ -50,18 +51,12 @@
 
     def recover(self) -> None:
         """Read what the lives before have left; a record that makes no sense is passed over."""
-        bad = 0
-        for payload in self.journal.read():
-            try:
-                self.apply(payload)
-            except (ValueError, KeyError, TypeError, IndexError):
-                bad += 1
+        bad = self.read(self.journal.read())
         used = [rules for rules in self.rules if any(o.rules == rules for o in self.owed.values())]
         if unused := len(self.rules) - len(used) > UNUSED:
             self.rules = used
-        if self.journal.damaged:  # pushes may have been written behind it: all that came before is in doubt
-            for owed in self.owed.values():
-                owed.maybe_at = min(owed.maybe_at, LONG_AGO)
+        if self.journal.damaged:
+            self.doubt()
         if self.journal.damaged or unused:
             try:
                 self.rewrite()
@@ -70,6 +65,70 @@
                 self.well = False  # the next write begins with a rewrite
         if bad or self.journal.dropped:
             event("journal.torn", records=bad, bytes=self.journal.dropped)
+        self.adopt()
+
+    def read(self, payloads: list[bytes]) -> int:
+        """Apply what a file says; returns how many records make no sense."""
+        bad = 0
+        for payload in payloads:
+            try:
+                self.apply(payload)
+            except (ValueError, KeyError, TypeError, IndexError):
+                bad += 1
+        return bad
+
+    def doubt(self) -> None:
+        """Pushes may have been written behind damage: all that came before it may have run."""
+        for owed in self.owed.values():
+            owed.maybe_at = min(owed.maybe_at, LONG_AGO)
+
+    def adopt(self) -> list[Owed]:
+        """Take over what processes that are gone have left in files of their own; returns it.
+
+        A file is copied whole behind ours, in one write, and only then taken away. A kill between the two
+        leaves both as they were: the same messages twice, which count once.
+        """
+        taken = []
+        for path in self.journal.beside():
+            fd = files.lock(path)
+            if fd is None:
+                continue  # its process lives
+            with open(fd, "rb") as file:
+                found, left = torn(file.read()), Ledger(None)
+                bad = left.read(found.records)
+                if found.damaged:
+                    left.doubt()
+                new = [owed for owed in left.owed.values() if owed.id not in self.owed]
+                try:
+                    self.copy(new)
+                except OSError as problem:  # it stays where it is, and is tried again
+                    event("journal.blocked", why=f"{path.name}: {problem}")
+                    continue
+                path.unlink(missing_ok=True)
+                files.fresh(path).unlink(missing_ok=True)
+            if bad or found.dropped:
+                event("journal.torn", records=bad, bytes=found.dropped)
+            event("journal.adopted", file=path.name, owed=len(new))
+            taken += [self.owed[owed.id] for owed in new]
+        return taken
+
+    def copy(self, new: list[Owed]) -> None:
+        """Raises OSError where there is no room; then nothing of it is there."""
+        rules = [o.rules for o in new if o.rules and o.rules not in self.rules]
+        rules = [each for n, each in enumerate(rules) if each not in rules[:n]]
+        numbers = [*self.rules, *rules]
+        payloads = [record("rules", "", each) for each in rules]
+        payloads += [p for o in new for p in self.summary(o, numbers)]
+        if not payloads:
+            return
+        more = sum(len(p) + FRAME.size for p in payloads)
+        if not self.well or not self.journal.fits(more, self.live):
+            self.rewrite()
+            self.well = True
+        if self.journal.size + more > self.journal.most:
+            raise OSError("no room to adopt it")
+        self.journal.append(*payloads)
+        self.read(payloads)
 
     # -- promises: written first, and not made where there is no room --------------------------------
 
@@ -125,15 +184,15 @@
 
     # -- records ----------------------------------------------------------------------------------
 
-    def taken(self, o: Owed) -> bytes:
+    def taken(self, o: Owed, numbers: list | None = None) -> bytes:
         maybe = None if o.maybe_at == inf else o.maybe_at
         before = o.pushes - len(o.open)
-        rules = self.rules.index(o.rules) if o.rules else None
+        rules = (numbers or self.rules).index(o.rules) if o.rules else None
         head = [o.id, o.due, o.dest, o.topic, o.customer, o.order_key, o.key, before, maybe, rules]
         return record("taken", *head, body=o.body)
 
-    def summary(self, o: Owed) -> list[bytes]:
-        lines = [self.taken(o)] + [record("push", o.id, push, at) for push, at in o.open.items()]
+    def summary(self, o: Owed, numbers: list | None = None) -> list[bytes]:
+        lines = [self.taken(o, numbers)] + [record("push", o.id, push, at) for push, at in o.open.items()]
         return lines + ([record("notice", o.id, o.notice)] if o.notice else [])
 
     def apply(self, payload: bytes) -> None:
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from functools import partial
+from math import inf
 
 import aiohttp
 
@@ -40,7 +41,7 @@
     """Starts and cancels calls; tell(events) puts their outcomes into the owner's queue together."""
 
     def __init__(self, settings: it.Settings, members, clock, tell, most: int):
-        self.members, self.clock, self.tell, self.most = members, clock, tell, most
+        self.members, self.clock, self.tell, self.whole, self.most = members, clock, tell, most, most
         self.running: dict[tuple[str, int], asyncio.Task] = {}
         self.written = 0  # messages whose call went out whole
         self.kept: dict[Reply, None] = {}  # all connections to endpoints, the oldest first
@@ -104,6 +105,12 @@
         if len(idle) + len(set(self.running.values())) >= self.most and idle:
             min(idle, key=lambda r: r.idle_since).spoilt()
 
+    def share(self, processes: int) -> None:
+        self.most = max(1, self.whole // processes)
+        idle = sorted((r for r in self.kept if r.call is None), key=lambda r: r.idle_since)
+        for reply in idle[: max(0, len(self.kept) - self.most)]:
+            reply.spoilt()
+
     def out(self) -> int:
         return len(self.running)
 
@@ -119,6 +126,9 @@
         progress = Progress(endpoint, lambda: self.first_line(progress, limit, len(items) == 1))
         progress.wrote = lambda: self.wrote(len(items))
         CALL.set(progress)  # for this task, which is this call's
+        if (last := min(item.begin for item in items)) < inf:
+            progress.begin = asyncio.get_running_loop().time() + last
+            asyncio.get_running_loop().call_at(progress.begin, self.not_begun, progress, limit)
         try:
             async with limit:
                 heard = [item.heard is None or await item.heard for item in items]
@@ -136,7 +146,8 @@
         except Exception:  # whatever it was, the message keeps its outcome
             fault("call.fault", endpoint=endpoint)
             broke = Result.BROKEN
-        broke = broke if progress.connected else Result.NO_CONNECTION
+        if not progress.connected:
+            broke = Result.NOT_SENT if progress.too_late else Result.NO_CONNECTION
         if not answers:
             one = Result.DELIVERED if progress.status == 200 and len(items) == 1 else broke
             answers = {item.id: (one, False, progress.wait, 0.0, 1.0) for item in items}
@@ -148,6 +159,11 @@
             outcomes.append(it.Outcome(item.id, item.push, endpoint, result, *told))
         self.tell([o for o in outcomes if self.running.pop((o.id, o.push), None)])
 
+    def not_begun(self, progress: Progress, limit: asyncio.Timeout) -> None:
+        if not progress.connected and not limit.expired():
+            progress.too_late = True
+            limit.reschedule(asyncio.get_running_loop().time())
+
     def wrote(self, messages: int) -> None:
         self.written += messages
 
--- a/ryestack/wire/replies.py
+++ b/ryestack/wire/replies.py
@@ -9,7 +9,9 @@
 import select
 from contextvars import ContextVar
 from dataclasses import dataclass
+from math import inf
 
+import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
 FIRST_LINE = re.compile(rb"HTTP/1\.[01] ([1-5]\d\d)(?: [^\r\n]*)?\r\n")
@@ -31,6 +33,8 @@
     words: bool = False  # anything has come back
     status: int = 0
     wait: float = 0.0
+    begin: float = inf  # a time of the loop's clock: past it none of the call may go out
+    too_late: bool = False
 
 
 CALL: ContextVar[Progress] = ContextVar("call")  # the call that the running task makes
@@ -63,7 +67,11 @@
         return not waiting.poll(0)
 
     def set_response_params(self, **params) -> None:
-        """A call begins: from here on it may run."""
+        """A call begins: from here on it may run. A connection that took too long must not carry it."""
+        if CALL.get().begin < self._loop.time():
+            CALL.get().too_late = True
+            self.spoilt()
+            raise aiohttp.ClientConnectionError("too late to begin")
         super().set_response_params(**params)
         self.call = CALL.get()
         self.call.connected, self.call.kept, self.endpoint = True, bool(self.endpoint), self.call.endpoint
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -17,7 +17,7 @@
 from . import forms
 
 IDLE = 2.2  # seconds: a connection with no open request may end after 2, and a bad client must hear within 3
-SHORT_IDLE = 0.3  # the same while the relay is empty: whoever comes then asks at once
+EBB, QUIET_FOR = 0.1, 0.3  # seconds between looks at whom to let go, and that such a one has said nothing
 BODY = 2.6  # seconds for a first request from its connection on, for a later one from its head on
 UNREAD = 2 * 1024 * 1024  # bytes of bodies not yet whole, over all connections
 BUFFER = 16 * 1024  # bytes that the library reads ahead on a connection
@@ -42,11 +42,13 @@
 
     def __init__(self, manager, *, loop, **more):
         super().__init__(manager, loop=loop, **more)
-        self.since, self.spoilt = loop.time(), False
+        self.since = self.heard_at = loop.time()
+        self.spoilt = False
 
     def data_received(self, data: bytes) -> None:
         if self.spoilt:
             return
+        self.heard_at = self._loop.time()
         super().data_received(data)
         if self._messages and not hasattr(self._messages[-1][0], "headers"):  # the parser's own error
             self.spoilt = True
@@ -64,8 +66,8 @@
         return self._next_keepalive_close_time
 
     def end_if_quiet(self) -> None:
-        """End it unless it has a request: one that came and is not read yet is answered, and ends it then."""
-        if self.transport is None or not self.idle():
+        """End it unless it may have a request: one on its way is answered, and ends it then."""
+        if self.transport is None or not self.idle() or self._loop.time() < self.heard_at + QUIET_FOR:
             return
         waiting = select.poll()
         waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
@@ -95,8 +97,15 @@
         self.terms = terms  # of(topic type, now) -> its terms and number of pushes, or None
         self.retune(settings)
         self.members, self.clock, self.hand_in, self.withdraw = members, clock, hand_in, withdraw
-        self.most, self.ready, self.last_answers, self.busy, self.unread = most, False, False, 0, 0
-        self.listener, self.at, self.emptied = None, at, False
+        self.whole, self.most, self.ready, self.last_answers, self.busy, self.unread = (
+            most,
+            most,
+            False,
+            False,
+            0,
+            0,
+        )
+        self.listener, self.at, self.ebbing = None, at, None
         # Reading on after an error would take in what its client still has to send: up to 60 MB.
         self.server = Doors(
             self.handle,
@@ -108,8 +117,8 @@
             logger=QUIET,
         )
 
-    async def open(self) -> str:
-        await self.listen(*self.at)
+    async def open(self, door: socket.socket | None = None, beside: bool = False) -> str:
+        await self.listen(*self.at, door, beside)
         self.ready = True
         host, port = self.listener.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
@@ -121,12 +130,24 @@
         self.ready, self.last_answers = False, True
 
     def empty(self) -> None:
-        self.emptied = True
+        self.last_answers = True
         for connection in list(self.server.connections):
             connection.end_if_quiet()
+        self.ebbing = asyncio.get_running_loop().call_later(EBB, self.empty)
+
+    def relieved(self) -> None:
+        self.listener.close()
+        self.empty()
+
+    def share(self, processes: int) -> None:
+        self.most = max(1, self.whole // processes)
+        idle = sorted(filter(Door.idle, self.server.connections), key=Door.ends)
+        for connection in idle[: max(0, len(self.server.connections) - self.most)]:
+            connection.force_close()
 
     def resume(self) -> None:
-        self.ready, self.last_answers, self.emptied = True, False, False
+        self.ready, self.last_answers = True, False
+        self.ebbing.cancel()
 
     def shut(self) -> None:
         self.stop_listening()
@@ -134,8 +155,18 @@
     def connections(self) -> int:
         return len(self.server.connections)
 
-    async def listen(self, host: str, port: int) -> None:
-        sock = socket.create_server((host, port), backlog=BACKLOG)
+    def door(self) -> int | None:
+        return self.listener.sockets[0].fileno() if self.listener and self.listener.sockets else None
+
+    async def listen(self, host: str, port: int, door=None, beside: bool = False) -> None:
+        """door: the socket of the process before us: one queue of connections, of which no close resets any.
+
+        Without it, beside another process, the address is shared; else it must be free, as ever.
+        """
+        if door is None and not beside:
+            socket.create_server((host, port), backlog=1).close()
+        sock = door or socket.create_server((host, port), backlog=BACKLOG, reuse_port=True)
+        sock.setblocking(False)
         self.listener = await asyncio.get_running_loop().create_server(self.accept, sock=sock, backlog=BATCH)
         sock.listen(BACKLOG)  # the library knows one figure for both
 
@@ -148,10 +179,7 @@
                 event("front.full", bound=self.most)
                 return Full()
             oldest.force_close()
-        door = self.server()
-        if self.emptied:  # empty: what comes and says nothing may not stand idle
-            asyncio.get_running_loop().call_later(SHORT_IDLE, door.end_if_quiet)
-        return door
+        return self.server()
 
     def stop_listening(self) -> None:
         """Idle connections end at once, busy ones after their answer.
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -73,6 +73,13 @@
         b.round(1.0, [take("n", "merge")])
         self.assertEqual(kinds(b.round(7.5, [end("n", "a", Result.TIMED_OUT)]), it.Throttle), ["n"])
 
+    def test_a_repeat_within_the_window_may_not_begin_after_it(self):
+        b = brain(routes=("a", "b"))
+        rounds = ((1.0, take("n", "merge")), (2.0, end("n", "a", Result.BROKEN)),
+                  (3.0, take("m", pushes=1, maybe_at=0.0)))
+        acts = [a for now, event in rounds for a in b.round(now, [event]) if isinstance(a, it.Push)]
+        self.assertEqual([round(a.begin, 3) for a in acts], [inf, 4.95, inf])
+
     def test_collapsible_in_a_hall_that_a_life_before_chose_ends_at_once(self):
         b = brain()
         b.topics["merge"] = replace(b.topics["merge"], group="zone")
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -97,6 +97,7 @@
         o.round([self.hand_in("n", "once"), self.hand_in("m", "merge")])
         changed = tuned(replace(ONCE, effect=Effect.REPEATABLE))
         self.now += 1.0
+        o.ledger.journal.close()
         made = self.owner()
         made.retune(changed)
         made.recover(self.listed)
@@ -104,6 +105,7 @@
         made.round([*made.take_queue(), it.Woken()])
         self.assertEqual((self.told, self.sent), ([("n", {"state": "failed"})], [("m", 1)]))
         made.ledger.rewrite()
+        made.ledger.journal.close()
         again = self.owner().ledger.owed["m"].rules
         self.assertEqual(again, ["collapsible", 2.0, 20.0, 1.0, 0.0, "all", 6.0, False, 6])
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import socket
 import tempfile
 import unittest
 import zlib
@@ -52,6 +53,32 @@
         self.assertIn(b"X-Request-Id: n\r\n", head)
         self.assertIn(b"Idempotency-Key: kn\r\n", head)
 
+    async def test_a_connection_that_comes_up_too_late_carries_nothing(self):
+        """A handshake of a second, as after an outage: a repeat would begin past its window."""
+        loop, told = asyncio.get_running_loop(), asyncio.Queue()
+        late = socket.create_server(("127.0.0.1", 0), backlog=0)  # full at once: what comes next waits
+        filling = [socket.socket() for _ in range(4)]
+        for sock in filling:
+            sock.setblocking(False)
+            sock.connect_ex(late.getsockname())
+        at = members(address=f"127.0.0.1:{late.getsockname()[1]}")
+        calls = Calls(settings(), at, loop.time, told.put_nowait, 50)
+        calls.start("a", [Item("n", 1, 9.0, "k", b"x", None, begin=0.1)])
+        [o] = await asyncio.wait_for(told.get(), 1.0)
+        self.assertEqual((o.result, calls.written), (Result.NOT_SENT, 0))
+        server, address = await stand_in(lambda *_: http(200))
+        at.rows["a"]["address"] = address
+        calls.not_begun = lambda *_: None  # the loop was late: the connection is first
+        calls.start("a", [Item("n", 2, 9.0, "k", b"x", None, begin=-0.1)])
+        [o] = await asyncio.wait_for(told.get(), 1.0)
+        self.assertEqual((o.result, calls.written), (Result.NOT_SENT, 0))
+        calls.start("a", [Item("n", 3, 9.0, "k", b"x", None, begin=5.0)])
+        [o] = await asyncio.wait_for(told.get(), 1.0)
+        self.assertEqual((o.result, calls.written), (Result.DELIVERED, 1))
+        await calls.close()
+        for each in (late, server, *filling):
+            each.close()
+
     async def test_a_refused_connection_never_ran_and_a_broken_one_may_have(self):
         [o], _ = await called(lambda *_: None)
         self.assertEqual(o.result, Result.BROKEN)
