Two processes keep the order of a key and one hold; words that make no sense are let go

Each tells the other whose turn a key is; an adopted notification takes its place in the turn. Both count what the other holds. A peer that speaks nonsense is dropped, one that cannot tell what it learnt makes the heir careful. Tests: a kill at each of the folder's changes in a start, a rewrite and an adoption, judged by what was promised and what was over; Unix sockets and flock refused; all pairs of the succession table; a nonsense caller; a bad ops.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -446,6 +446,16 @@
         if key in self.keys and not self.keys[key][0] and self.now >= self.keys[key][1]:
             del self.keys[key]
 
+    def on_turn(self, e):  # one that is handed over to us later takes its turn's place
+        dest, topic = Dest(self.times, self.random, 0.0), it.TopicType("", AGAIN, 0.0, 0.0, keep_order=True)
+        theirs = Ntf(it.Notification(e.id, inf, 0, "", key=e.key), dest, topic, 0.0, 1)
+        row = self.keys.setdefault(e.key, [{}, 0.0])
+        row[0].setdefault(e.id, theirs)
+        theirs.state, row[1] = "over" if e.over else "afar", max(row[1], e.rest)
+        for other in row[0].values():
+            self.at(row[1], Brain.touch, other.dest)
+        self.next_turn(theirs)
+
     def on_withdrawn(self, event):
         if event.id in self.held:
             self.step(self.held[event.id], "ended")
@@ -549,10 +559,10 @@
         if ntf.topic.effect is not Effect.COLLAPSIBLE:
             return ntf.topic.effect is AGAIN
         drops = ntf.topic.group == "all" or (ntf.topic.group == "zone" and zone == ntf.maybe_zone != "")
-        return drops and self.now < self.last_begin(ntf)
+        return drops and self.begin_in(ntf) > 0.0
 
-    def last_begin(self, ntf):  # a push that connects late must not begin past it; a little early
-        return ntf.maybe_at + (inf if ntf.topic.effect is AGAIN else ntf.topic.window - 0.05)
+    def begin_in(self, ntf):  # a push that connects late must not begin after so long; a little early
+        return ntf.maybe_at - self.now + (inf if ntf.topic.effect is AGAIN else ntf.topic.window - 0.05)
 
     def may_push(self, ntf, route):
         if ntf.state != "parked" or ntf.out or self.now >= ntf.due or ntf.pushes >= ntf.most:
@@ -671,8 +681,7 @@
         self.step(ntf, "pushed")
         times = self.TIMEOUT * route.dest.times.quantile(0.9)
         longest = inf if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, times)
-        begin = self.last_begin(ntf) - self.now
-        self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest), begin))
+        self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest), self.begin_in(ntf)))
 
     def hang_up(self):
         """An idle connection fills a place that others lack, where endpoints take few."""
@@ -701,5 +710,6 @@
         it.Woken: lambda self, event: None,
         it.Retuned: on_retuned,
         it.Overheard: on_overheard,
+        it.Turn: on_turn,
         it.Leaving: lambda self, event: setattr(self, "leaves", event.until),
     }
--- a/ryestack/interface.py
+++ b/ryestack/interface.py
@@ -186,6 +186,19 @@
     items: tuple[tuple[str, int, TopicType], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """Another process of this relay owes a notification of that key in order, or owes it no more.
+
+    rest: until when the key rests, a time of the clock.
+    """
+
+    key: str
+    id: str
+    over: bool
+    rest: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Withdrawn:
     """The client has taken the notification back."""
@@ -264,5 +277,5 @@
     """Ask the registry for changes from now on, the whole list first if this relay is behind."""
 
 
-Event = ListUpdate | Notification | Outcome | Withdrawn | Woken | Leaving | Retuned | Overheard
+Event = ListUpdate | Notification | Outcome | Withdrawn | Woken | Leaving | Retuned | Overheard | Turn
 Action = Push | Cancel | HangUp | Throttle | Expire | Wake | AskForList
--- a/ryestack/lifecycle/line.py
+++ b/ryestack/lifecycle/line.py
@@ -35,8 +35,11 @@
         """The next word; None once the other side is gone."""
         try:
             line = await self.reader.readline()
-            return json.loads(line) if line.endswith(b"\n") else None  # else its sender died within it
-        except (OSError, ValueError) as problem:
+            word = json.loads(line) if line.endswith(b"\n") else None  # else its sender died within it
+            if word is not None and not (isinstance(word, list) and word):
+                raise ValueError("no word")
+            return word
+        except (OSError, ValueError, RecursionError) as problem:
             event("line.broken", why=repr(problem))
             return None
 
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections import Counter, defaultdict
 from dataclasses import dataclass
+from functools import partial
 
 from .. import interface as it
 from ..brain import NEVER_RAN
@@ -33,6 +34,7 @@
         self.settings, self.ledger, self.clock = settings, ledger, clock
         self.wall = wall  # added to the clock, it gives the wall's time
         self.brain = Watched(settings, seed)
+        self.brain.told_turn = partial(self.tell, "turn")
         self.queue, self.filled = [], asyncio.Event()
         self.courier: Courier = None  # these two are set once they can be built, before the first round
         self.ends: Ends = None
@@ -42,6 +44,8 @@
         self.fresh: dict[str, HandIn] = {}
         self.kin = []  # lines to the other processes of this relay: each hears of our calls
         self.afar: dict[tuple[str, int], tuple[object, str]] = {}  # their pushes: whose, and where
+        self.turns: dict[tuple[str, str], object] = {}  # their keys in order and ids: whose
+        self.theirs: dict[object, int] = {}  # how many notifications each of them holds
 
     # -- the queue --------------------------------------------------------------------------------
 
@@ -101,7 +105,11 @@
         name = message.ntf.id
         if name in self.ledger.owed or name in self.fresh:
             message.verdict.set_result((Verdict.UNREADABLE, 0.0))
-        elif self.emptied or self.held() >= self.settings.max_open or not self.ledger.has_room(message.body):
+        elif (
+            self.emptied
+            or self.held_by_all() >= self.settings.max_open
+            or not self.ledger.has_room(message.body)
+        ):
             self.turn_away(message)
         else:
             self.fresh[name] = message
@@ -111,6 +119,9 @@
     def held(self) -> int:
         return len(self.ledger.owed) + len(self.fresh)
 
+    def held_by_all(self) -> int:
+        return self.held() + sum(self.theirs.values())
+
     def before_afar(self, event: Afar):
         return event.outcome if self.afar.pop((event.outcome.id, event.outcome.push), None) else None
 
@@ -197,9 +208,13 @@
         told: what the process before us had learnt; beside: it lives, told or not.
         """
         self.round([update])
-        if told is not None:
-            learnt.take(self.brain, told)
-        elif beside:
+        try:
+            if told is not None:
+                learnt.take(self.brain, told)
+        except (TypeError, ValueError, KeyError, AttributeError) as problem:
+            event("line.broken", why=f"what it has learnt makes no sense: {problem!r}")
+            told = None
+        if told is None and beside:
             learnt.careful(self.brain)
         self.adopt(list(self.ledger.owed.values()))
         self.round(self.take_queue())
@@ -240,6 +255,15 @@
             name, push, endpoint, result, *more = rest
             facts = dict(zip(TOLD, more, strict=True))
             self.put([Afar(it.Outcome(name, push, endpoint, Result(result), **facts))])
+        elif kind == "turn":
+            key, name, over, rest_until = rest
+            self.turns[key, name] = line
+            if over:
+                del self.turns[key, name]
+            if name not in self.ledger.owed:
+                self.put([it.Turn(key, name, over, rest_until)])
+        elif kind == "holds":
+            self.theirs[line] = int(rest[0])
 
     def out(self) -> list:
         """Our calls that are out, as "began" tells them."""
@@ -255,8 +279,19 @@
         """What it had out ends with it; whoever owes those notifications has its history of them."""
         if line in self.kin:
             self.kin.remove(line)
+        self.theirs.pop(line, None)
         theirs = [(key, at) for key, (whose, at) in self.afar.items() if whose is line]
         self.put([Afar(it.Outcome(*key, at, Result.CANCELLED)) for key, at in theirs])
+        for (name, push), at in theirs:  # to a third one too, which heard of them through us
+            self.tell("ended", name, push, at, Result.CANCELLED.value, 0.0, False, 0.0, 0.0, False, 1.0)
+
+    def all_adopted(self) -> None:
+        """What those that are gone owed is ours: a turn of theirs that is not among it is over."""
+        for (key, name), line in list(self.turns.items()):
+            if line not in self.kin:
+                del self.turns[key, name]
+                if name not in self.ledger.owed:
+                    self.put([it.Turn(key, name, True)])
 
     def in_progress(self) -> int:
         return sum(not owed.notice for owed in self.ledger.owed.values())
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -237,6 +237,8 @@
         if line.writer is None:
             await line.open()
             line.say("learnt", learnt.told(self.owner.brain), self.owner.out())
+            for turn in self.owner.brain.turns():
+                line.say("turn", *turn)
         self.owner.kin.append(line)
         self.lines.add(line)
         while word := await line.word():
@@ -245,7 +247,11 @@
                 self.served.set()
                 event("heir.serves")
             else:
-                self.owner.hear(line, word)
+                try:
+                    self.owner.hear(line, word)
+                except (TypeError, ValueError, KeyError, IndexError) as problem:
+                    event("line.broken", why=f"a word that makes no sense: {problem!r}")
+                    break
                 for other in self.lines - {line}:
                     other.say(*word)
         line.close()
@@ -267,7 +273,9 @@
             while self.ledger.journal.beside():
                 if self.phase in READY and (left := self.ledger.adopt()):
                     self.owner.adopt(left)
+                self.owner.tell("holds", self.owner.held())
                 await asyncio.sleep(LOOK)
+            self.owner.all_adopted()
             if not self.lines:
                 self.succession.elder_is("gone")
                 self.share()
--- a/ryestack/lifecycle/watched.py
+++ b/ryestack/lifecycle/watched.py
@@ -1,5 +1,6 @@
 """The decisions, with what becomes of circuits told to the log. It decides nothing and changes nothing."""
 
+from .. import interface as it
 from ..brain import Brain
 from ..observe.log import event
 
@@ -8,6 +9,26 @@
 
 
 class Watched(Brain):
+    told_turn = staticmethod(
+        lambda key, name, over, rest: None
+    )  # what another process of this relay must know
+
+    def turns(self) -> list[tuple]:
+        return [(key, name, False, rest) for key, (turns, rest) in self.keys.items() for name in turns]
+
+    def on_notification(self, n):
+        if (n.terms or self.topics[n.topic_type]).keep_order and n.key:
+            self.told_turn(n.key, n.id, False, 0.0)
+        super().on_notification(n)
+
+    HEAR = {**Brain.HEAR, it.Notification: on_notification}
+
+    def next_turn(self, ntf):
+        ours = ntf.topic.name  # a stand-in for one of theirs has no name: it is not told back
+        if ours and ntf.key and ntf.state == "over" and not ntf.out and ntf.id in self.keys[ntf.key][0]:
+            self.told_turn(ntf.key, ntf.id, True, self.keys[ntf.key][1])
+        super().next_turn(ntf)
+
     def turn(self, route, heard, span=0.0):
         before = route.state
         super().turn(route, heard, span)
--- a/ryestack/store/files.py
+++ b/ryestack/store/files.py
@@ -12,7 +12,7 @@
 NAMES = ["owed", *(f"owed.{n}" for n in range(1, MOST))]
 
 
-class Held(Exception):
+class Held(OSError):
     """Each name is held by a process that lives."""
 
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -284,6 +284,7 @@
     def test_what_is_wrong_is_named_in_one_line(self):
         wrong = (
             ("listen", "x", "listen"), ("discovery", "x:y", "discovery"),
+            ("ops", "x", "ops"), ("ops", 7, "ops"),
             ("settings", {}, "allowed"), ("known", {}, "index"), ("known", {"index": inf}, "infinity"),
             ("limits", {"sockets": 9, "disk_mb": inf}, "wrong kind"),
         )
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -68,11 +68,11 @@
         probe = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
         self.ops = f"127.0.0.1:{probe.sockets[0].getsockname()[1]}"
         probe.close()
-        self.seen, self.notices, self.failing = 0, [], False
+        self.seen, self.notices, self.failing = 0, [], b""  # failing: the answer, if it is not 200
 
         def endpoint(*_):
             self.seen += 1
-            return http(500) if self.failing else http(200)
+            return self.failing or http(200)
 
         def platform(head, body):
             if head.startswith(b"POST /status"):
@@ -109,7 +109,7 @@
         told = await self.until(handled("again", "passed"), 1)
         self.assertEqual((told["lb_upstream_tries_total", ()], self.seen), (1, 1))
         self.assertEqual((told["lb_known_endpoints", ()], told["lb_in_progress", ()]), (1, 0))
-        self.failing = True
+        self.failing = http(500)
         self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "m", "X-Class": "once"}), TAKEN)
         told = await self.until(handled("once", "bad_gateway"), 1)
         while not self.notices:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -4,24 +4,29 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
 import unittest
+from contextlib import ExitStack, suppress
+from math import inf
 from pathlib import Path
+from unittest.mock import patch
 
 from ryestack import interface as it
 from ryestack.interface import Result
 from ryestack.lifecycle import learnt
-from ryestack.lifecycle.line import LONGEST, Post, answer, hail
+from ryestack.lifecycle.line import LONGEST, Line, Post, answer, hail
 from ryestack.lifecycle.relay import PHASES
-from ryestack.lifecycle.succession import Succession
+from ryestack.lifecycle.succession import ELDER, HEIR, Succession
+from ryestack.lifecycle.watched import Watched
 from ryestack.store import files
 from ryestack.store.inspect import inspect
 from ryestack.store.journal import Journal
 from ryestack.store.ledger import Ledger
 from ryestack.wire.server import REFUSED, TAKEN
 
-from .helpers import brain, end, kinds, pushes, take
+from .helpers import brain, end, http, kinds, pushes, settings, take
 from .test_lifecycle import Folder
 from .test_staff import Staffed, handled
 from .test_store import owed
@@ -169,6 +174,31 @@
         self.assertEqual(b.slots, 12)
 
 
+class Turns(unittest.TestCase):
+    """Order by key over two processes."""
+
+    def test_a_younger_one_waits_for_the_elders_and_an_adopted_one_keeps_its_place(self):
+        b = brain()
+        b.round(1.0, [it.Turn("k", "old", False), it.Turn("k", "older", False)])
+        self.assertEqual(pushes(b.round(1.1, [take("n", "turns", key="k")])), [])
+        self.assertEqual(pushes(b.round(1.2, [it.Turn("k", "old", True, rest=1.5)])), [])
+        acts = b.round(1.3, [take("older", "turns", key="k")])  # adopted
+        self.assertEqual(pushes(acts + b.round(1.5, [it.Woken()])), [("older", "a")])
+        self.assertEqual(pushes(b.round(1.6, [end("older", "a", Result.DELIVERED)])), [("n", "a")])
+        b.round(1.7, [end("n", "a", Result.DELIVERED)])
+        b.round(9.0, [it.Woken()])
+        self.assertEqual(b.keys, {})
+
+    def test_words_of_turns_go_out_once_and_are_not_told_back(self):
+        said, b = [], Watched(settings(), 1)
+        b.told_turn = lambda *word: said.append(word[:3])
+        b.round(0.0, [it.ListUpdate((it.Endpoint("a", "z", "shared", 7, rate=50.0),), whole=True)])
+        b.round(1.0, [take("n", "turns", key="k"), it.Turn("k", "x", False)])
+        self.assertEqual([turn[:3] for turn in b.turns()], [("k", "n", False), ("k", "x", False)])
+        b.round(1.1, [end("n", "a", Result.DELIVERED), it.Turn("k", "x", True)])
+        self.assertEqual(said, [("k", "n", False), ("k", "n", True)])
+
+
 class Table(unittest.TestCase):
     def test_an_heir_that_never_serves_or_dies_leaves_us_as_before(self):
         s = Succession()
@@ -178,6 +208,20 @@
         s.heir_is("serves")  # a word of the one that is gone
         self.assertEqual((s.processes(), s.relieved()), (1, False))
 
+    def test_all_pairs_lead_to_a_state_that_is_told_and_one_that_is_gone_counts_no_more(self):
+        for table, whats in ((ELDER, ("found", "gone")), (HEIR, ("hailed", "serves", "gone"))):
+            states = {"none", *table.values(), *(state for state, _ in table)}
+            for state in states - {"none"}:
+                self.assertEqual(table[state, "gone"], "none")
+            for state in states:
+                for what in whats:
+                    s = Succession()
+                    (relation, tell) = ("elder", s.elder_is) if table is ELDER else ("heir", s.heir_is)
+                    setattr(s, relation, state)
+                    tell(what)
+                    self.assertIn(getattr(s, relation), states)
+                    self.assertEqual(s.relieved(), s.heir == "serving")
+
     def test_three_in_a_row(self):
         s = Succession()
         for relation, what in ((s.elder_is, "found"), (s.heir_is, "hailed"), (s.heir_is, "serves")):
@@ -192,6 +236,25 @@
 
 
 class Lines(Folder, unittest.IsolatedAsyncioTestCase):
+    async def test_where_such_sockets_are_refused_there_is_no_line_and_nothing_else(self):
+        real = socket.socket
+
+        def refused(family=socket.AF_INET, *more, **names):
+            if family == socket.AF_UNIX:
+                raise OSError("not here")
+            return real(family, *more, **names)
+
+        with patch.object(socket, "socket", refused), patch.object(files.fcntl, "flock", side_effect=OSError):
+            post = Post(self.folder, None)
+            post.open()
+            self.assertIsNone(post.sock)
+            Path(self.folder, "line").touch()
+            self.assertIsNone(hail(self.folder))
+            kept = Ledger(Journal(self.folder, 100_000))
+            kept.recover()
+            self.assertTrue(kept.take(owed("n")))
+            kept.journal.close()
+
     async def test_a_folder_with_a_long_name_and_a_caller_that_goes(self):
         folder = f"{self.folder}/{'x' * LONGEST}"
         os.mkdir(folder)
@@ -211,10 +274,89 @@
         heir.close()
         self.assertIsNone(await line.word())
         line.close()
+        for nonsense in (b"{}\n", b"[]\n", b"\xff\n", b"[" * 100_000 + b"\n"):
+            ours, theirs = socket.socketpair()
+            odd = Line(ours)
+            await odd.open()
+            theirs.sendall(nonsense)
+            self.assertIsNone(await odd.word(), nonsense[:9])
+            odd.close()
+            theirs.close()
         post.close()
         self.assertIsNone(hail(folder))  # what a dead process left is no process
 
 
+class Killed(BaseException):
+    """As a kill does: no handler of errors hears of it."""
+
+
+class Crash(Folder, unittest.TestCase):
+    """A kill at each change of the folder, of a start, a rewrite and an adoption."""
+
+    def story(self, dies_at):
+        """Two processes; the first ends, the second adopts. What was begun, promised, ending, and over."""
+        changes, alive, begun, promised, ending, over = 0, [], set(), set(), set(), set()
+
+        def change(real):
+            def call(*args, **more):
+                nonlocal changes
+                changes += 1
+                if changes == dies_at:
+                    raise Killed
+                return real(*args, **more)
+
+            return call
+
+        def end(ledger, name):
+            ending.add(name)
+            ledger.over(name)
+            over.add(name)
+
+        def live():
+            for name in ("n", "m"):
+                alive.append(made := Ledger(Journal(self.folder, 100_000)))
+                made.recover()
+                for one in (f"{name}1", f"{name}2"):
+                    begun.add(one)
+                    self.assertTrue(made.take(owed(one)))
+                    promised.add(one)
+                made.push(f"{name}1", 0, 40.0)
+                end(made, f"{name}2")
+            alive[0].rewrite()
+            alive[0].journal.close()
+            alive[1].adopt()
+            end(alive[1], "n1")
+
+        places = ((os, "open"), (os, "replace"), (Path, "unlink"), (Journal, "append"))
+        with ExitStack() as stack:
+            for place, name in places:
+                stack.enter_context(patch.object(place, name, change(getattr(place, name))))
+            stack.enter_context(suppress(Killed))
+            live()
+        for made in alive:
+            made.journal.close()
+        return begun, promised, ending, over, changes >= dies_at
+
+    def test_nothing_is_lost_and_what_is_over_does_not_come_back(self):
+        at, died = 0, True
+        while died:
+            at += 1
+            for name in os.listdir(self.folder):
+                os.unlink(f"{self.folder}/{name}")
+            begun, promised, ending, over, died = self.story(at)
+            last = Ledger(Journal(self.folder, 100_000))
+            last.recover()
+            last.journal.close()
+            found = set(last.owed)
+            self.assertLessEqual(promised - ending, found, f"killed at change {at}")
+            self.assertLessEqual(found, begun - over, f"killed at change {at}")
+            for one in found:
+                self.assertIn((last.owed[one].pushes, last.owed[one].first_maybe()), ((0, inf), (1, 40.0)))
+            self.assertEqual(len(os.listdir(self.folder)), 1)
+            self.assertEqual(last.live, sum(o.size for o in last.owed.values()))
+        self.assertGreater(at, 15)
+
+
 class Running(Staffed, unittest.IsolatedAsyncioTestCase):
     """The program, twice."""
 
@@ -257,12 +399,13 @@
         self.assertEqual([f for f in os.listdir(self.folder) if f.startswith("owed")], ["owed"])
 
     async def test_the_old_one_killed_the_new_one_owes_what_it_owed(self):
-        self.failing = True
+        self.failing = http(429, X_Retry_In_Ms="1500")
         self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "n"}), TAKEN)
         first = await self.second()
         first.kill()
         await first.wait()
-        self.failing = False
+        self.assertEqual(self.seen, 1)  # the wait holds for both of them
+        self.failing = b""
         await self.until(handled("again", "passed"), 1)
 
     async def test_the_new_one_killed_the_old_one_serves_on_as_before(self):
@@ -279,6 +422,17 @@
         self.assertEqual(await asyncio.wait_for(again.wait(), 3.7), 0)
         self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "o"}), TAKEN)
 
+    async def test_a_caller_that_speaks_nonsense_is_let_go_and_nothing_else_happens(self):
+        for word in (b'["began"]\n', b'["ended",1,2]\n', b'["began","a",[["n",0]]]\n', b"\0\n"):
+            with socket.socket(socket.AF_UNIX) as caller:
+                caller.connect(f"{self.folder}/line")
+                caller.sendall(word)
+                await asyncio.sleep(0.05)
+        self.assertEqual(await self.ask("POST", "/api"), TAKEN)
+        self.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        self.assertEqual(await self.ask("GET", "/_health"), REFUSED)  # none of them was an heir
+
     async def test_one_that_cannot_start_changes_nothing(self):
         path = f"{self.folder}/config.json"
         with open(path) as file:
