--- a/ryestack/cli/trial.py
+++ b/ryestack/cli/trial.py
@@ -8,32 +8,39 @@
 
 import typer
 
+from ..lab import operation
 from ..lab import trial as lab
 from ..lab.load import figures
 from .load import progress, show
 from .output import FOUND, Json, Seed, print_json, say, unusable
 
 
-async def _run(folder: Path, rate: float, seed: int, note):
+async def _run(folder: Path, rate: float, seed: int, note, staff: bool):
     """Ctrl-C and SIGTERM end it from within, so that no child is left."""
     task, loop = asyncio.current_task(), asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, task.cancel)
-    return await lab.run(folder, rate, seed, say, note)
+    chosen = (operation.story, operation.LOAD) if staff else (lab.killed, lab.LOAD)
+    return await lab.run(folder, rate, seed, say, note, *chosen)
 
 
 def trial(
     rate: Annotated[float, typer.Option(min=1, max=500, help="Hand-ins a second.")] = 40.0,
     seed: Seed = 1,
     keep: Annotated[str | None, typer.Option(help="A folder to keep the relay's log and journal in.")] = None,
+    staff: Annotated[
+        bool,
+        typer.Option("--staff", help="Upgrades, kills in the middle, bad files, a drain instead of a kill."),
+    ] = False,
     as_json: Json = False,
 ) -> None:
     """A platform, partners and a relay: load, a partner that falls and returns, a kill -9, a judge."""
-    bar, note = progress(int(rate * lab.LOAD))
+    seconds = operation.LOAD if staff else lab.LOAD
+    bar, note = progress(int(rate * seconds))
     with tempfile.TemporaryDirectory(prefix="ryestack-try-") as made:
         try:
             with bar:
-                told, facts = asyncio.run(_run(Path(keep or made), rate, seed, note))
+                told, facts = asyncio.run(_run(Path(keep or made), rate, seed, note, staff))
         except asyncio.CancelledError:
             raise typer.Exit(130) from None
         except (lab.TrialFailed, OSError) as problem:
@@ -42,6 +49,6 @@
     if as_json:
         print_json({"seed": seed, **result})
     else:
-        show(result, f"{rate:g} a second for {lab.LOAD:g} s, seed {seed}")
+        show(result, f"{rate:g} a second for {seconds:g} s, seed {seed}")
         say("none lost, none doubled" if result["good"] else "FAILED: see the lines above")
     raise typer.Exit(0 if result["good"] else FOUND)
--- a/ryestack/lab/trial.py
+++ b/ryestack/lab/trial.py
@@ -89,7 +89,7 @@
     """A relay as a child of its own, so that a signal to us is none to it; close() leaves none."""
 
     def __init__(self, config: dict, folder: Path, command: list[str] | None = None, cwd: Path | None = None):
-        self.config, self.folder, self.cwd = config, folder, cwd
+        self.config, self.folder, self.cwd, self.ops = config, folder, cwd, None
         self.command = command or [sys.executable, "-m", "ryestack"]
         self.address, self.process = config["listen"], None
         (folder / "state").mkdir(parents=True, exist_ok=True)
@@ -99,6 +99,8 @@
         """Seconds until it served."""
         kept = {name: value for name, value in os.environ.items() if not name.startswith("RYESTACK_")}
         env = {**kept, "LB_CONFIG": str(self.folder / "config.json"), "LB_STATE": str(self.folder / "state")}
+        if self.ops:
+            env["LB_OPS"] = self.ops
         began = time.monotonic()
         with open(self.folder / "relay.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -107,18 +109,26 @@
         while time.monotonic() < began + READY:
             if self.process.returncode is not None:
                 raise TrialFailed(f"the relay ended with {self.process.returncode}:\n{self.tail()}")
-            if await self.healthy():
+            if await (self.ready() if self.ops else self.healthy()):
                 return time.monotonic() - began
             await asyncio.sleep(0.01)
         raise TrialFailed(f"the relay did not serve within {READY:g} s:\n{self.tail()}")
 
     async def healthy(self) -> bool:
+        return await self.ask("GET", self.address, "/_health") == 200
+
+    async def ready(self) -> bool:
+        """Of this process alone: another one may serve at the clients' address."""
+        return await self.ask("GET", self.ops, "/-/ready") == 200
+
+    async def ask(self, method: str, address: str, path: str) -> int:
+        """The answer's status, 0 if there is none."""
         try:
             limit = aiohttp.ClientTimeout(total=0.5)
-            async with aiohttp.request("GET", f"http://{self.address}/_health", timeout=limit) as answer:
-                return answer.status == 200
+            async with aiohttp.request(method, f"http://{address}{path}", timeout=limit) as answer:
+                return answer.status
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return False
+            return 0
 
     def tail(self) -> str:
         return "\n".join((self.folder / "relay.log").read_text(errors="replace").splitlines()[-8:])
@@ -134,10 +144,29 @@
             await self.process.wait()
 
 
+async def killed(relay: RelayProcess, say: Callable[[str], None]) -> tuple[RelayProcess, dict]:
+    """The story of the main job: a kill -9 while a partner is down."""
+    await asyncio.sleep(KILLED)
+    status = await relay.kill()
+    say(f"killed the relay {KILLED:g} s after the first hand-in (status {status}), its folder stays")
+    second = await relay.start()
+    say(f"it serves again after {second:.2f} s; destination 1 returns {RETURNS:g} s after the first")
+    return relay, {"restart_s": second}
+
+
 async def run(
-    folder: Path, rate: float, seed: int, say: Callable[[str], None], note: Callable[[int], None]
+    folder: Path,
+    rate: float,
+    seed: int,
+    say: Callable[[str], None],
+    note: Callable[[int], None],
+    story=killed,
+    seconds: float = LOAD,
 ) -> tuple[Judged, dict]:
-    """The whole trial; returns what was judged and a few facts of the run."""
+    """The whole trial; returns what was judged and a few facts of the run.
+
+    story(relay, say): what befalls the relay while it is under load; the relay there is then, and facts.
+    """
     partner = Partner(stage(seed))
     platform = relay = None
     try:
@@ -150,16 +179,12 @@
         relay = RelayProcess(config, folder)
         first = await relay.start()
         say(f"relay on {listen}, platform on {platform.address}, {len(addresses)} endpoints of 3 partners")
-        plan = Plan(TOPICS, [1, 2, 3], ["acme"], rate=rate, seconds=LOAD, seed=seed, window=WINDOW)
+        plan = Plan(TOPICS, [1, 2, 3], ["acme"], rate=rate, seconds=seconds, seed=seed, window=WINDOW)
         load = Load(plan, [listen], note)
         partner.began = platform.began = time.monotonic()  # the timeline begins with the load
         sending = asyncio.ensure_future(load.run())
         try:
-            await asyncio.sleep(KILLED)
-            status = await relay.kill()
-            say(f"killed the relay {KILLED:g} s after the first hand-in (status {status}), its folder stays")
-            second = await relay.start()
-            say(f"it serves again after {second:.2f} s; destination 1 returns {RETURNS:g} s after the first")
+            relay, more = await story(relay, say)
             await sending
         finally:
             sending.cancel()
@@ -174,7 +199,7 @@
         refused = sum(n for what, n in partner.books.calls.items() if what.endswith(" full"))
         facts = {
             "start_s": first,
-            "restart_s": second,
+            **more,
             "turned_away_by_partners": refused,
             "stop_status": status,
         }
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -1,8 +1,11 @@
 import asyncio
+import tempfile
 import time
 import unittest
+from pathlib import Path
 from random import Random
 
+from ryestack.lab import operation, trial
 from ryestack.lab.load import Load, Plan, Topic, figures, histogram
 from ryestack.lab.oracle import Handed, judge
 from ryestack.lab.shapes import times
@@ -93,6 +96,16 @@
             list(times("round", 1.0, 1.0, Random(1)))
 
 
+class Staff(unittest.IsolatedAsyncioTestCase):
+    async def test_upgrades_kills_bad_files_and_a_drain_lose_nothing_and_double_nothing(self):
+        with tempfile.TemporaryDirectory() as folder:
+            told, facts = await trial.run(
+                Path(folder), 20.0, 3, lambda _: None, lambda _: None, operation.story, operation.LOAD)
+        self.assertEqual(told.broken, [])
+        self.assertTrue(told.good() and told.taken > 200, told)
+        self.assertEqual(facts["upgrades"], 3)
+
+
 class OpenLoop(unittest.IsolatedAsyncioTestCase):
     async def test_waiting_for_a_connection_is_in_the_latency(self):
         server, address = await stand_in(lambda *_: time.sleep(0.03) or http(202))
