--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -49,6 +49,7 @@
 SHORT = 3.2  # after SIGTERM: SIGKILL may come after 3.7, and calls, notices and the exit take some time
 LAST = 0.2  # for notices that are owed when calls are wound up
 TEXT = "text/plain; charset=utf-8"
+STUCK = 1.0  # seconds before what had no room is tried again: a file is read whole each time
 WORD = 0.3  # for the word of a process after us that it serves, where a stop comes first
 LOOK = 0.05  # seconds between looks at whether all is settled
 
@@ -274,7 +275,7 @@
                 if self.phase in READY and (left := self.ledger.adopt()):
                     self.owner.adopt(left)
                 self.owner.tell("holds", self.owner.held())
-                await asyncio.sleep(LOOK)
+                await asyncio.sleep(STUCK if self.ledger.stuck else LOOK)
             self.owner.all_adopted()
             if not self.lines:
                 self.succession.elder_is("gone")
--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -47,6 +47,7 @@
 class Ledger:
     def __init__(self, journal: Journal):
         self.journal, self.owed, self.live, self.well = journal, {}, 0, True
+        self.stuck = False  # a file of a process that is gone could not be taken over yet
         self.rules: list[list] = []  # those that the file names so far, by number
 
     def recover(self) -> None:
@@ -88,7 +89,7 @@
         A file is copied whole behind ours, in one write, and only then taken away. A kill between the two
         leaves both as they were: the same messages twice, which count once.
         """
-        taken = []
+        taken, self.stuck = [], False
         for path in self.journal.beside():
             fd = files.lock(path)
             if fd is None:
@@ -103,6 +104,7 @@
                     self.copy(new)
                 except OSError as problem:  # it stays where it is, and is tried again
                     event("journal.blocked", why=f"{path.name}: {problem}")
+                    self.stuck = True
                     continue
                 path.unlink(missing_ok=True)
                 files.fresh(path).unlink(missing_ok=True)
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -137,13 +137,14 @@
 
     def relieved(self) -> None:
         self.listener.close()
+        self.ready = True  # of the relay, which the other process is now, drained or not
         self.empty()
 
     def share(self, processes: int) -> None:
         self.most = max(1, self.whole // processes)
         idle = sorted(filter(Door.idle, self.server.connections), key=Door.ends)
         for connection in idle[: max(0, len(self.server.connections) - self.most)]:
-            connection.force_close()
+            connection.end_if_quiet()
 
     def resume(self) -> None:
         self.ready, self.last_answers = True, False
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -88,7 +88,7 @@
         new.journal.share(2)
         new.take(owed("m", b"x" * 9000))
         old.journal.close()
-        self.assertEqual((new.adopt(), list(new.owed)), ([], ["m"]))
+        self.assertEqual((new.adopt(), list(new.owed), new.stuck), ([], ["m"], True))
         new.journal.share(1)
         self.assertEqual((len(new.adopt()), len(new.owed), new.journal.beside()), (5, 6, []))
 
