A process of an upgrade that speaks nonsense or stands still stops nobody's start

Read in the code, then made to fail: calls told in a wrong shape ended the start, words to a process that does not read grew without bound. Tests of both; no decision changed.

--- a/ryestack/lifecycle/line.py
+++ b/ryestack/lifecycle/line.py
@@ -15,6 +15,7 @@
 NAME = "line"
 PATIENCE = 1.0  # seconds for an elder to answer: it serves under load, and a start is owed within six
 MOST = 16 * 1024 * 1024  # bytes of a word: all that is learnt of thousands of endpoints
+UNREAD = 2 * 1024 * 1024  # bytes of words that wait for the other side: some minutes of calls
 LONGEST = 100  # bytes of a socket's path that every system takes
 
 
@@ -28,7 +29,12 @@
         self.reader, self.writer = await asyncio.open_unix_connection(sock=self.conn, limit=MOST)
 
     def say(self, *word) -> None:
-        if not self.writer.is_closing():
+        if self.writer.is_closing():
+            return
+        if self.writer.transport.get_write_buffer_size() > UNREAD:  # it stands still
+            event("line.broken", why="the other process does not read")
+            self.close()
+        else:
             self.writer.write(json.dumps(word, separators=(",", ":")).encode() + b"\n")
 
     async def word(self) -> list | None:
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -120,15 +120,18 @@
         if beside or self.line:
             self.succession.elder_is("found")
             self.share()
-        for endpoint, items in out:
-            self.owner.hear(self.line, ["began", endpoint, items])
+        try:
+            for endpoint, items in out:
+                self.owner.hear(self.line, ["began", endpoint, items])
+        except (TypeError, ValueError, KeyError) as problem:
+            event("line.broken", why=f"the calls that it has out make no sense: {problem!r}")
         self.owner.recover(self.parts.directory.known(), learnt, beside)
 
     async def elder_tells(self) -> tuple[dict | None, list]:
         await self.line.open()
         try:
             async with asyncio.timeout(PATIENCE):
-                if (word := await self.line.word()) and word[0] == "learnt":
+                if (word := await self.line.word()) and word[0] == "learnt" and len(word) == 3:
                     return word[1], word[2]
         except TimeoutError:
             event("line.broken", why="the process before us did not tell what it has learnt")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -282,6 +282,13 @@
             self.assertIsNone(await odd.word(), nonsense[:9])
             odd.close()
             theirs.close()
+        ours, stands_still = socket.socketpair()
+        full = Line(ours)
+        await full.open()
+        for _ in range(400):
+            full.say("x" * 10_000)
+        self.assertTrue(full.writer.is_closing())
+        stands_still.close()
         post.close()
         self.assertIsNone(hail(folder))  # what a dead process left is no process
 
@@ -433,6 +440,23 @@
         await asyncio.sleep(0.1)
         self.assertEqual(await self.ask("GET", "/_health"), REFUSED)  # none of them was an heir
 
+    async def test_an_elder_that_tells_nonsense_is_no_reason_not_to_start(self):
+        self.process.kill()
+        await self.process.wait()
+        for word in (b'["learnt"]\n', b'["learnt",7,7]\n', b'["learnt",{"routes":7},[["a",[[1]]],4]]\n'):
+            def hailed(conn, word=word):
+                line = answer(conn, None)
+                line.conn.sendall(word)
+                self.addCleanup(line.conn.close)
+
+            post = Post(self.folder, hailed)
+            post.open()
+            self.process = await self.run_it(f"{self.folder}/config.json")
+            self.assertEqual(await self.ask("POST", "/api"), TAKEN)
+            self.process.kill()
+            await self.process.wait()
+            post.close()
+
     async def test_one_that_cannot_start_changes_nothing(self):
         path = f"{self.folder}/config.json"
         with open(path) as file:
