Where refused calls use a limit up, what answers tell is left of it paces the fleet

Causes, each measured alone: - Refusals at a used-up limit for 3 s counted as an outage (`Pacer.bad`): the warm-up held back a partner that was never down. They no longer do; a wait of over 3 s and refusals with room left still do. - `BACK` lets each relay go after half a second: harmless alone, 80 a second of 40 relays. Two used-up refusals in a row with no delivery between (where refusals are free some calls pass) now make the bucket decide, at 0.5 to 3 times our part, by what answers tell is left (`Pacer.left`), one step for what half a second tells; not where calls are rare. - A refusal cost up to 1 + r tokens, 10 s and more at a cold or paced bucket: one at most there. - A wait that told when a partner opens begins its warm-up then, not at each relay's first delivery. - An outage marked its kind short of connections for a minute (6,080 connections for 8,228 requests): not once proven. - `Calls.not_begun` fired after its call had ended: RuntimeError in the loop, seen in the logs; its timer is cancelled.

DEBUG events tell each notification and push by id.

--- a/ryestack/brain.py
+++ b/ryestack/brain.py
@@ -1,5 +1,4 @@
-"""All decisions of a relay: one Brain(settings, seed) each, round(now, events) -> actions, the clock in
-seconds; types are in interface.py, docs/design.md says what is kept of ADR-0142."""
+"""All decisions of a relay: Brain(settings, seed), round(now, events) -> actions; see docs/design.md."""
 
 import heapq
 import random
@@ -94,6 +93,10 @@
     """What one destination, or one route apart, may be sent: told rate, waits, refusals, warm-up."""
 
     GAIN = 1.5  # over our part, as relays are uneven; 1 where a call gathers many: waits fill it
+    # Where refused calls use a limit up too, all of a fleet must come under it before it takes any again.
+    # What is left of it tells the fleet's use: under a fifth we send less, over a half more.
+    LEAST, MOST, LESS, MORE, USED_UP, AMPLE = 0.5, 3.0, 0.7, 1.2, 0.2, 0.5
+    AGE, COUNTS = 0.5, 2  # seconds a told share may be old; used-up refusals in a row: else some calls pass
     OWN = 30.0  # seconds, half-life: parts are lasting; over 5 s one delivery of a thin one shows as many
     BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
     BACK, EASE = 0.5, 0.925  # seconds a token lacking, twice that a refusal; eased so, balance is at 1 in 10
@@ -106,14 +109,14 @@
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
 
     def __init__(self, settings, dest, chance, now, rate):
-        self.dest, self.random, self.taken = dest, chance, Flow(self.OWN)
+        self.dest, self.random, self.taken, self.at = dest, chance, Flow(self.OWN), now
         self.heed(settings)
-        self.at = now
         near = [] if dest.kind.apart else [r.pacer for r in dest.order]  # a new route shares their fate
         self.cold = max((p.cold for p in near if p.cold is not None), default=None)  # inf: down; back since
         self.told = max(0.1, rate) if settings.told_rates else self.UNTOLD  # a list may tell none
         self.tokens = chance.random() ** (1.0 / self.told)  # a draw by rate among routes
-        self.back, self.refusals, self.hungry = self.BACK, 0, 0.0
+        self.back, self.refusals, self.hungry, self.opens = self.BACK, 0, 0.0, 0.0
+        self.ease, self.stepped = self.GAIN, now
         self.bad_since = min((p.bad_since for p in near), default=inf)
         self.wait_until = max((p.wait_until for p in near), default=0.0)
 
@@ -123,14 +126,11 @@
         self.rough = self.ROUGH if settings.rough_rates else 1.0
 
     def part(self, now):
-        """Relays may be uneven: what a partner took of each sums to no more than it takes, as even parts do.
-
-        What is asked for there tells nothing: in a clump or a burst it is many times what the partner takes.
-        Cold, routes that share a fate share one bucket: a call takes from all of theirs.
-        """
+        """The even part, or what it took of ours, which sums to no more; not what is asked, as in a clump."""
         even = self.told / self.relays
         if self.cold is None:
             return max(even / self.dest.sharing(), self.taken.rate(now))
+        # Cold, routes that share a fate share one bucket: a call takes from all of theirs.
         ours = [self] if self.dest.kind.apart else {r.pacer: 0 for r in self.dest.order}
         return max(even, min(self.told, sum(p.taken.rate(now) for p in ours)))
 
@@ -138,7 +138,13 @@
         return self.dest.kind.batch > 1 and self.part(now) * self.objective >= 1.0
 
     def gain(self, now):
-        return 1.0 if self.gathers(now) else self.GAIN
+        return self.GAIN if self.free(now) else min(1.0, self.ease) if self.gathers(now) else self.ease
+
+    def left(self, part, now):
+        if self.dest.counts and now >= self.stepped + self.AGE and not self.USED_UP <= part < self.AMPLE:
+            more = min(self.MOST, self.ease * self.MORE)
+            less = max(self.LEAST, min(1.0, self.ease) * self.LESS)
+            self.ease, self.stepped = more if part >= self.AMPLE else less, now
 
     def rate(self, now):
         part, share = self.part(now), self.rules.cold_share
@@ -158,16 +164,20 @@
             self.tokens = min(most, self.tokens + rate * max(0.0, now - since))
         self.at, lack = now, max(0.0, 1.0 - 1e-6 - self.tokens)
         when = start + lack / rate
-        if warm and single:
+        if warm and self.free(now):
             when = min(when, max(self.hungry, self.dest.hungry, self.wait_until) + lack * self.back)
         return max(start, when)
 
+    def free(self, now):  # a token would come too late to wait for: until refused, it need not
+        rare = sum(p.part(now) for p in {r.pacer for r in self.dest.order}) * self.idle < self.THIN
+        return not self.gathers(now) and (rare or not self.dest.counts)
+
     def thin(self, now):
-        return self.cold is None and not self.gathers(now) and 0.0 < self.part(now) * self.idle < self.THIN
+        return self.cold is None and self.free(now) and 0.0 < self.part(now) * self.idle < self.THIN
 
     def took(self, first, now):
-        self.tokens -= 1.0 if first else self.COLD_ITEM if self.cold is not None else 0.0
-        self.tokens, self.hungry = max(-1.0, self.tokens), now
+        spent = 1.0 if first else self.COLD_ITEM if self.cold is not None else 0.0
+        self.tokens, self.hungry = max(-1.0, self.tokens - spent), now
 
     def good(self, sent, now, here):
         if here:
@@ -176,15 +186,19 @@
             self.tokens = 1.0 if self.thin(now) else self.tokens
         if sent >= self.bad_since or self.bad_since == inf:  # what went before the outage proves no return
             self.bad_since = inf
-            self.cold = max(now, self.wait_until) if self.cold == inf else self.cold
+            self.cold = (self.opens or max(now, self.wait_until)) if self.cold == inf else self.cold
 
-    def bad(self, sent, now, refused, wait=0.0, ran=True):
-        self.bad_since = min(self.bad_since, sent)
+    def bad(self, sent, now, refused, wait=0.0, ran=True, used_up=False):
+        self.opens = now + wait if wait > self.OUT_AFTER else self.opens if sent <= self.opens else 0.0
         if refused:
             self.refusals, self.hungry = self.refusals + 1, now
+            self.dest.counts = self.dest.counts or (used_up and self.refusals >= self.COUNTS)
             # At a random time: relays that a clump met refused together must not come again together.
             self.back, self.at = self.back * 2**self.refusals, now
-            self.tokens = -(1 + self.refusals) * self.random.random()
+            self.tokens = -(1 + self.refusals * (self.cold is None and self.free(now))) * self.random.random()
+        if used_up and wait <= self.OUT_AFTER:
+            return  # the limit is no outage: what stands behind it is not cold
+        self.bad_since = min(self.bad_since, sent)
         # Two that met no room may be chance where calls are few; a third, a long wait, no answer are not.
         few = self.refusals < Tally.ROW if refused else not ran and self.dest.tally.row < Tally.ROW
         long = wait > self.OUT_AFTER or (not few and now - self.bad_since > self.OUT_AFTER)
@@ -204,8 +218,7 @@
         self.pushes, self.maybe_at = n.pushes, n.maybe_at  # its history, where a relay before us took it
         self.most = n.most or most  # pushes that it may have in all
         self.hops, self.past, self.rest_until = 0, "", 0.0  # the walk starts past the route named
-        self.maybe_zone = ""  # where the first push that may have run went; not known of a life before
-        self.refused = False  # its last push was, for a limit used up
+        self.maybe_zone, self.refused = "", False  # of its first that may have run; the last met a limit
 
 
 class Call:
@@ -226,15 +239,14 @@
 
 
 class Dest:
-    # Pushes after a refusal, for each notification asked: at a limit that refused calls use up, fleets that
-    # each come again a few times keep a partner refusing what it could take. At random to begin with.
+    # Pushes after a refusal, for each notification asked: fleets that come again keep a used-up limit so.
     CREDIT, CREDIT_MOST = 0.5, 3.0
     STEP, RISE = 16, 1.1  # deliveries, times: a spell of slowness is over before the usual pace has followed
 
     def __init__(self, times, chance, now):
         self.kind, self.order, self.parked, self.tally, self.calls = None, [], {}, Tally(), 0
         self.times, self.wake, self.hungry, self.usual, self.seen = Times(times), inf, 0.0, inf, 0
-        self.credit, self.credit_at = chance.random(), now
+        self.credit, self.credit_at, self.counts = chance.random(), now, False
 
     def expected(self):
         return self.times.quantile(0.5)
@@ -248,8 +260,8 @@
 
     def took(self, seconds):
         self.times.add(seconds)
-        self.seen += 1
-        if self.seen % self.STEP == 0:  # slower than usual, it does not take more at once: it takes less
+        self.seen += 1  # slower than usual, it does not take more at once: it takes less
+        if self.seen % self.STEP == 0:
             self.usual = min(self.usual * self.RISE, self.times.quantile(0.3))
 
     def bound(self, route):  # an outage mostly takes all routes: three failures in a row at any bind all
@@ -274,9 +286,7 @@
     USUAL = 0.5  # a push's time before anything was measured
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
     SHORT = 60.0  # seconds after a failed connection: one relay meets few, an outage's cost a handshake each
-    USED_UP = 0.2  # of a limit, told with a refusal: that low, it was the limit; the figure is late and noisy
-    # Calls in the time that an idle connection stays open: fewer, and most would close unused, or, where they
-    # are short, one held stands idle more than half of the time.
+    # Calls in an idle connection's time: fewer, and most close unused, or stand idle half of it where short.
     KEPT, KEPT_SHORT = 0.25, 16.0
     ASK, ASK_LONGEST = 1.0, 8.0  # seconds that askings spread over; a registry that is late tells by then
     DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
@@ -288,9 +298,8 @@
         self.times.add(self.USUAL)
         self.dests = defaultdict(lambda: Dest(self.times, self.random, self.now))
         self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, {}, {}
-        self.slots, self.heap, self.seq, self.woken = settings.slots, [], 0, inf
+        self.slots, self.heap, self.seq, self.woken, self.asking = settings.slots, [], 0, inf, self.ASK
         self.acts, self.touched, self.travel, self.idle, self.leaves = [], {}, {}, {}, inf
-        self.asking = self.ASK
         self.short = {}  # kind of destination -> until when its endpoints count as short of connections
         if settings.asks_for_list:
             self.at(self.random.uniform(0.0, self.ASK), Brain.ask, None)  # a fleet may start at once
@@ -456,10 +465,6 @@
             self.at(row[1], Brain.touch, other.dest)
         self.next_turn(theirs)
 
-    def on_withdrawn(self, event):
-        if event.id in self.held:
-            self.step(self.held[event.id], "ended")
-
     def on_outcome(self, o):
         if (o.id, o.push) not in self.out:
             return
@@ -471,8 +476,9 @@
             self.late.pop(call, None)
             self.idle[route.id] = route
         self.touch(route.dest)
-        for each in ([route] if route.dest.kind.apart else route.dest.order) if o.limit else ():
+        for each in ([route] if route.dest.kind.apart else route.dest.order) if o.limit and first else ():
             each.pacer.told, each.pacer.rough = max(0.1, o.limit), 1.0
+            each.pacer.left(o.left, self.now)
         if o.wait > 0.0:  # each item of a call may tell a later end
             span = o.wait + 0.002  # a wait is told in whole milliseconds
             for each in [route] if route.dest.kind.apart else route.dest.order:
@@ -492,7 +498,7 @@
         if o.result not in NEVER_RAN and call.sent < ntf.maybe_at:
             ntf.maybe_at, ntf.maybe_zone = call.sent, ntf.maybe_zone or route.zone
         ntf.past, ntf.hops = route.id, ntf.hops + 1
-        ntf.refused = o.result is Result.FULL and o.left < self.USED_UP
+        ntf.refused = o.result is Result.FULL and o.left < Pacer.USED_UP
         self.step(ntf, "ended" if o.ended or o.result is Result.DELIVERED else "came to nothing")
 
     def judge(self, route, call, o):
@@ -507,7 +513,7 @@
             self.turn(route, "delivered")
         elif o.result is Result.FULL:
             self.turn(route, "heard" if o.wait else "failed")
-            route.pacer.bad(call.sent, self.now, True, o.wait)
+            route.pacer.bad(call.sent, self.now, True, o.wait, used_up=o.left < Pacer.USED_UP)
             for pacer in route.dest.bound(route) if route.pacer.cold == inf else ():
                 pacer.down(call.sent)  # shut, all routes that share its fate are, and come back cold
         elif o.result not in (Result.NOT_SENT, Result.CANCELLED) and not call.late and not o.stale:
@@ -515,13 +521,13 @@
 
     def sick(self, call, result):
         route, silent = call.route, result is not Result.NO_CONNECTION
-        if result is Result.NO_CONNECTION:
-            self.short[route.dest.kind.name] = self.now + self.SHORT
         route.silent, route.mute = silent, result in (None, Result.TIMED_OUT)
         for ntf, _ in call.items if silent else ():
             route.lanes[ntf.topic.name] = self.now + self.REST_LANE * self.random.uniform(0.7, 1.3)
         for tally in (route.tally, route.dest.tally):
             tally.add(self.now, False)
+        if not silent:  # an outage, once proven, says nothing of how many connections there are
+            self.short[route.dest.kind.name] = self.now + self.SHORT * (not route.dest.tally.out())
         for pacer in route.dest.bound(route):
             pacer.bad(call.sent, self.now, False, ran=silent)
         self.turn(route, "tripped" if route.tally.out() else "failed")
@@ -537,10 +543,7 @@
             self.sick(call, None)
 
     def free_a_slot(self):
-        """Late calls give way, the least lost first; covers hangs, silence; hurts where answers were slow.
-
-        For want of a slot any does, for want of a share one of that destination.
-        """
+        """Late calls give way, for want of a slot any, for want of a share one of that destination's."""
         if not self.late or not self.set.may_cancel:
             return
         for dest in [d for d in self.touched.values() if d.parked]:
@@ -584,13 +587,11 @@
     def rank(self, ntf):
         """Benefit to be won by a push now for each second of a slot; the older first among equals."""
         topic, done = ntf.topic, self.now + ntf.dest.expected()
-        late = done - (ntf.due - topic.ttl) - topic.objective
-        part = 1.0 if done < ntf.due else 0.0
-        if late > 0.0 and self.set.late is it.Late.HALVES:
-            part *= max(topic.late_share, 0.5 ** (late / topic.objective))
-        elif late > 0.0:
-            part *= 1.0 - (1.0 - topic.late_share) * late / max(topic.ttl - topic.objective, 1e-3)
-        return ntf.benefit * part / ntf.dest.expected(), -ntf.due
+        late = max(0.0, done - (ntf.due - topic.ttl) - topic.objective)
+        part = 1.0 - (1.0 - topic.late_share) * late / max(topic.ttl - topic.objective, 1e-3)
+        if self.set.late is it.Late.HALVES:
+            part = max(topic.late_share, 0.5 ** (late / max(topic.objective, 1e-3)))
+        return ntf.benefit * part * (done < ntf.due) / ntf.dest.expected(), -ntf.due
 
     def cap(self, dest):
         sick = any(r.tally.row or r.state in ("open", "trial") for r in dest.order)
@@ -706,7 +707,7 @@
         it.ListUpdate: on_list,
         it.Notification: on_notification,
         it.Outcome: on_outcome,
-        it.Withdrawn: on_withdrawn,
+        it.Withdrawn: lambda self, e: e.id in self.held and self.step(self.held[e.id], "ended"),
         it.Woken: lambda self, event: None,
         it.Retuned: on_retuned,
         it.Overheard: on_overheard,
--- a/ryestack/lifecycle/learnt.py
+++ b/ryestack/lifecycle/learnt.py
@@ -7,10 +7,10 @@
 
 KEPT = {
     Route: "state until silent mute good_at lanes",
-    Pacer: "told rough tokens at back refusals hungry bad_since cold wait_until",
+    Pacer: "told rough tokens at back refusals hungry bad_since cold wait_until ease opens",
     Flow: "sum at",
     Tally: "row good bad at",
-    Dest: "usual seen hungry credit credit_at",
+    Dest: "usual seen hungry credit credit_at counts",
     Times: "bins count",
 }
 
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -12,7 +12,7 @@
 from .. import interface as it
 from ..brain import NEVER_RAN
 from ..interface import Result
-from ..observe.log import event
+from ..observe.log import detailed, event
 from ..ports import Courier, Ends, HandIn, Item, Verdict
 from ..store.ledger import Ledger, Owed, rules_of, terms_of
 from . import learnt
@@ -128,6 +128,9 @@
     def before_outcome(self, o: it.Outcome):
         self.tell("ended", o.id, o.push, o.endpoint, o.result.value, *(getattr(o, name) for name in TOLD))
         self.counts[o.result.value] += 1
+        if detailed():
+            facts = {name: round(getattr(o, name), 3) for name in ("elapsed", "wait", "limit", "left")}
+            event("push.ended", id=o.id, push=o.push, route=o.endpoint, result=o.result.value, **facts)
         if o.result is Result.DELIVERED or o.ended:
             if o.result is Result.DELIVERED and o.id in self.ledger.owed:
                 self.ended[self.ledger.owed[o.id].topic, "delivered"] += 1
@@ -146,6 +149,8 @@
         away = action.come_back if throttled else 0.0
         how = "throttled" if throttled else "expired"
         self.counts[how] += 1
+        if detailed():
+            event("ntf.ended", id=action.id, how=how, after=round(away, 3))
         message = self.fresh.pop(action.id, None)
         if message:
             self.ended[message.ntf.topic_type, how] += 1
@@ -167,12 +172,17 @@
         )
         if self.ledger.take(owed):
             self.counts["taken"] += 1
+            self.told_taken(owed)
             self.ledger.owed[n.id].heard = message.heard
             message.verdict.set_result((Verdict.TAKEN, 0.0))
         else:
             self.turn_away(message)
             self.put([it.Withdrawn(n.id)])
 
+    def told_taken(self, o: Owed) -> None:
+        if detailed():
+            event("ntf.taken", id=o.id, destination=o.dest, topic=o.topic, pushes=o.pushes)
+
     def turn_away(self, message: HandIn) -> None:
         """For want of room, not by a decision: the hold or the journal is full."""
         self.counts["turned away"] += 1
@@ -195,6 +205,14 @@
             calls[p.endpoint].append(Item(p.id, number, p.timeout, owed.key, owed.body, owed.heard, p.begin))
         for endpoint, items in calls.items():
             self.courier.start(endpoint, items)
+            for i in items if detailed() else ():
+                event(
+                    "push.began",
+                    id=i.id,
+                    push=i.push,
+                    route=endpoint,
+                    destination=self.ledger.owed[i.id].dest,
+                )
             if self.kin:
                 self.tell("began", endpoint, [(i.id, i.push, self.ledger.owed[i.id].topic) for i in items])
         if unsent:
@@ -230,6 +248,7 @@
             else:
                 maybe = o.first_maybe() - self.wall
                 due = o.due - self.wall
+                self.told_taken(o)
                 head = o.id, due, o.dest, o.topic, o.customer, o.order_key
                 known.append(it.Notification(*head, o.pushes, maybe, terms, most))
         event("relay.recovered", owed=len(known), notices=len(left) - len(known))
--- a/ryestack/observe/log.py
+++ b/ryestack/observe/log.py
@@ -15,6 +15,7 @@
 from .repeats import Repeats
 
 _repeats = Repeats(0.0)
+_least = 20  # the level below which nothing is written
 
 
 def event(name: str, **fields) -> None:
@@ -27,6 +28,11 @@
         _write(kind, fields, held)
 
 
+def detailed() -> bool:
+    """Whether each notification and push is told: asked first, where telling would cost a busy relay time."""
+    return _least <= 10
+
+
 def fault(name: str, **fields) -> None:
     """The same, with the traceback of the exception at hand; never kept back."""
     _write(EVENTS[name], fields, 0, exception=True)
@@ -50,8 +56,8 @@
 
     form: text or json; period: seconds between equal lines, 0 for all.
     """
-    global _repeats
-    _repeats = Repeats(period)
+    global _repeats, _least
+    _repeats, _least = Repeats(period), logger.level(level).no
     lines = {"text": _text, "json": _json}[form]
     name, process = relay, os.getpid()
 
--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -131,6 +131,20 @@
         "for the next start with this folder",
         "after a planned stop: start it again with the same folder",
     ),
+    (
+        "ntf.taken",
+        "DEBUG",
+        "id destination topic pushes",
+        "a notification is taken, or goes on by its history after a start",
+    ),
+    ("ntf.ended", "DEBUG", "id how after", "a notification that is not delivered got its final answer"),
+    ("push.began", "DEBUG", "id push route destination", "a push was handed to the courier"),
+    (
+        "push.ended",
+        "DEBUG",
+        "id push route result elapsed wait limit left",
+        "how a push ended, and what its answer told of waits and limits",
+    ),
     ("platform.moved", "INFO", "address", "watch and notices have moved to this address"),
     (
         "staff.open",
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -126,9 +126,10 @@
         progress = Progress(endpoint, lambda: self.first_line(progress, limit, len(items) == 1))
         progress.wrote = lambda: self.wrote(len(items))
         CALL.set(progress)  # for this task, which is this call's
+        lapse = None
         if (last := min(item.begin for item in items)) < inf:
             progress.begin = asyncio.get_running_loop().time() + last
-            asyncio.get_running_loop().call_at(progress.begin, self.not_begun, progress, limit)
+            lapse = asyncio.get_running_loop().call_at(progress.begin, self.not_begun, progress, limit)
         try:
             async with limit:
                 heard = [item.heard is None or await item.heard for item in items]
@@ -146,6 +147,9 @@
         except Exception:  # whatever it was, the message keeps its outcome
             fault("call.fault", endpoint=endpoint)
             broke = Result.BROKEN
+        finally:
+            if lapse:  # a call that failed to connect is over before: its limit cannot be set anew
+                lapse.cancel()
         if not progress.connected:
             broke = Result.NOT_SENT if progress.too_late else Result.NO_CONNECTION
         if not answers:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -79,6 +79,16 @@
         for each in (late, server, *filling):
             each.close()
 
+    async def test_a_call_that_is_over_before_its_last_beginning_is_left_alone(self):
+        loop, told, faults = asyncio.get_running_loop(), asyncio.Queue(), []
+        loop.set_exception_handler(lambda _, context: faults.append(context))
+        calls = Calls(settings(), members(address="127.0.0.1:9"), loop.time, told.put_nowait, 50)
+        calls.start("a", [Item("n", 1, 9.0, "k", b"x", None, begin=0.05)])
+        [o] = await asyncio.wait_for(told.get(), 1.0)
+        await asyncio.sleep(0.1)
+        self.assertEqual((o.result, faults), (Result.NO_CONNECTION, []))
+        await calls.close()
+
     async def test_a_refused_connection_never_ran_and_a_broken_one_may_have(self):
         [o], _ = await called(lambda *_: None)
         self.assertEqual(o.result, Result.BROKEN)
