A registry that fails is asked again when the module decides, later each time and at random

Cause: `wire/members.py` `watch` tried again every 0.1 s, 400 calls a second of 40 relays, which keep an overbooked registry overbooked. Now a failed asking is told to the module (`ListUpdate(failed=True)`), its `AskForList` lets the watch go on; a move to another address still asks at once.

The test asserts that a failing registry is not asked before it is decided; it fails with the old watch.

--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -39,7 +39,7 @@
     ledger = Ledger(Journal(config.state, config.disk))
     owner = Owner(settings, config.seed, ledger, clock, wall)
     platform = Platform(config.discovery)
-    directory = DIRECTORIES[operator.directory.source](platform, config.known)
+    directory = owner.directory = DIRECTORIES[operator.directory.source](platform, config.known)
     most = max(FEWEST, int(config.sockets * CLIENTS_PART))
     left = max(FEWEST, config.sockets - most - OWN_SOCKETS)
     members = directory.members
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -13,7 +13,7 @@
 from ..brain import NEVER_RAN
 from ..interface import Result
 from ..observe.log import detailed, event
-from ..ports import Courier, Ends, HandIn, Item, Verdict
+from ..ports import Courier, Directory, Ends, HandIn, Item, Verdict
 from ..store.ledger import Ledger, Owed, rules_of, terms_of
 from . import learnt
 from .watched import Watched
@@ -36,8 +36,9 @@
         self.brain = Watched(settings, seed)
         self.brain.told_turn = partial(self.tell, "turn")
         self.queue, self.filled = [], asyncio.Event()
-        self.courier: Courier = None  # these two are set once they can be built, before the first round
+        self.courier: Courier = None  # these three are set once they can be built, before the first round
         self.ends: Ends = None
+        self.directory: Directory = None
         self.emptied = False  # drained by staff: nothing new is taken
         self.counts = Counter()
         self.ended: Counter[tuple[str, str]] = Counter()  # by topic type and how it ended
@@ -98,6 +99,8 @@
             self.courier.hang_up(action.endpoint)
         if any(isinstance(h, it.ListUpdate) for h in heard):
             self.courier.forget()
+        for _ in asked[it.AskForList]:
+            self.directory.ask()
         for action in asked[it.Wake]:
             asyncio.get_running_loop().call_later(action.after, self.put, [it.Woken()])
 
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -136,7 +136,10 @@
         """What is known before anything is asked."""
 
     async def run(self, tell: Tell) -> None:
-        """Tell list updates until cancelled; what fails leaves the last list in force."""
+        """Tell list updates until cancelled; what fails is told, and leaves the last list in force."""
+
+    def ask(self) -> None:
+        """The decisions want it asked now, after what failed."""
 
 
 class Ends(Protocol):
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -105,10 +105,16 @@
     async def run(self, tell) -> None:
         await watch(self.platform, self.members, lambda update: tell([update]))
 
+    def ask(self) -> None:
+        self.platform.asked.set()
+
 
 class Fixed(Catalog):
     """The list that the configuration knew, for good: nothing is asked."""
 
+    def ask(self) -> None:
+        pass
+
     async def run(self, tell) -> None:
         await asyncio.Event().wait()
 
@@ -116,7 +122,9 @@
 async def watch(platform: Platform, members: Members, tell) -> None:
     """Follow the list for as long as the process lives; a silent registry leaves the old one in force.
 
-    At a new address it starts with the whole list: versions there need not go on from the old ones.
+    An asking that fails is told; when to ask again is decided elsewhere (`platform.asked`): relays that all
+    ask a full registry ten times a second keep it full. At a new address it starts with the whole list:
+    versions there need not go on from the old ones.
     """
     address, well = platform.address, True
     while True:
@@ -130,7 +138,7 @@
             if status != 200:
                 raise BadList(f"status {status}")
             update, address = members.learn(json.loads(body)), asked
-            if update.endpoints or update.whole:
+            if update.endpoints or update.whole or not well:
                 told = {"entries": len(update.endpoints), "whole": update.whole}
                 event("list.changed", version=members.index, **told)
                 tell(update)
@@ -141,4 +149,8 @@
             if well and asked == platform.address:
                 event("list.blocked", why=repr(problem))
                 well = False
+            if asked == platform.address:
+                platform.asked.clear()
+                tell(it.ListUpdate(failed=True))
+                await platform.asked.wait()
         await asyncio.sleep(began + PAUSE - asyncio.get_running_loop().time())
--- a/ryestack/wire/platform.py
+++ b/ryestack/wire/platform.py
@@ -13,12 +13,14 @@
     def __init__(self, address: str):
         self.session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
         self.address, self.limits = address, set()
+        self.asked = asyncio.Event()  # the list is wanted now: as decided, or at a new address
 
     def move(self, address: str) -> bool:
         """Whether it is another address than before."""
         if address == self.address:
             return False
         self.address = address
+        self.asked.set()
         for limit in self.limits:
             if not limit.expired():
                 limit.reschedule(0.0)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -441,6 +441,11 @@
         server, address = await stand_in(lambda *_: answers.pop(0) if answers else http(200, good))
         at, platform = members(), Platform(address)
         task = asyncio.ensure_future(watch(platform, at, told.put_nowait))
+        for left in (2, 1):  # a registry that fails is not asked again before it is decided
+            self.assertTrue((await asyncio.wait_for(told.get(), 3.0)).failed)
+            await asyncio.sleep(0.25)
+            self.assertEqual(len(answers), left)
+            platform.asked.set()
         update = await asyncio.wait_for(told.get(), 3.0)
         task.cancel()
         await platform.close()
