Whatever ends the hearing of another process, that process counts as gone

Now the hearing is `converse`; `listen` closes the line, says `line.broken`, sets the relation to gone, shares anew and looks for what is owed, whatever ended it. The test fails with the old code (RuntimeError out of `listen`).

--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -237,7 +237,27 @@
         task.add_done_callback(self.following.discard)
 
     async def listen(self, line: Line, relation) -> None:
-        """Hear what the other process says until it is gone, and tell it all that we do."""
+        """Until the other process is gone. Whatever ends it, it counts as gone then.
+
+        Its part of the folder and of the descriptors is ours again, and what it owes is looked for.
+        """
+        try:
+            await self.converse(line, relation)
+        except Exception as problem:
+            event("line.broken", why=f"a fault in what was made of a word: {problem!r}")
+        line.close()
+        self.lines.discard(line)
+        self.owner.gone(line)
+        if relation == self.succession.heir_is and self.phase in READY:
+            self.post.close()  # the one that is gone may have taken our place in the folder
+            self.post.open()
+        relation("gone")
+        event("kin.gone")
+        self.share()
+        self.kin_asked.set()
+
+    async def converse(self, line: Line, relation) -> None:
+        """Hear what the other process says, and tell it all that we do."""
         if line.writer is None:
             await line.open()
             line.say("learnt", learnt.told(self.owner.brain), self.owner.out())
@@ -258,16 +278,6 @@
                     break
                 for other in self.lines - {line}:
                     other.say(*word)
-        line.close()
-        self.lines.discard(line)
-        self.owner.gone(line)
-        if relation == self.succession.heir_is and self.phase in READY:
-            self.post.close()  # the one that is gone may have taken our place in the folder
-            self.post.open()
-        relation("gone")
-        event("kin.gone")
-        self.share()
-        self.kin_asked.set()
 
     async def adopts(self) -> None:
         """While another process has a file here, look whether it is gone: what it owed is ours then."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -11,13 +11,13 @@
 from contextlib import ExitStack, suppress
 from math import inf
 from pathlib import Path
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from ryestack import interface as it
 from ryestack.interface import Result
 from ryestack.lifecycle import learnt
 from ryestack.lifecycle.line import LONGEST, Line, Post, answer, hail
-from ryestack.lifecycle.relay import PHASES
+from ryestack.lifecycle.relay import PHASES, Relay
 from ryestack.lifecycle.succession import ELDER, HEIR, Succession
 from ryestack.lifecycle.watched import Watched
 from ryestack.store import files
@@ -236,6 +236,20 @@
 
 
 class Lines(Folder, unittest.IsolatedAsyncioTestCase):
+    async def test_whatever_ends_what_is_heard_the_other_counts_as_gone(self):
+        """Unseen, its half of the folder would be kept for it for good."""
+
+        async def fault(*_):
+            raise RuntimeError("of our own")
+
+        relay, heir, line = Mock(), Succession(), Mock()
+        heir.heir_is("hailed")
+        relay.configure_mock(converse=fault, lines={line}, phase="leaving", kin_asked=asyncio.Event())
+        await Relay.listen(relay, line, heir.heir_is)
+        self.assertEqual((heir.heir, relay.lines, relay.kin_asked.is_set()), ("none", set(), True))
+        relay.share.assert_called_once_with()
+        relay.owner.gone.assert_called_once_with(line)
+
     async def test_where_such_sockets_are_refused_there_is_no_line_and_nothing_else(self):
         real = socket.socket
 
