--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 from math import inf
 from types import SimpleNamespace
+from unittest.mock import patch
 
 import aiohttp
 
@@ -65,6 +66,23 @@
         made.round([it.Woken()])
         return made
 
+    async def test_a_failed_asking_is_followed_by_another_later_each_time_until_one_goes_well(self):
+        o, asked, loop = self.owner(), [], asyncio.get_running_loop()
+        o.directory = SimpleNamespace(ask=lambda: asked.append(self.now))
+        with patch.object(loop, "call_later"):
+            for least, most in ((1.0, 2.0), (2.0, 4.0), (4.0, 8.0), (4.0, 8.0)):
+                failed, told = self.now, len(asked)
+                o.round([it.ListUpdate(failed=True)])
+                while len(asked) == told:
+                    self.now += 0.01
+                    o.round([it.Woken()])
+                self.assertTrue(least <= asked[-1] - failed <= most + 0.02, (least, asked[-1] - failed))
+            o.round([it.ListUpdate()])
+            o.round([it.ListUpdate(failed=True)])
+            self.now += 2.01
+            o.round([it.Woken()])
+        self.assertEqual(len(asked), 5)
+
     async def test_journalled_then_answered_then_pushed(self):
         o, message = self.owner(), self.hand_in("n")
         o.round([message])
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,6 +5,7 @@
 import unittest
 import zlib
 from math import inf
+from unittest.mock import patch
 
 import aiohttp
 
@@ -452,6 +453,19 @@
         server.close()
         self.assertEqual((update.endpoints[0].listed, at.index), (Listed.DRAINING, 5))
 
+    async def test_a_registry_that_hangs_or_talks_nonsense_leaves_the_old_list_and_is_told_as_failed(self):
+        odd = (b"[]", b'{"index":"x"}', b"[" * 9000, b'{"index":1,"endpoints":5}')
+        for said in (b"", None, http(503), *(http(200, body) for body in odd)):
+            server, address = await stand_in(lambda *_, said=said: said)
+            at, told, platform = members(), asyncio.Queue(), Platform(address)
+            with patch("ryestack.wire.members.HOLD", 0.05), patch("ryestack.wire.members.SILENT", 0.1):
+                task = asyncio.ensure_future(watch(platform, at, told.put_nowait))
+                update = await asyncio.wait_for(told.get(), 3.0)
+            task.cancel()
+            await platform.close()
+            server.close()
+            self.assertEqual((update.failed, update.endpoints, at.listed()), (True, (), ["a"]), said)
+
     async def test_notices_are_sent_until_taken_and_a_bad_one_holds_up_none(self):
         done, bodies = asyncio.Queue(), []
 
