--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -15,6 +15,7 @@
 
 LIVE_PART = 0.4  # of the allowance for what is owed: an old and a new file stand side by side at a rewrite
 DEAD, SMALL = 4, 100_000  # past so many times what is owed and so many bytes a file is slow to read
+DEAD_PART = 1 / 16  # of the allowance: fewer dead bytes are not worth the writing of all that lives
 UNUSED = 32  # terms that no message has any more: past so many a start leaves them out
 LONG_AGO = 0.0  # of the wall clock: past every window
 HISTORY = 256  # bytes kept for a message's pushes in a rewritten file
@@ -164,9 +165,12 @@
 
     def write(self, payload: bytes) -> bool:
         try:
-            large = self.journal.size > DEAD * self.live + SMALL
-            # After a failure the file may lack what has happened, or end in a part of a record.
-            if large or not self.well or not self.journal.fits(len(payload) + FRAME.size, self.live):
+            size, more = self.journal.size, len(payload) + FRAME.size
+            large = size > DEAD * self.live + SMALL or not self.journal.fits(more, self.live)
+            # Where hardly any of it is dead, as once the allowance is halved, a rewrite wins nothing: one a
+            # record is seconds in which nobody is heard. After a failure the file may lack what has happened.
+            gains = size > self.live + DEAD_PART * self.journal.most or size + more > self.journal.most
+            if not self.well or (large and gains):
                 self.rewrite()
             self.journal.append(payload)
         except OSError as problem:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -88,6 +88,19 @@
             kept.over(f"n{i}")
         self.assertLess(kept.journal.size, 110_000)
 
+    def test_hardly_anything_dead_is_no_reason_to_write_all_anew_at_each_record(self):
+        """As when a process of an upgrade owes most of what half of the allowance holds: 807 were lost so."""
+        ledger, written = self.ledger(1_000_000), []
+        taken = sum(ledger.take(owed(f"n{n}", b"x" * 212)) for n in range(600))
+        ledger.journal.share(2)
+        rewrite = ledger.rewrite
+        ledger.rewrite = lambda: written.append(1) or rewrite()
+        for n in range(600):
+            ledger.owe_notice(f"n{n}", {"state": "failed"})
+        self.assertLess(len(written), 12)
+        self.assertLess(ledger.journal.size, 500_000)
+        self.assertEqual((len(self.ledger(1_000_000).owed), taken > 500), (taken, True))
+
     def test_a_rewrite_keeps_doubt_order_and_notices(self):
         first = self.ledger()
         for name in "nmo":
