--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check ryestack benchmarks
 	$(BIN)/lint-imports
+	$(BIN)/python tests/lines.py
 
 unit:
 	@$(BIN)/python tests/run.py
--- /dev/null
+++ b/ryestack/brain/rounds.py
@@ -0,0 +1,182 @@
+"""Rounds: what is pushed now, and by which route."""
+
+import heapq
+import random
+from collections import defaultdict
+from math import inf
+
+from .. import interface as it
+from .measures import Times
+from .outcomes import Outcomes
+from .routes import Call, Dest
+from .walk import AGAIN, ONCE, Ntf
+
+
+class Brain(Outcomes):
+    OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.5, 3.0, 2.0  # times 9 in 10 stay under, there, all; seconds
+    TIMEOUT, TIMEOUT_LEAST = 6.0, 10.0  # the same for giving a push up; the slow still run
+    ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
+    USUAL = 0.5  # a push's time before anything was measured
+    # Calls in an idle connection's time: fewer, and most close unused, or stand idle half of it where short.
+    KEPT, KEPT_SHORT = 0.25, 16.0
+
+    def __init__(self, settings, seed):
+        self.set, self.random, self.now, self.quota = settings, random.Random(seed), 0.0, {}
+        self.name(settings)
+        self.times = Times()  # of all destinations
+        self.times.add(self.USUAL)
+        self.dests = defaultdict(lambda: Dest(self.times, self.random, self.now))
+        self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, {}, {}
+        self.slots, self.heap, self.seq, self.woken, self.asking = settings.slots, [], 0, inf, self.ASK
+        self.acts, self.touched, self.travel, self.idle, self.leaves = [], {}, {}, {}, inf
+        self.short = {}  # kind of destination -> until when its endpoints count as short of connections
+        if settings.asks_for_list:
+            self.at(self.random.uniform(0.0, self.ASK), Outcomes.ask, None)  # a fleet may start at once
+
+    def name(self, settings):
+        self.topics, self.kinds = ({x.name: x for x in xs} for xs in (settings.topic_types, settings.kinds))
+        rows, old = [(c.name, c.quota / settings.relays) for c in settings.customers], self.quota
+        self.quota = {name: [quota, *old.get(name, (0, 0.0, 0.0))[1:]] for name, quota in rows}
+
+    def on_retuned(self, event):
+        self.slots, self.set = self.slots + event.settings.slots - self.set.slots, event.settings
+        self.name(self.set)
+        for route in self.routes.values():
+            route.pacer.heed(self.set)
+
+    def round(self, now, events):
+        self.now, self.acts, self.travel = now, [], {}
+        for event in events:
+            self.HEAR[type(event)](self, event)
+        while self.heap and self.heap[0][0] <= now:
+            _, _, what, subject = heapq.heappop(self.heap)
+            what(self, subject)
+        self.serve()
+        self.hang_up()
+        self.woken = inf if self.woken <= now + 1e-5 else self.woken  # an adapter may round a wait down
+        if self.heap and self.heap[0][0] < self.woken:
+            self.woken = self.heap[0][0]
+            self.acts.append(it.Wake(max(0.0, self.woken - now)))
+        return self.acts
+
+    def avoided(self, endpoints):  # for people: which of them get nothing now
+        routes = [self.routes[e] for e in endpoints if e in self.routes]
+        return [r.id for r in routes if r.state != "closed" or self.now < r.pacer.wait_until]
+
+    def room(self, route):
+        """Calls that a route holds before more would only queue; past it the route counts as refusing."""
+        routes = sum(r.pacer is route.pacer for r in route.dest.order)
+        busy = route.pacer.part(self.now) / routes * min(route.dest.usual, route.dest.times.quantile(0.3))
+        return max(1.0, self.ROOM * route.pacer.gain(self.now) * busy)
+
+    def open_to(self, dest):  # the routes that take a further one now, in a call of this round or a new one
+        free = self.slots > 0 and dest.calls < self.cap(dest)
+        return [r for r in dest.order if self.joins(r) or (free and self.opens(r))]
+
+    def opens(self, route):
+        usable = route.state == "closed" or (route.state == "trial" and not route.calls)
+        return usable and route.calls < self.room(route) and route.pacer.ready_at(self.now) <= self.now
+
+    def suits(self, route, ntf):  # unproven, a route gets no last pushes, nor what a silence would end
+        mine, others = ntf.topic.effect, (n for n in ntf.dest.parked.values() if self.now >= n.rest_until)
+        ends = route.silent and (mine is ONCE or (mine is not AGAIN and route.state == "trial"))
+        loses = ends and any(n.topic.effect not in (ONCE, mine) for n in others)
+        return self.joins(route) or not (route.tally.row and (loses or ntf.pushes * 2 >= ntf.most))
+
+    def shuns(self, route, ntf):
+        """One topic type may fail where others are taken: it goes by a sister meanwhile, be it the worse."""
+        well = [r for r in ntf.dest.order if self.now >= r.lanes.get(ntf.topic.name, 0.0)]
+        well = [r for r in well if ntf.maybe_at == inf or self.repeats(ntf, r.zone)]
+        return route not in well and any(r.state in ("closed", "trial") for r in well)
+
+    def joins(self, route):
+        call = self.travel.get(route.id)
+        return call if call and len(call.items) < route.dest.kind.batch else None
+
+    def serve(self):
+        self.free_a_slot()  # the outcome that frees one comes back here
+        if self.slots <= 0:
+            return
+        dests, self.touched = [d for d in self.touched.values() if d.parked], {}
+        ranked = [sorted(d.parked.values(), key=self.rank, reverse=True) for d in dests if self.open_to(d)]
+        for parked in sorted(ranked, key=lambda row: self.rank(row[0]), reverse=True):
+            routes = self.open_to(dest := parked[0].dest)  # one look for all: mostly there is none
+            for ntf in parked if routes else ():
+                if route := next((r for r in routes if self.takes(r, ntf)), None):
+                    self.push(ntf, route)
+                    routes = self.open_to(dest)
+                if not routes:
+                    break
+        for dest in (d for d in dests if d.parked):
+            self.plan(dest)
+
+    def takes(self, route, ntf):
+        later = route.id > ntf.past and self.now >= ntf.rest_until
+        if ntf.refused:
+            route.dest.earn(self.now)
+            later = later and route.dest.credit >= 1.0 - 1e-6
+        return later and self.suits(route, ntf) and self.may_push(ntf, route) and not self.shuns(route, ntf)
+
+    def on_overheard(self, e):
+        route = self.routes.get(e.endpoint)
+        for name, push, topic in e.items if route else ():
+            ntf = Ntf(it.Notification(name, inf, 0, ""), route.dest, topic, 0.0, 1)
+            ntf.state, ntf.out = "afar", 1
+            self.start(ntf, route, push)
+        self.travel.pop(e.endpoint, None)  # nothing of ours can join it
+
+    def start(self, ntf, route, push):
+        call = self.joins(route)
+        times = route.dest.times.quantile(0.9)
+        alone = route.dest.kind.apart or route.pacer.cold is None
+        for pacer in [route.pacer] if alone else route.dest.bound(route):
+            pacer.took(call is None, self.now)
+        if call is None:
+            call = self.travel[route.id] = Call(route, self.now)
+            self.slots, route.calls, route.dest.calls = self.slots - 1, route.calls + 1, route.dest.calls + 1
+            few = min(0.5, 2.0 / self.set.slots**2)  # it holds that much more of our slots
+            least = min(self.OVERDUE_LEAST - few, self.OVERDUE_ALL * self.times.quantile(0.9))
+            self.at(self.now + max(least, (self.OVERDUE - few) * times), Outcomes.overdue, call)
+        call.items, call.left = [*call.items, (ntf, push)], call.left + 1
+        self.out[ntf.id, push] = call, ntf
+
+    def push(self, ntf, route):
+        self.start(ntf, route, ntf.pushes)
+        ntf.out, ntf.pushes = ntf.out + 1, ntf.pushes + 1
+        ntf.dest.parked.pop(ntf.id, None)
+        ntf.dest.credit -= ntf.refused
+        self.step(ntf, "pushed")
+        times = self.TIMEOUT * route.dest.times.quantile(0.9)
+        longest = inf if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, times)
+        self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest), self.begin_in(ntf)))
+
+    def hang_up(self):
+        """An idle connection fills a place that others lack, where endpoints take few."""
+        for route in self.idle.values():
+            uses = route.pacer.part(self.now) * self.set.connection_idle
+            short = self.now < self.short.get(route.dest.kind.name, 0.0)
+            if not route.calls and uses < (self.KEPT_SHORT if short else self.KEPT):
+                self.acts.append(it.HangUp(route.id))
+        self.idle = {}
+
+    def plan(self, dest):
+        when = min((r.pacer.ready_at(self.now) for r in dest.order if r.state != "draining"), default=inf)
+        if when <= self.now and dest.credit < 1.0 and any(n.refused for n in dest.parked.values()):
+            when = self.now + (1.0 - dest.credit) / max(1e-3, dest.earns(self.now))
+        if self.slots <= 0:
+            self.touch(dest)  # the next round may have one
+        if self.now < when < inf and not self.now < dest.wake <= when:
+            dest.wake = when
+            self.at(when, Outcomes.touch, dest)
+
+    HEAR = {
+        it.ListUpdate: Outcomes.on_list,
+        it.Notification: Outcomes.on_notification,
+        it.Outcome: Outcomes.on_outcome,
+        it.Withdrawn: lambda self, e: e.id in self.held and self.step(self.held[e.id], "ended"),
+        it.Woken: lambda self, event: None,
+        it.Retuned: on_retuned,
+        it.Overheard: on_overheard,
+        it.Turn: Outcomes.on_turn,
+        it.Leaving: lambda self, event: setattr(self, "leaves", event.until),
+    }
--- /dev/null
+++ b/ryestack/brain/walk.py
@@ -0,0 +1,156 @@
+"""Notifications: how each is held, walks its routes and ends, the turns of a key, and the rules' guard."""
+
+from math import inf
+
+from .. import interface as it
+from ..interface import Effect, Result
+from .routes import Circuits, Dest
+
+ONCE, AGAIN = Effect.ONCE_ONLY, Effect.REPEATABLE
+NEVER_RAN = {Result.FULL, Result.NO_CONNECTION, Result.NOT_SENT}  # proof that a push never ran
+MAY_STILL_RUN = {Result.TIMED_OUT, Result.BROKEN, Result.CANCELLED}  # a key in order rests after these
+
+# A notification: (state, input) -> (next state, effect).
+NTF = {
+    ("parked", "pushed"): ("out", None),
+    ("parked", "given up"): ("over", "give_up"),
+    ("parked", "ended"): ("over", "forget"),
+    ("out", "ended"): ("over", "forget"),
+    ("out", "came to nothing"): ("parked", "again"),
+}
+
+
+class Ntf:
+    def __init__(self, n, dest, topic, benefit, most):
+        self.id, self.due, self.dest, self.topic, self.benefit = n.id, n.due, dest, topic, benefit
+        self.key, self.state, self.out = n.key if topic.keep_order else "", "parked", 0
+        self.pushes, self.maybe_at = n.pushes, n.maybe_at  # its history, where a relay before us took it
+        self.most = n.most or most  # pushes that it may have in all
+        self.hops, self.past, self.rest_until = 0, "", 0.0  # the walk starts past the route named
+        self.maybe_zone, self.refused = "", False  # of its first that may have run; the last met a limit
+
+
+class Guard(Circuits):
+    """The rules' guard: every push and every throttling passes here."""
+
+    def repeats(self, ntf, zone):
+        """Rule 2, of one that may have run: may it go to an endpoint in that hall again?"""
+        if ntf.topic.effect is not Effect.COLLAPSIBLE:
+            return ntf.topic.effect is AGAIN
+        drops = ntf.topic.group == "all" or (ntf.topic.group == "zone" and zone == ntf.maybe_zone != "")
+        return drops and self.begin_in(ntf) > 0.0
+
+    def begin_in(self, ntf):  # a push that connects late must not begin after so long; a little early
+        return ntf.maybe_at - self.now + (inf if ntf.topic.effect is AGAIN else ntf.topic.window - 0.05)
+
+    def may_push(self, ntf, route):
+        if ntf.state != "parked" or ntf.out or self.now >= ntf.due or ntf.pushes >= ntf.most:
+            return False  # rule 1, and no second copies
+        if route.state == "draining" or self.now < route.pacer.wait_until:
+            return False  # rules 3 and 6
+        if self.now + ntf.dest.expected() >= self.leaves:
+            return False  # rule 2: a restart cuts it off, and it may have run
+        if ntf.key:  # rule 5: the first of its key, after the rest
+            turns, rest = self.keys[ntf.key]
+            if next(iter(turns)) != ntf.id or (self.now < rest and not ntf.pushes):
+                return False
+        return ntf.maybe_at == inf or self.repeats(ntf, route.zone)
+
+    def may_throttle(self, ntf):
+        effect, never = ntf.topic.effect, ntf.maybe_at == inf
+        return never or effect is AGAIN or (effect is not ONCE and ntf.topic.group == "all")
+
+
+class Walk(Guard):
+    WALK_REST = 0.6  # before a walk begins anew: a few calls end there, and no objective is that short
+    HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
+    SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
+    DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
+
+    def step(self, ntf, heard):
+        ntf.state, effect = NTF.get((ntf.state, heard), (ntf.state, None))
+        if effect:
+            getattr(self, effect)(ntf)
+
+    def on_notification(self, n):
+        topic, dest = n.terms or self.topics[n.topic_type], self.dests[n.destination]
+        benefit = topic.benefit
+        if n.customer in self.quota:
+            row = self.quota[n.customer]
+            row[1], row[2] = max(0.0, row[1] - row[0] * (self.now - row[2])), self.now
+            even = row[0] * self.SHARE_SPAN
+            over = row[1] > even + 2.0 * even**0.5 + 1.0  # a relay's part is uneven by chance
+            benefit *= self.set.over_share_benefit if over else 1.0
+            row[1] += 0.0 if over else 1.0
+        ntf = self.held[n.id] = Ntf(n, dest, topic, benefit, self.set.max_pushes)
+        dest.earn(self.now, 1)
+        if ntf.key:
+            self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf  # those in turn, rest until
+        self.again(ntf)
+        if len(self.held) > self.set.max_open * self.DOOR:
+            # Where most are parked the next has least to win: one sick destination must not fill the hold.
+            crowded = max(self.dests.values(), key=lambda d: len(d.parked))
+            self.step(min(crowded.parked.values(), key=self.rank), "given up")
+
+    def park(self, ntf):
+        if not ntf.dest.parked:
+            ntf.dest.hungry = ntf.due - ntf.topic.ttl
+        ntf.dest.parked[ntf.id] = ntf
+        self.at(ntf.due - ntf.dest.expected(), lambda self, ntf: self.step(ntf, "given up"), ntf)
+        self.touch(ntf.dest)
+        if ntf.past and (ntf.hops > self.HOPS or ntf.past >= max((r.id for r in ntf.dest.order), default="")):
+            ntf.hops, ntf.past, ntf.rest_until = 0, "", self.now + self.WALK_REST  # the walk begins anew
+            self.at(ntf.rest_until, Walk.touch, ntf.dest)
+
+    def again(self, ntf):
+        zones = {r.zone for r in ntf.dest.order if r.state != "draining"} or {ntf.maybe_zone}
+        stuck = ntf.maybe_at < inf and not any(self.repeats(ntf, zone) for zone in zones)
+        if stuck or ntf.pushes >= ntf.most or self.now + ntf.dest.expected() >= ntf.due:
+            self.step(ntf, "given up")
+        else:
+            self.park(ntf)
+
+    def give_up(self, ntf):  # the final answer, at once, with a time to come back where one is known
+        routes = [r for r in ntf.dest.order if r.state != "draining"]
+        ends = [max(r.until if r.state == "open" else 0.0, r.pacer.wait_until) for r in routes]
+        back = min(self.set.max_come_back, max(0.0, min(ends, default=0.0) - self.now))
+        self.acts.append(it.Throttle(ntf.id, back) if self.may_throttle(ntf) else it.Expire(ntf.id))
+        self.forget(ntf)
+
+    def forget(self, ntf):
+        self.held.pop(ntf.id, None)
+        ntf.dest.parked.pop(ntf.id, None)
+        self.next_turn(ntf)
+
+    def next_turn(self, ntf):
+        if ntf.key and ntf.state == "over" and not ntf.out:
+            turns, rest = self.keys[ntf.key]
+            turns.pop(ntf.id, None)
+            for other in turns.values():
+                self.touch(other.dest)
+            if not turns:
+                self.at(rest, Walk.drop_key, ntf.key)
+
+    def drop_key(self, key):
+        if key in self.keys and not self.keys[key][0] and self.now >= self.keys[key][1]:
+            del self.keys[key]
+
+    def on_turn(self, e):  # one that is handed over to us later takes its turn's place
+        dest, topic = Dest(self.times, self.random, 0.0), it.TopicType("", AGAIN, 0.0, 0.0, keep_order=True)
+        theirs = Ntf(it.Notification(e.id, inf, 0, "", key=e.key), dest, topic, 0.0, 1)
+        row = self.keys.setdefault(e.key, [{}, 0.0])
+        row[0].setdefault(e.id, theirs)
+        theirs.state, row[1] = "over" if e.over else "afar", max(row[1], e.rest)
+        for other in row[0].values():
+            self.at(row[1], Walk.touch, other.dest)
+        self.next_turn(theirs)
+
+    def rank(self, ntf):
+        """Benefit to be won by a push now for each second of a slot; the older first among equals."""
+        topic, took = ntf.topic, ntf.dest.expected()
+        late, part = self.now + took - (ntf.due - topic.ttl) - topic.objective, self.now + took < ntf.due
+        if late > 0.0 and self.set.late is it.Late.HALVES:
+            part *= max(topic.late_share, 0.5 ** (late / max(topic.objective, 1e-3)))
+        elif late > 0.0:
+            part *= 1.0 - (1.0 - topic.late_share) * late / max(topic.ttl - topic.objective, 1e-3)
+        return ntf.benefit * part / took, -ntf.due
--- a/ryestack/lab/runner.py
+++ b/ryestack/lab/runner.py
@@ -2,6 +2,7 @@
 
 import gc
 import hashlib
+import importlib.abc
 import importlib.util
 import json
 import subprocess
@@ -66,22 +67,49 @@
 
 
 def brain_at(revision: str):
-    """The decision module as it was at a git revision, with the types of now."""
+    """The decision module as it was at a git revision, with the types of now; raises BadScenario."""
     name = "ryestack.brain_" + hashlib.sha256(revision.encode()).hexdigest()[:12]
     if name not in sys.modules:
-        got = subprocess.run(
-            ["git", "show", f"{revision}:ryestack/brain.py"], cwd=ROOT, capture_output=True, text=True
-        )
-        if got.returncode:
-            raise BadScenario(f"revision {revision}: {got.stderr.strip().splitlines()[-1]}")
-        module = types.ModuleType(name)
-        module.__spec__ = importlib.util.spec_from_loader(name, loader=None)
-        module.__package__ = "ryestack"
-        sys.modules[name] = module
-        exec(compile(got.stdout, f"brain.py at {revision}", "exec"), module.__dict__)
+        try:
+            _load(name, _text_at(revision, "ryestack/brain.py"))
+        except BadScenario:  # it has been a package of several files since
+            listed = _text_at(revision, "ryestack/brain/").split("\n\n", 1)[1].split()
+            texts = {Path(file).stem: _text_at(revision, f"ryestack/brain/{file}") for file in listed}
+            sys.meta_path.append(_Texts({f"{name}.{stem}": text for stem, text in texts.items()}))
+            _load(name, texts["__init__"], package=name)
     return sys.modules[name].Brain
 
 
+def _text_at(revision: str, path: str) -> str:
+    got = subprocess.run(["git", "show", f"{revision}:{path}"], cwd=ROOT, capture_output=True, text=True)
+    if got.returncode:
+        raise BadScenario(f"revision {revision}: {got.stderr.strip().splitlines()[-1]}")
+    return got.stdout
+
+
+def _load(name: str, text: str, package: str = "ryestack") -> None:
+    module = types.ModuleType(name)
+    module.__spec__ = importlib.util.spec_from_loader(name, loader=None, is_package=package == name)
+    module.__package__ = package
+    if package == name:
+        module.__path__ = []
+    sys.modules[name] = module
+    exec(compile(text, name, "exec"), module.__dict__)
+
+
+class _Texts(importlib.abc.MetaPathFinder, importlib.abc.InspectLoader):
+    """Imports the modules of one package from their texts."""
+
+    def __init__(self, texts: dict[str, str]):
+        self.texts = texts
+
+    def find_spec(self, name, path=None, target=None):
+        return importlib.util.spec_from_loader(name, self) if name in self.texts else None
+
+    def get_source(self, name: str) -> str:
+        return self.texts[name]
+
+
 def play(day: Scenario, seed: int, policy: str = "ryestack", trace=()) -> Day:
     """One day from its seed: the same again each time, but for the times that the machine took."""
     began, collects = time.perf_counter(), gc.isenabled()
@@ -147,7 +175,7 @@
         head = subprocess.run(
             ["git", "rev-parse", "--short=12", "HEAD"], cwd=ROOT, capture_output=True, text=True
         )
-        changed = subprocess.run(["git", "diff", "--quiet", "HEAD", "--", "ryestack/brain.py"], cwd=ROOT)
+        changed = subprocess.run(["git", "diff", "--quiet", "HEAD", "--", "ryestack/brain"], cwd=ROOT)
     except OSError:
         return "unknown"
     return (head.stdout.strip() or "unknown") + ("+" if changed.returncode == 1 else "")
--- a/ryestack/lifecycle/learnt.py
+++ b/ryestack/lifecycle/learnt.py
@@ -3,7 +3,10 @@
 Times are of the machine's monotonic clock, which both processes of an upgrade read.
 """
 
-from ..brain import Brain, Dest, Flow, Pacer, Route, Tally, Times
+from ..brain import Brain
+from ..brain.measures import Flow, Tally, Times
+from ..brain.pacer import Pacer
+from ..brain.routes import Dest, Route
 
 KEPT = {
     Route: "state until silent mute good_at lanes",
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -3,7 +3,8 @@
 from math import inf
 
 from ryestack import interface as it
-from ryestack.brain import Call, Pacer
+from ryestack.brain.pacer import Pacer
+from ryestack.brain.routes import Call
 from ryestack.interface import Result
 
 from .helpers import brain, end, kinds, pushes, take
