The list's clock: a silent watch is begun anew in time, an agent beside us is asked again within a drain's grace

Where lists are pushed what the agent holds counts as told at once, but after a failure the module waited 1 to 8 s, and a silent asking took 3 s more: up to 11 s after an outage against a drain's grace of 2 s. On asked lists the sum was 3 + 2 + 3 s, past the clock of 6. Now (membership/following.py, a table): an asking that follows a failure waits for nothing new, 1 s at most; a watch holds 1.5 s. Worst sums: push 1.5 + 1 + 0.5 + 1 = 4 s after a silence and 1.5 s after an outage, ask 5.5 s. Past the clock, where lists are asked for, a route gets new work only while a delivery begun within six seconds speaks for it (may_push).

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(BIN)/python tests/lines.py
 
 unit:
-	@$(BIN)/python tests/run.py
+	@$(BIN)/python -m pytest -q -p no:cacheprovider tests
 
 pages:
 	$(BIN)/python -m ryestack pages --write
--- a/ryestack/brain/outcomes.py
+++ b/ryestack/brain/outcomes.py
@@ -3,7 +3,6 @@
 from math import inf
 
 from ..interface import Cancel, Result
-from .pacer import Pacer
 from .walk import MAY_STILL_RUN, NEVER_RAN, ONCE, Walk
 
 
@@ -45,7 +44,7 @@
         if o.result not in NEVER_RAN and call.sent < ntf.maybe_at:
             ntf.maybe_at, ntf.maybe_zone = call.sent, ntf.maybe_zone or route.zone
         ntf.past, ntf.hops = route.id, ntf.hops + 1
-        ntf.refused = o.result is Result.FULL and o.left < Pacer.USED_UP
+        ntf.refused = o.result is Result.FULL and o.left < route.pacer.USED_UP
         self.step(ntf, "ended" if o.ended or o.result is Result.DELIVERED else "came to nothing")
 
     def judge(self, route, call, o):
@@ -60,7 +59,7 @@
             self.turn(route, "delivered")
         elif o.result is Result.FULL:
             self.turn(route, "heard" if o.wait else "failed")
-            route.pacer.bad(call.sent, self.now, True, o.wait, used_up=o.left < Pacer.USED_UP)
+            route.pacer.bad(call.sent, self.now, True, o.wait, used_up=o.left < route.pacer.USED_UP)
             for pacer in route.dest.bound(route) if route.pacer.cold == inf else ():
                 pacer.down(call.sent)  # shut, all routes that share its fate are, and come back cold
         elif o.result not in (Result.NOT_SENT, Result.CANCELLED) and not call.late and not o.stale:
--- a/ryestack/brain/rounds.py
+++ b/ryestack/brain/rounds.py
@@ -28,7 +28,7 @@
         self.dests = defaultdict(lambda: Dest(self.times, self.random, self.now))
         self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, {}, {}
         self.slots, self.heap, self.seq, self.woken, self.asking = settings.slots, [], 0, inf, self.ASK
-        self.acts, self.touched, self.travel, self.idle, self.leaves = [], {}, {}, {}, inf
+        self.acts, self.touched, self.travel, self.idle, self.leaves, self.sure = [], {}, {}, {}, inf, inf
         self.short = {}  # kind of destination -> until when its endpoints count as short of connections
         if settings.asks_for_list:
             self.at(self.random.uniform(0.0, self.ASK), Outcomes.ask, None)  # a fleet may start at once
@@ -59,10 +59,6 @@
             self.acts.append(it.Wake(max(0.0, self.woken - now)))
         return self.acts
 
-    def avoided(self, endpoints):  # for people: which of them get nothing now
-        routes = [self.routes[e] for e in endpoints if e in self.routes]
-        return [r.id for r in routes if r.state != "closed" or self.now < r.pacer.wait_until]
-
     def room(self, route):
         """Calls that a route holds before more would only queue; past it the route counts as refusing."""
         routes = sum(r.pacer is route.pacer for r in route.dest.order)
--- a/ryestack/brain/routes.py
+++ b/ryestack/brain/routes.py
@@ -75,7 +75,8 @@
 class Circuits:
     REST = 5.0  # the design's circuit
     REST_SHORT = 1.5  # where a trial costs little: the answer, or the failed connection, came at once
-    ASK, ASK_LONGEST = 1.0, 8.0  # seconds that askings spread over; a registry that is late tells by then
+    ASK, ASK_LONGEST, NEAR = 1.0, 8.0, 0.5  # seconds that askings spread over: at first, later, of an agent
+    TOLD = 6.0  # seconds, the platform's clock: what a registry that is asked hid for so long counts as told
 
     def at(self, when, what, subject):
         self.seq += 1
@@ -86,9 +87,11 @@
 
     def on_list(self, update):
         if update.failed:  # at a random time, later each time, so that relays do not ask in step
-            self.asking = min(self.ASK_LONGEST, self.asking * 2.0)
+            asks = self.set.asks_for_list  # else an agent beside us: free, and what it has counts
+            self.asking = min(self.ASK_LONGEST, self.asking * 2.0) if asks else self.NEAR
+            self.sure = min(self.sure, update.sure_at) if asks else inf
             return self.at(self.now + self.asking * self.random.uniform(0.5, 1.0), Circuits.ask, None)
-        self.asking = self.ASK
+        self.asking, self.sure, self.touched = self.ASK, inf, {id(d): d for d in self.dests.values()}
         listed = {e.id: e for e in update.endpoints}
         for e in listed.values():
             route = self.routes.get(e.id) or self.add_route(e)
--- a/ryestack/brain/walk.py
+++ b/ryestack/brain/walk.py
@@ -46,7 +46,8 @@
     def may_push(self, ntf, route):
         if ntf.state != "parked" or ntf.out or self.now >= ntf.due or ntf.pushes >= ntf.most:
             return False  # rule 1, and no second copies
-        if route.state == "draining" or self.now < route.pacer.wait_until:
+        stale = self.now >= max(self.sure, route.good_at) + self.TOLD  # neither the list nor a delivery says
+        if route.state == "draining" or stale or self.now < route.pacer.wait_until:
             return False  # rules 3 and 6
         if self.now + ntf.dest.expected() >= self.leaves:
             return False  # rule 2: a restart cuts it off, and it may have run
--- a/ryestack/interface.py
+++ b/ryestack/interface/words.py
@@ -1,27 +1,10 @@
-"""What the decision module is told and what it asks for: types only.
-
-Times are seconds with fractions, ids are kept as they came. Nothing here knows a protocol: an
-adapter turns its own messages into the events below and the actions into its own messages.
-"""
+"""What the decision module is told and what it asks for: events and actions, as types."""
 
 from dataclasses import dataclass
 from enum import Enum
 from math import inf
 
-
-class Effect(Enum):
-    """What a repeat of a notification does."""
-
-    REPEATABLE = "repeatable"
-    COLLAPSIBLE = "collapsible"
-    ONCE_ONLY = "once-only"
-
-
-class Late(Enum):
-    """How benefit falls after the latency objective."""
-
-    LINE = "line"
-    HALVES = "halves"
+from .terms import Settings, TopicType
 
 
 class Result(Enum):
@@ -45,73 +28,6 @@
     GONE = "gone"
 
 
-@dataclass(frozen=True, slots=True)
-class TopicType:
-    """A topic type's terms; group names what a repeat of a collapsible one may reach."""
-
-    name: str
-    effect: Effect
-    objective: float
-    ttl: float
-    benefit: float = 1.0
-    late_share: float = 0.0
-    group: str = "all"
-    window: float = 0.0
-    keep_order: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Customer:
-    """A customer and what the whole fleet takes of it within its share, a second."""
-
-    name: str
-    quota: float
-
-
-@dataclass(frozen=True, slots=True)
-class Kind:
-    """A kind of destination."""
-
-    name: str
-    apart: bool = False
-    batch: int = 1
-
-
-@dataclass(frozen=True, slots=True)
-class Rules:
-    """The figures of the six rules."""
-
-    cold_share: float
-    cold_time: float
-    overload_factor: float
-    fall_time: float
-    key_rest: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class Settings:
-    """All that a relay is told when it starts."""
-
-    topic_types: tuple[TopicType, ...]
-    kinds: tuple[Kind, ...]
-    rules: Rules
-    slots: int
-    max_open: int
-    customers: tuple[Customer, ...] = ()
-    relays: int = 1
-    over_share_benefit: float = 1.0
-    late: Late = Late.LINE
-    told_rates: bool = True
-    rough_rates: bool = False
-    max_pushes: int = 1
-    may_cancel: bool = False
-    max_come_back: float = 0.0
-    asks_for_list: bool = False
-    connection_idle: float = 0.0
-    connect_timeout: float = 0.0
-    quantum: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """One line of the list; rate is the calls a second its destination (or route) takes in all."""
@@ -126,11 +42,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ListUpdate:
-    """The list, or a change to it; whole: what is missing is gone; failed: an asking came to nothing."""
+    """The list, or a change to it; whole: what is missing is gone; failed: an asking came to nothing.
+
+    sure_at: with a failure, when the registry's word was last had, a time of the clock.
+    """
 
     endpoints: tuple[Endpoint, ...] = ()
     whole: bool = False
     failed: bool = False
+    sure_at: float = inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/ryestack/lifecycle/watched.py
+++ b/ryestack/lifecycle/watched.py
@@ -13,6 +13,11 @@
         lambda key, name, over, rest: None
     )  # what another process of this relay must know
 
+    def avoided(self, endpoints: list[str]) -> list[str]:
+        """Which of them get nothing now."""
+        routes = [self.routes[e] for e in endpoints if e in self.routes]
+        return [r.id for r in routes if r.state != "closed" or self.now < r.pacer.wait_until]
+
     def turns(self) -> list[tuple]:
         return [(key, name, False, rest) for key, (turns, rest) in self.keys.items() for name in turns]
 
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -8,12 +8,11 @@
 import aiohttp
 
 from .. import interface as it
+from ..membership.following import Following
 from ..observe.log import event
 from .platform import Platform
 
 LISTED = {"up": it.Listed.READY, "draining": it.Listed.DRAINING, "removed": it.Listed.GONE}
-HOLD = 2.0  # seconds a watch may wait: the registry counts a change as told two seconds after it at most
-SILENT = 1.0  # more, and the watch counts as broken
 BARE = 60.0  # a destination without endpoints is one we know for so long
 PAUSE = 0.1  # between calls at least, if answers or failures come at once; a watch goes on within 200 ms
 UNREADABLE = (KeyError, TypeError, ValueError, ArithmeticError)  # what a value of the wrong kind raises
@@ -122,19 +121,21 @@
 async def watch(platform: Platform, members: Members, tell) -> None:
     """Follow the list for as long as the process lives; a silent registry leaves the old one in force.
 
-    An asking that fails is told; when to ask again is decided elsewhere (`platform.asked`): relays that all
-    ask a full registry ten times a second keep it full. At a new address it starts with the whole list:
-    versions there need not go on from the old ones.
+    An asking that fails is told, with the time of the registry's last word; when to ask again is decided
+    elsewhere (`platform.asked`): relays that all ask a full registry ten times a second keep it full. At a
+    new address it starts with the whole list: versions there need not go on from the old ones.
     """
-    address, well = platform.address, True
+    clock = asyncio.get_running_loop().time
+    address, well, following = platform.address, True, Following(clock())
     while True:
-        began = asyncio.get_running_loop().time()
-        query = {"from": str(members.index), "hold_ms": str(int(HOLD * 1000))}
-        if address != platform.address:
-            query = {}
-        asked = platform.address
+        began, asked = clock(), platform.address
+        if address != asked:
+            following.heard("moved", began)
+        query = {"from": str(members.index), "hold_ms": str(int(following.hold() * 1000))}
         try:
-            status, body = await platform.ask("GET", "/catalog/members", HOLD + SILENT, params=query)
+            status, body = await platform.ask(
+                "GET", "/catalog/members", following.limit(), params=query if address == asked else {}
+            )
             if status != 200:
                 raise BadList(f"status {status}")
             update, address = members.learn(json.loads(body)), asked
@@ -145,12 +146,14 @@
             if not well:
                 event("list.flowing")
             well = True
+            following.heard("told", began)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError, BadList) as problem:
+            following.heard("failed", clock())
             if well and asked == platform.address:
                 event("list.blocked", why=repr(problem))
                 well = False
             if asked == platform.address:
                 platform.asked.clear()
-                tell(it.ListUpdate(failed=True))
+                tell(it.ListUpdate(failed=True, sure_at=following.sure_at))
                 await platform.asked.wait()
-        await asyncio.sleep(began + PAUSE - asyncio.get_running_loop().time())
+        await asyncio.sleep(began + PAUSE - clock())
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import tempfile
 
 from ryestack import interface as it
 from ryestack.brain import Brain
@@ -24,8 +25,8 @@
     return it.Settings(TOPICS, KINDS, RULES, **{**base, **more})
 
 
-def brain(kind="shared", routes=("a", "b"), rate=50.0, **more):
-    made = Brain(settings(**more), 1)
+def brain(kind="shared", routes=("a", "b"), rate=50.0, made=Brain, **more):
+    made = made(settings(**more), 1)
     listed = tuple(it.Endpoint(r, "z", kind, 7, rate=rate) for r in routes)
     made.round(0.0, [it.ListUpdate(listed, whole=True)])
     return made
@@ -132,3 +133,10 @@
     with open(path, "w") as file:
         json.dump(told, file)
     return path
+
+
+class Folder:
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
--- /dev/null
+++ b/tests/test_adoption.py
@@ -0,0 +1,189 @@
+"""Two processes of one relay: whose journal is whose, what is told and overheard, turns."""
+
+import json
+import os
+import unittest
+from pathlib import Path
+
+from ryestack import interface as it
+from ryestack.interface import Result
+from ryestack.lifecycle import learnt
+from ryestack.lifecycle.watched import Watched
+from ryestack.store import files
+from ryestack.store.inspect import inspect
+from ryestack.store.journal import Journal
+from ryestack.store.ledger import Ledger
+
+from .helpers import Folder, brain, end, kinds, pushes, settings, take
+from .test_store import owed
+
+
+class Files(Folder, unittest.TestCase):
+    def process(self, allowance=100_000):
+        made = Ledger(Journal(self.folder, allowance))
+        self.addCleanup(made.journal.close)
+        made.recover()
+        return made
+
+    def test_each_process_writes_its_own_and_adopts_only_of_the_dead(self):
+        old = self.process()
+        old.take(owed("n"))
+        old.push("n", 0, 41.0)
+        new = self.process()
+        new.take(owed("m"))
+        self.assertEqual((new.adopt(), list(new.owed), list(old.owed)), ([], ["m"], ["n"]))
+        old.take(owed("o"))
+        old.journal.close()
+        self.assertEqual([o.id for o in new.adopt()], ["n", "o"])
+        self.assertEqual((new.owed["n"].pushes, new.owed["n"].first_maybe()), (1, 41.0))
+        self.assertEqual(new.journal.beside(), [])
+        new.journal.close()
+        self.assertEqual(sorted(self.process().owed), ["m", "n", "o"])
+
+    def test_killed_between_the_copy_and_the_removal_it_owes_once(self):
+        old = self.process()
+        old.take(owed("n"))
+        new = self.process()
+        kept = Path(self.folder, "owed").read_bytes()
+        old.journal.close()
+        new.adopt()
+        Path(self.folder, "owed").write_bytes(kept)
+        new.journal.close()
+        third = self.process()
+        self.assertEqual((list(third.owed), third.journal.beside()), (["n"], []))
+        self.assertEqual(third.live, third.owed["n"].size)
+
+    def test_a_rewrite_keeps_the_lock_and_a_plain_start_adopts_all(self):
+        old, new = self.process(), self.process()
+        old.take(owed("n"))
+        old.rewrite()
+        new.rewrite()
+        self.assertIsNone(files.lock(Path(self.folder, "owed")))
+        new.take(owed("m"))
+        self.assertEqual([sorted(f.owed) for f in inspect(self.folder)], [["n"], ["m"]])
+        old.journal.close()
+        new.journal.close()
+        last = self.process()
+        self.assertEqual((sorted(last.owed), os.listdir(self.folder)), (["m", "n"], ["owed"]))
+
+    def test_without_room_it_stays_whole_until_there_is_some(self):
+        old = self.process()
+        for i in range(5):
+            old.take(owed(f"n{i}", b"x" * 5000))
+        new = self.process(60_000)
+        new.journal.share(2)
+        new.take(owed("m", b"x" * 9000))
+        old.journal.close()
+        self.assertEqual((new.adopt(), list(new.owed), new.stuck), ([], ["m"], True))
+        new.journal.share(1)
+        self.assertEqual((len(new.adopt()), len(new.owed), new.journal.beside()), (5, 6, []))
+
+    def test_damage_puts_what_came_before_in_doubt(self):
+        old = self.process()
+        old.take(owed("n"))
+        at = old.journal.size
+        old.push("n", 0, 40.0)
+        old.push("n", 1, 41.0)
+        old.journal.close()
+        path = Path(self.folder, "owed")
+        data = bytearray(path.read_bytes())
+        data[at + 20] ^= 1
+        path.rename(Path(self.folder, "owed.3"))
+        Path(self.folder, "owed.3").write_bytes(data)
+        self.assertEqual(self.process().owed["n"].first_maybe(), 0.0)
+
+
+class Told(unittest.TestCase):
+    def heir(self, elder, **more):
+        made = brain(**more)
+        learnt.take(made, json.loads(json.dumps(learnt.told(elder))))
+        return made
+
+    def test_waits_circuits_and_outages_go_on(self):
+        elder = brain(routes=("a", "b", "c"))
+        elder.round(1.0, [take(f"n{i}") for i in range(4)])
+        elder.round(1.1, [end(f"n{i}", "a", Result.ERROR) for i in range(3)])
+        elder.round(1.2, [end("n3", "a", Result.FULL, wait=9.0)])
+        heir = self.heir(elder, routes=("a", "b", "c", "d"))
+        for name in "abc":
+            mine, theirs = heir.routes[name], elder.routes[name]
+            self.assertEqual((mine.state, mine.until), (theirs.state, theirs.until))
+            for name in ("wait_until", "cold", "tokens"):
+                self.assertEqual(getattr(mine.pacer, name), getattr(theirs.pacer, name))
+        self.assertEqual(pushes(heir.round(2.0, [take("m")])), [("m", "d")])
+        heir.round(10.3, [it.Woken()])
+        self.assertNotEqual(heir.routes["a"].state, "open")
+
+    def test_what_was_never_heard_of_is_passed_over(self):
+        heir = brain()
+        learnt.take(heir, {"routes": {"z": [{}, {}, {}, {}]}, "dests": {"9": [{}, {}, {}]}, "new": 1})
+        learnt.take(heir, {"routes": {"a": [{"odd": 1}, {"row": 2}, {}, {}]}})
+        self.assertEqual(heir.routes["a"].tally.row, 2)
+
+    def test_told_nothing_every_partner_may_be_cold(self):
+        heir, other = brain(), brain()
+        heir.round(1.0, [])
+        learnt.careful(heir)
+        self.assertLess(heir.routes["a"].pacer.rate(1.0), other.routes["a"].pacer.rate(1.0))
+
+
+class Overheard(unittest.TestCase):
+    def call(self, *names, endpoint="a"):
+        return it.Overheard(endpoint, tuple((name, 0, it.TopicType("again", it.Effect.REPEATABLE, 2.0, 20.0))
+                                            for name in names))
+
+    def test_their_calls_take_our_slots_and_give_them_back(self):
+        b = brain(routes=("a",), slots=4, rate=1000.0)
+        b.round(1.0, [self.call("x"), self.call("y"), self.call("z")])
+        self.assertEqual(b.slots, 1)
+        self.assertEqual(pushes(b.round(1.1, [take("n"), take("m")])), [])  # three are its share
+        b.round(1.2, [end(name, "a", Result.DELIVERED) for name in "xyz"])
+        self.assertEqual((len(b.held), b.slots, len(b.out)), (2, 2, 2))
+
+    def test_a_call_of_many_is_one_and_nothing_of_ours_joins_it(self):
+        b = brain(kind="bulk")
+        acts = b.round(1.0, [self.call(*"xyz"), take("n")])
+        self.assertEqual((pushes(acts), b.slots), ([("n", "a")], 10))
+
+    def test_their_failures_open_our_circuit_and_their_calls_are_not_ours_to_cancel(self):
+        b = brain(routes=("a",), slots=4, may_cancel=True)
+        b.round(1.0, [self.call(name) for name in "xyz"])
+        for now in (3.0, 6.0, 9.0):
+            acts = b.round(now, [it.Woken(), take(f"n{now}")])
+            theirs = [call for call in b.late if call.items[0][0].state == "afar"]
+            self.assertEqual((kinds(acts, it.Cancel), theirs), ([], []))
+            self.assertNotEqual(b.routes["a"].state, "closed")
+
+    def test_an_endpoint_that_we_do_not_know_is_passed_over(self):
+        b = brain()
+        b.round(1.0, [self.call("x", endpoint="unknown"), end("x", "unknown", Result.ERROR)])
+        self.assertEqual(b.slots, 12)
+
+
+class Turns(unittest.TestCase):
+    """Order by key over two processes."""
+
+    def test_a_younger_one_waits_for_the_elders_and_an_adopted_one_keeps_its_place(self):
+        b = brain()
+        b.round(1.0, [it.Turn("k", "old", False), it.Turn("k", "older", False)])
+        self.assertEqual(pushes(b.round(1.1, [take("n", "turns", key="k")])), [])
+        self.assertEqual(pushes(b.round(1.2, [it.Turn("k", "old", True, rest=1.5)])), [])
+        acts = b.round(1.3, [take("older", "turns", key="k")])  # adopted
+        self.assertEqual(pushes(acts + b.round(1.5, [it.Woken()])), [("older", "a")])
+        self.assertEqual(pushes(b.round(1.6, [end("older", "a", Result.DELIVERED)])), [("n", "a")])
+        b.round(1.7, [end("n", "a", Result.DELIVERED)])
+        b.round(9.0, [it.Woken()])
+        self.assertEqual(b.keys, {})
+
+    def test_words_of_turns_go_out_once_and_are_not_told_back(self):
+        said, b = [], Watched(settings(), 1)
+        b.told_turn = lambda *word: said.append(word[:3])
+        b.round(0.0, [it.ListUpdate((it.Endpoint("a", "z", "shared", 7, rate=50.0),), whole=True)])
+        b.round(1.0, [take("n", "turns", key="k"), it.Turn("k", "x", False)])
+        self.assertEqual([turn[:3] for turn in b.turns()], [("k", "n", False), ("k", "x", False)])
+        b.round(1.1, [end("n", "a", Result.DELIVERED), it.Turn("k", "x", True)])
+        self.assertEqual(said, [("k", "n", False), ("k", "n", True)])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -1,162 +1,27 @@
+"""The relay as a process, and its configuration."""
+
 import asyncio
 import json
 import os
 import signal
 import sys
-import tempfile
 import time
 import unittest
 from contextlib import suppress
 from math import inf
-from types import SimpleNamespace
-from unittest.mock import patch
 
 import aiohttp
 
-from ryestack import interface as it
-from ryestack.interface import Result
 from ryestack.lifecycle.config import BadConfig, Mixed, load
-from ryestack.lifecycle.owner import Owner
 from ryestack.lifecycle.relay import PHASES, Relay
-from ryestack.ports import HandIn, Verdict
 from ryestack.store.journal import Journal
 from ryestack.store.ledger import Ledger
 from ryestack.wire.server import TAKEN
 
-from .helpers import config, http, listed, settings, stand_in, take
+from .helpers import Folder, config, http, listed, stand_in
 from .test_wire import HEAD
 
 
-class Folder:
-    def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = folder.name
-
-
-class OwnerTask(Folder, unittest.IsolatedAsyncioTestCase):
-    def owner(self, folder=None, allowance=100_000, **more):
-        ledger = Ledger(Journal(folder or self.folder, allowance))
-        ledger.recover()
-        self.addCleanup(ledger.journal.close)
-        made = Owner(settings(**more), 1, ledger, lambda: self.now, 1000.0)
-        made.brain.round(0.0, [self.listed] if not ledger.owed else [])
-        self.sent, self.told, self.last = [], [], made
-        made.courier = SimpleNamespace(forget=lambda: None, hang_up=lambda _: None)
-        made.courier.start = lambda _, items: self.sent.extend((i.id, i.push) for i in items)
-        made.ends = SimpleNamespace(add=lambda name, notice: self.told.append((name, notice)))
-        return made
-
-    def setUp(self):
-        super().setUp()
-        self.now = 10.0
-        self.listed = it.ListUpdate((it.Endpoint("a", "z", "shared", 7, rate=50.0),), whole=True)
-
-    def hand_in(self, name, topic="again", due=30.0, body=b"x"):
-        loop = asyncio.get_running_loop()
-        return HandIn(take(name, topic, due), "", body, loop.create_future(), loop.create_future())
-
-    def again(self, after):
-        """The same relay after a kill, so many seconds later."""
-        self.now += after
-        self.last.ledger.journal.close()
-        made = self.owner()
-        made.recover(self.listed)
-        self.now += 0.1  # a new route's first call comes a moment later
-        made.round([it.Woken()])
-        return made
-
-    async def test_a_failed_asking_is_followed_by_another_later_each_time_until_one_goes_well(self):
-        o, asked, loop = self.owner(), [], asyncio.get_running_loop()
-        o.directory = SimpleNamespace(ask=lambda: asked.append(self.now))
-        with patch.object(loop, "call_later"):
-            for least, most in ((1.0, 2.0), (2.0, 4.0), (4.0, 8.0), (4.0, 8.0)):
-                failed, told = self.now, len(asked)
-                o.round([it.ListUpdate(failed=True)])
-                while len(asked) == told:
-                    self.now += 0.01
-                    o.round([it.Woken()])
-                self.assertTrue(least <= asked[-1] - failed <= most + 0.02, (least, asked[-1] - failed))
-            o.round([it.ListUpdate()])
-            o.round([it.ListUpdate(failed=True)])
-            self.now += 2.01
-            o.round([it.Woken()])
-        self.assertEqual(len(asked), 5)
-
-    async def test_journalled_then_answered_then_pushed(self):
-        o, message = self.owner(), self.hand_in("n")
-        o.round([message])
-        self.assertEqual((message.verdict.result(), self.sent), ((Verdict.TAKEN, 0.0), [("n", 0)]))
-        o.ledger.journal.close()
-        read = Ledger(Journal(self.folder, 100_000))
-        read.recover()
-        read.journal.close()
-        self.assertEqual((read.owed["n"].due, read.owed["n"].open), (1030.0, {0: 1010.0}))
-
-    async def test_an_end_at_once_answers_and_leaves_nothing_owed(self):
-        o, message = self.owner(), self.hand_in("n", due=10.0)
-        o.round([message])
-        self.assertEqual((message.verdict.result()[0], o.ledger.owed, self.told), (Verdict.THROTTLED, {}, []))
-
-    async def test_a_later_end_is_a_notice_and_is_owed_until_taken(self):
-        o = self.owner()
-        o.round([self.hand_in("n", "once")])
-        o.round([it.Outcome("n", 0, "a", Result.BROKEN)])
-        self.assertEqual(self.told, [("n", {"state": "failed"})])
-        again = self.again(1.0)
-        self.assertEqual((self.told, self.sent), ([("n", {"state": "failed"})], []))
-        again.told_platform(["n"])
-        self.again(1.0)
-        self.assertEqual(self.told, [])
-
-    async def test_after_a_kill_each_is_decided_by_its_history(self):
-        o = self.owner()
-        o.round([self.hand_in("n", "once"), self.hand_in("m"), self.hand_in("o", "merge")])
-        o.round([self.hand_in("p", "once", due=11.0), it.Outcome("m", 0, "a", Result.DELIVERED)])
-        o = self.again(2.0)
-        self.assertEqual(sorted(self.told), [("n", {"state": "failed"}), ("p", {"state": "failed"})])
-        self.assertEqual(self.sent, [("o", 1)])
-        o.told_platform(["n", "p"])
-        self.again(6.0)
-        self.assertEqual(self.told, [("o", {"state": "returned"})])
-
-    async def test_a_withdrawn_one_is_forgotten(self):
-        o = self.owner()
-        o.round([self.hand_in("n")])
-        o.round([it.Withdrawn("n")])
-        self.again(1.0)
-        self.assertEqual((self.sent, self.told), ([], []))
-
-    async def test_an_id_in_use_is_malformed_and_the_first_stays(self):
-        o, twice = self.owner(), self.hand_in("n")
-        o.round([self.hand_in("n"), twice])
-        self.assertEqual((twice.verdict.result()[0], list(o.ledger.owed)), (Verdict.UNREADABLE, ["n"]))
-
-    async def test_many_in_one_round_do_not_overfill_the_journal(self):
-        o, many = self.owner(), [self.hand_in(f"n{i}", body=b"x" * 3_000) for i in range(90)]
-        o.round(many)
-        statuses = [m.verdict.result()[0] for m in many]
-        self.assertEqual(statuses.count(Verdict.TAKEN), 10)
-        self.assertLess(o.ledger.journal.size, 50_000)
-
-    async def test_nearly_full_refuses_and_a_full_disk_does_not_crash(self):
-        o, large = self.owner(), self.hand_in("n", body=b"x" * 50_000)
-        o.round([large])
-        self.assertEqual(large.verdict.result()[0], Verdict.THROTTLED)
-        first = self.hand_in("m")
-        o.round([first])
-        o.ledger.journal.append = self.no_room
-        o.round([self.hand_in("p"), it.Outcome("m", 0, "a", Result.ERROR)])
-        self.assertEqual(list(o.ledger.owed), ["m"])
-        o.round(o.take_queue())
-        self.assertNotIn("p", o.brain.held)
-        o.round([it.Outcome("m", 1, "a", Result.DELIVERED)])
-        self.assertEqual(o.ledger.owed, {})
-
-    def no_room(self, _):
-        raise OSError("no space left")
-
-
 class Program(Folder):
     """The program itself on loopback, with stand-ins for an endpoint and the platform."""
 
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,104 @@
+"""The clock of the list: what a silence may cost in each mode of discovery, and what is not sent past it."""
+
+import asyncio
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ryestack import interface as it
+from ryestack.brain import Brain
+from ryestack.interface import Listed, Result
+from ryestack.membership import following
+from ryestack.wire.members import watch
+from ryestack.wire.platform import Platform
+
+from .helpers import brain, end, http, listed, members, pushes, settings, stand_in, take
+
+DRAIN = 2.0  # seconds of grace that the platform gives a drain, in its tightest settings on these days
+
+
+@pytest.mark.parametrize("mode, longest", [("push", Brain.NEAR), ("ask", 2 * Brain.ASK)])
+def test_after_a_silence_one_whole_asking_fits_into_the_clock(mode, longest):
+    assert following.worst(longest) < Brain.TOLD - 0.25, mode
+
+
+@given(st.lists(st.sampled_from(["told", "failed", "moved"]), max_size=30))
+def test_only_a_list_that_was_told_last_is_waited_on(heard):
+    made = following.Following(0.0)
+    for at, what in enumerate(heard, 1):
+        made.heard(what, float(at))
+    assert (made.hold() > 0.0) == (bool(heard) and heard[-1] == "told")
+    assert made.sure_at == float(max((at for at, what in enumerate(heard, 1) if what == "told"), default=0))
+    assert made.limit() <= following.HOLD + following.GRACE
+
+
+@given(st.integers(0, 2**32), st.integers(1, 30))
+def test_an_agent_beside_us_is_asked_again_within_the_grace_of_a_drain_however_long_it_was_out(seed, fails):
+    made, now = Brain(settings(), seed), 10.0
+    for _ in range(fails):
+        asked = [a for a in made.round(now, [it.ListUpdate(failed=True)]) if isinstance(a, it.AskForList)]
+        failed = now
+        while not asked:
+            now += 0.01
+            asked = [a for a in made.round(now, [it.Woken()]) if isinstance(a, it.AskForList)]
+        assert Brain.NEAR / 2 - 1e-9 <= now - failed <= Brain.NEAR + 0.02
+    # The agent may come back a moment after an asking began that it does not answer any more.
+    assert following.GRACE + Brain.NEAR < DRAIN
+
+
+def test_past_the_clock_a_route_gets_new_work_only_while_a_delivery_of_late_speaks_for_it():
+    made = brain(asks_for_list=True)
+    made.round(1.0, [it.ListUpdate(failed=True, sure_at=0.0)])
+    assert pushes(made.round(5.9, [take("n0")])) == [("n0", "a")]
+    made.round(6.1, [end("n0", "a", Result.DELIVERED)])  # it went at 5.9: it speaks for a until 11.9
+    made.round(6.2, [it.ListUpdate(failed=True, sure_at=0.0)])
+    assert pushes(made.round(11.8, [take("n1")])) == [("n1", "a")]
+    made.round(11.85, [end("n1", "a", Result.ERROR)])
+    for i in range(20):
+        assert not pushes(made.round(12.0 + i / 10, [take(f"m{i}", due=40.0), it.Woken()]))
+    assert pushes(made.round(14.1, [it.ListUpdate()]))  # nothing had changed: all of it holds again
+
+
+def test_where_lists_are_pushed_a_silent_agent_stops_nothing():
+    made = brain()
+    made.round(1.0, [it.ListUpdate(failed=True, sure_at=0.0)])
+    assert pushes(made.round(60.0, [take("n", due=80.0)]))
+
+
+def test_a_watch_that_fell_silent_is_begun_anew_and_what_it_missed_is_here_before_it_counts():
+    """An agent that drops one open watch: the drain that it hid is known within the six seconds."""
+    drained = json.dumps(
+        {"index": 2, "snapshot": False, "endpoints": [{"name": "a", "status": "draining"}]}
+    ).encode()
+
+    async def play():
+        loop, heads, told = asyncio.get_running_loop(), [], asyncio.Queue()
+
+        def agent(head, _):
+            heads.append(head)
+            if len(heads) == 1:
+                return http(200, json.dumps({**listed(), "endpoints": [], "snapshot": False}).encode())
+            return b"" if len(heads) == 2 else http(200, drained)  # b"": open, and silent for good
+
+        server, address = await stand_in(agent)
+        platform, at, module = Platform(address), members(), Brain(settings(), 3)
+        task = asyncio.ensure_future(watch(platform, at, told.put_nowait))
+        began, update = loop.time(), None
+        while update is None or not update.endpoints:
+            update = await asyncio.wait_for(told.get(), 6.0)
+            acts = module.round(loop.time(), [update])
+            while update.failed and not any(isinstance(a, it.AskForList) for a in acts):
+                await asyncio.sleep(0.05)
+                acts = module.round(loop.time(), [it.Woken()])
+            platform.asked.set()
+        task.cancel()
+        await platform.close()
+        server.close()
+        return loop.time() - began, update, heads
+
+    took, update, heads = asyncio.run(play())
+    assert update.endpoints[0].listed is Listed.DRAINING
+    assert b"hold_ms=0" in heads[0] and b"hold_ms=1500" in heads[1] and b"hold_ms=0" in heads[2]
+    assert took < Brain.TOLD
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -13,8 +13,8 @@
 from ryestack.settings import lacking
 from ryestack.wire.server import MALFORMED, TAKEN
 
-from .helpers import TOPICS, brain, config, end, kinds, pushes, settings, take
-from .test_lifecycle import Folder, OwnerTask
+from .helpers import TOPICS, Folder, brain, config, end, kinds, pushes, settings, take
+from .test_owner import OwnerTask
 from .test_staff import Staffed
 
 AGAIN, MERGE, ONCE, _ = TOPICS
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -11,6 +11,7 @@
 from ryestack import interface as it
 from ryestack.interface import Result
 from ryestack.lifecycle.relay import PHASES
+from ryestack.lifecycle.watched import Watched
 from ryestack.observe import figures
 from ryestack.wire.server import REFUSED, TAKEN
 from ryestack.wire.staff import MOST
@@ -32,7 +33,7 @@
 
 class Avoided(unittest.TestCase):
     def test_what_gets_nothing_now(self):
-        b = brain(routes=("a", "b", "c"))
+        b = brain(routes=("a", "b", "c"), made=Watched)
         self.assertEqual(b.avoided(["a", "b", "c", "unknown"]), [])
         b.round(1.0, [take(f"n{i}") for i in range(3)])
         b.round(1.1, [end(f"n{i}", "a", Result.ERROR) for i in range(3)])
