Calls that still connect are called off when a wait or a drain is told, or one of them ends: two rules on join+mass

Followed by id. n166: push.began 3.22, wait=0.811 told 3.427, push.ended 4.075: decided before the wait, connected 0.8 s later, written within it. n162: ten messages in a call began 8.504, 'timed out' 8.887 and throttled, the call written at 9.15 with its body. Ruled out: decisions within a wait (none at a destination that shares one), ids taken twice (0), ends before pushes in the logs (0). At fault: Calls.run, which bound only a repeat's window to the first byte, and Calls.end_early, which told an end and left the message in the body. Now the module asks for CallOff with each wait and drain it hears, and a call without a connection ends when one of its messages does; all of it counts as not sent.

--- a/ryestack/benchlink/codec.py
+++ b/ryestack/benchlink/codec.py
@@ -130,7 +130,7 @@
     "Whisper": _pass_over,
 }
 
-ACTIONS = {
+ACTIONS = {  # here a call begins at once: there is none to call off
     it.Push: lambda r, a: ["Route", r, a.id, a.endpoint, round(a.timeout * 1000.0, 3)],
     it.Cancel: lambda r, a: ["DropAttempt", r, a.id, a.push],
     it.HangUp: lambda r, a: ["HangUp", r, a.endpoint],
--- a/ryestack/benchlink/host.py
+++ b/ryestack/benchlink/host.py
@@ -2,7 +2,18 @@
 
 from .. import interface as it
 from ..brain import Brain
-from .codec import EVENTS, SCOPES, BadLine, Fields, read_line, read_rows, settings_of, write, write_line
+from .codec import (
+    ACTIONS,
+    EVENTS,
+    SCOPES,
+    BadLine,
+    Fields,
+    read_line,
+    read_rows,
+    settings_of,
+    write,
+    write_line,
+)
 
 
 class Host:
@@ -50,7 +61,11 @@
         lines = []
         for relay, events in self.pending.items():
             try:
-                lines += [write(relay, action) for action in self.brains[relay].round(now, events)]
+                lines += [
+                    write(relay, action)
+                    for action in self.brains[relay].round(now, events)
+                    if type(action) in ACTIONS
+                ]
             except Exception as problem:  # the wire has a word for it: the day ends with this text
                 lines.append(write_line("Fatal", relay, f"{type(problem).__name__}: {problem}"))
         self.pending = {}
--- a/ryestack/brain/pacer.py
+++ b/ryestack/brain/pacer.py
@@ -9,8 +9,7 @@
     """What one destination, or one route apart, may be sent: told rate, waits, refusals, warm-up."""
 
     GAIN = 1.5  # over our part, as relays are uneven; 1 where a call gathers many: waits fill it
-    # Where refused calls use a limit up too, all of a fleet must come under it before it takes any again.
-    # What is left of it tells the fleet's use: under a fifth we send less, over a half more.
+    # Where refused calls use a limit up, a fleet must come under it: what is left tells whether it does.
     LEAST, MOST, LESS, MORE, USED_UP, AMPLE = 0.5, 3.0, 0.7, 1.2, 0.2, 0.5
     AGE, COUNTS = 0.5, 2  # seconds a told share may be old; used-up refusals in a row: else some calls pass
     OWN = 30.0  # seconds, half-life: parts are lasting; over 5 s one delivery of a thin one shows as many
@@ -25,14 +24,13 @@
     ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
 
     def __init__(self, settings, dest, chance, now, rate):
-        self.dest, self.random, self.taken, self.at = dest, chance, Flow(self.OWN), now
+        self.dest, self.random, self.taken, self.at, self.stepped = dest, chance, Flow(self.OWN), now, now
         self.heed(settings)
         near = [] if dest.kind.apart else [r.pacer for r in dest.order]  # a new route shares their fate
         self.cold = max((p.cold for p in near if p.cold is not None), default=None)  # inf: down; back since
         self.told = max(0.1, rate) if settings.told_rates else self.UNTOLD  # a list may tell none
         self.tokens = chance.random() ** (1.0 / self.told)  # a draw by rate among routes
-        self.back, self.refusals, self.hungry, self.opens = self.BACK, 0, 0.0, 0.0
-        self.ease, self.stepped = self.GAIN, now
+        self.back, self.refusals, self.hungry, self.opens, self.ease = self.BACK, 0, 0.0, 0.0, self.GAIN
         self.bad_since = min((p.bad_since for p in near), default=inf)
         self.wait_until = max((p.wait_until for p in near), default=0.0)
 
--- a/ryestack/brain/routes.py
+++ b/ryestack/brain/routes.py
@@ -117,6 +117,8 @@
 
     def turn(self, route, heard, span=0.0):
         self.touch(route.dest)
+        if heard in ("wait", "drain"):  # a connection that comes up late must not carry what it now forbids
+            self.acts.append(it.CallOff(route.id))
         route.state, effect = ROUTE.get((route.state, heard), (route.state, None))
         if effect:
             getattr(self, effect)(route, span)
--- a/ryestack/interface/__init__.py
+++ b/ryestack/interface/__init__.py
@@ -8,6 +8,7 @@
 from .words import (
     Action,
     AskForList,
+    CallOff,
     Cancel,
     Endpoint,
     Event,
--- a/ryestack/interface/words.py
+++ b/ryestack/interface/words.py
@@ -163,6 +163,13 @@
     push: int
 
 
+@dataclass(frozen=True, slots=True)
+class CallOff:
+    """End the calls to the endpoint of which nothing is written yet: they count as not sent."""
+
+    endpoint: str
+
+
 @dataclass(frozen=True, slots=True)
 class HangUp:
     """Close the connections to the endpoint that stand idle."""
@@ -198,4 +205,4 @@
 
 
 Event = ListUpdate | Notification | Outcome | Withdrawn | Woken | Leaving | Retuned | Overheard | Turn
-Action = Push | Cancel | HangUp | Throttle | Expire | Wake | AskForList
+Action = Push | Cancel | CallOff | HangUp | Throttle | Expire | Wake | AskForList
--- a/ryestack/lab/sim/relays.py
+++ b/ryestack/lab/sim/relays.py
@@ -148,7 +148,7 @@
                 cancels.append(action)
             elif kind is it.HangUp:
                 world.hang_up(self, action.endpoint)
-            elif kind is not it.AskForList:
+            elif kind not in (it.AskForList, it.CallOff):
                 ends.append(action)
         cost = world.cpu_round + world.cpu_event * (len(heard) + len(pushes))
         self.free_at = now + max(cost, self.settings.quantum)
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -94,6 +94,8 @@
             self.take(message)
         for action in asked[it.Cancel]:
             self.courier.cancel(action.id, action.push)
+        for action in asked[it.CallOff]:
+            self.courier.call_off(action.endpoint)
         self.push(asked[it.Push])
         for action in asked[it.HangUp]:
             self.courier.hang_up(action.endpoint)
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -108,6 +108,9 @@
 
     def cancel(self, name: str, push: int) -> None: ...
 
+    def call_off(self, endpoint: str) -> None:
+        """End calls to that endpoint that have not begun, as not sent: their connection may come up late."""
+
     def hang_up(self, endpoint: str) -> None:
         """Close what stands idle to that endpoint; calls that are out go on."""
 
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -45,6 +45,7 @@
         self.running: dict[tuple[str, int], asyncio.Task] = {}
         self.written = 0  # messages whose call went out whole
         self.kept: dict[Reply, None] = {}  # all connections to endpoints, the oldest first
+        self.begun: dict[asyncio.Task, tuple[Progress, asyncio.Timeout]] = {}  # connected or not yet
         self.retune(settings)
         idle = settings.connection_idle * IDLE_PART
         connector = aiohttp.TCPConnector(
@@ -81,9 +82,14 @@
                 loop.call_later(item.timeout, self.end_early, endpoint, item)
 
     def end_early(self, endpoint: str, item: Item) -> None:
-        """The time of one message in a call is up before that of the others."""
-        if self.running.pop((item.id, item.push), None):
-            self.tell([it.Outcome(item.id, item.push, endpoint, Result.TIMED_OUT, item.timeout)])
+        """The time of one message in a call is up before that of the others.
+
+        A call that still has no connection must not carry it any more: its end is told from here on.
+        """
+        if task := self.running.pop((item.id, item.push), None):
+            connected = self.not_begun(*self.begun[task]) if task in self.begun else False
+            result = Result.TIMED_OUT if connected else Result.NOT_SENT
+            self.tell([it.Outcome(item.id, item.push, endpoint, result, item.timeout)])
 
     def cancel(self, name: str, push: int) -> None:
         if (name, push) in self.running:
@@ -93,6 +99,11 @@
         """What stays open to endpoints that are gone ends here; calls that are out go on."""
         self.end_idle(self.members.leave())
 
+    def call_off(self, endpoint: str) -> None:
+        for progress, limit in self.begun.values():
+            if progress.endpoint == endpoint:
+                self.not_begun(progress, limit)
+
     def hang_up(self, endpoint: str) -> None:
         self.end_idle({endpoint})
 
@@ -126,6 +137,7 @@
         progress = Progress(endpoint, lambda: self.first_line(progress, limit, len(items) == 1))
         progress.wrote = lambda: self.wrote(len(items))
         CALL.set(progress)  # for this task, which is this call's
+        self.begun[asyncio.current_task()] = progress, limit
         lapse = None
         if (last := min(item.begin for item in items)) < inf:
             progress.begin = asyncio.get_running_loop().time() + last
@@ -148,6 +160,7 @@
             fault("call.fault", endpoint=endpoint)
             broke = Result.BROKEN
         finally:
+            del self.begun[asyncio.current_task()]
             if lapse:  # a call that failed to connect is over before: its limit cannot be set anew
                 lapse.cancel()
         if not progress.connected:
@@ -163,10 +176,12 @@
             outcomes.append(it.Outcome(item.id, item.push, endpoint, result, *told))
         self.tell([o for o in outcomes if self.running.pop((o.id, o.push), None)])
 
-    def not_begun(self, progress: Progress, limit: asyncio.Timeout) -> None:
+    def not_begun(self, progress: Progress, limit: asyncio.Timeout) -> bool:
+        """Ends a call that has no connection yet; returns whether it has one."""
         if not progress.connected and not limit.expired():
-            progress.too_late = True
+            progress.too_late, progress.begin = True, -inf  # should it connect in this very turn
             limit.reschedule(asyncio.get_running_loop().time())
+        return progress.connected
 
     def wrote(self, messages: int) -> None:
         self.written += messages
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -39,6 +39,16 @@
 
 
 class Rules(unittest.TestCase):
+    def test_what_forbids_new_calls_calls_off_those_that_have_not_begun(self):
+        for kind, routes in (("shared", ["a", "b"]), ("apart", ["a"])):
+            b = brain(kind)
+            self.assertEqual(pushes(b.round(1.0, [take("n"), take("m")])), [("n", "a"), ("m", "a")])
+            told = b.round(1.1, [end("n", "a", Result.FULL, wait=1.0)])
+            self.assertEqual([a.endpoint for a in told if isinstance(a, it.CallOff)], routes)
+        drained = it.Endpoint("b", "z", "apart", 7, it.Listed.DRAINING, 50.0)
+        told = b.round(1.2, [it.ListUpdate((drained,))])
+        self.assertEqual([a.endpoint for a in told if isinstance(a, it.CallOff)], ["b"])
+
     def test_once_only_ends_at_once_after_it_may_have_run(self):
         b = brain()
         b.round(1.0, [take("n", "once")])
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -62,6 +62,40 @@
         for each in (late, server, *filling):
             each.close()
 
+    async def test_a_call_that_has_not_begun_is_called_off_and_one_that_has_goes_on(self):
+        """A wait is told while another call there still connects: it must not begin within it."""
+        loop, told = asyncio.get_running_loop(), asyncio.Queue()
+        late = socket.create_server(("127.0.0.1", 0), backlog=0)
+        filling = [socket.socket() for _ in range(4)]
+        for sock in filling:
+            sock.setblocking(False)
+            sock.connect_ex(late.getsockname())
+        at = members(address=f"127.0.0.1:{late.getsockname()[1]}")
+        calls = Calls(settings(), at, loop.time, told.put_nowait, 50)
+        calls.start("a", [Item("n", 0, 9.0, "k", b"x", None)])
+        await asyncio.sleep(0.05)
+        calls.call_off("b")
+        await asyncio.sleep(0.05)
+        self.assertTrue(told.empty())
+        calls.call_off("a")
+        [o] = await asyncio.wait_for(told.get(), 1.0)
+        self.assertEqual((o.result, calls.written), (Result.NOT_SENT, 0))
+        calls.batch["shared"] = 2  # one whose time is up while its call connects has its end: it must not go
+        calls.start("a", [Item("k", 0, 0.1, "k", b"x", None), Item("l", 0, 9.0, "k", b"x", None)])
+        for name in "kl":
+            [o] = await asyncio.wait_for(told.get(), 1.0)
+            self.assertEqual((o.id, o.result, calls.written), (name, Result.NOT_SENT, 0))
+        server, address = await stand_in(lambda *_: b"")  # it takes the call and says nothing
+        at.rows["a"]["address"] = address
+        calls.start("a", [Item("m", 0, 0.3, "k", b"x", None)])
+        await asyncio.sleep(0.1)
+        calls.call_off("a")
+        [o] = await asyncio.wait_for(told.get(), 1.0)
+        self.assertEqual((o.result, calls.written, calls.begun), (Result.TIMED_OUT, 1, {}))
+        await calls.close()
+        for each in (late, server, *filling):
+            each.close()
+
     async def test_a_call_that_is_over_before_its_last_beginning_is_left_alone(self):
         loop, told, faults = asyncio.get_running_loop(), asyncio.Queue(), []
         loop.set_exception_handler(lambda _, context: faults.append(context))
