--- /dev/null
+++ b/ryestack/lifecycle/inherited.py
@@ -0,0 +1,43 @@
+"""What lives before us, and processes that are gone, still owe: handed to the module with its history."""
+
+from .. import interface as it
+from ..observe.log import event
+from ..store.ledger import Owed, terms_of
+from . import learnt
+from .kin import Kin
+
+
+class Inherited(Kin):
+    def recover(self, update: it.ListUpdate, told: dict | None = None, beside: bool = False) -> None:
+        """Hand what the lives before still owe to the module, with its history; it decides.
+
+        told: what the process before us had learnt; beside: it lives, told or not.
+        """
+        self.round([update])
+        try:
+            if told is not None:
+                learnt.take(self.brain, told)
+        except (TypeError, ValueError, KeyError, AttributeError) as problem:
+            event("line.broken", why=f"what it has learnt makes no sense: {problem!r}")
+            told = None
+        if told is None and beside:
+            learnt.careful(self.brain)
+        self.adopt(list(self.ledger.owed.values()))
+        self.round(self.take_queue())
+
+    def adopt(self, left: list[Owed]) -> None:
+        topics, known = {t.name for t in self.settings.topic_types}, []
+        for o in left:
+            terms, most = terms_of(o.topic, o.rules)
+            if not o.notice and not terms and o.topic not in topics:
+                self.ledger.owe_notice(o.id, {"state": "failed"})
+            if o.notice:
+                self.ends.add(o.id, o.notice)
+            else:
+                maybe = o.first_maybe() - self.wall
+                due = o.due - self.wall
+                self.told_taken(o)
+                head = o.id, due, o.dest, o.topic, o.customer, o.order_key
+                known.append(it.Notification(*head, o.pushes, maybe, terms, most))
+        event("relay.recovered", owed=len(known), notices=len(left) - len(known))
+        self.put(known)
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections import Counter, defaultdict
-from dataclasses import dataclass
 from functools import partial
 
 from .. import interface as it
@@ -14,23 +13,15 @@
 from ..interface import Result
 from ..observe.log import detailed, event
 from ..ports import Courier, Directory, Ends, HandIn, Item, Verdict
-from ..store.ledger import Ledger, Owed, rules_of, terms_of
-from . import learnt
+from ..store.ledger import Ledger, Owed, rules_of
+from .inherited import Inherited
+from .kin import TOLD, Afar, Kin
 from .watched import Watched
 
 
-@dataclass(frozen=True, slots=True)
-class Afar:
-    """How a push of another process of this relay ended."""
-
-    outcome: it.Outcome
-
-
-TOLD = ("elapsed", "ended", "wait", "limit", "stale", "left")  # of an outcome, in words between processes
-
-
-class Owner:
+class Owner(Inherited):
     def __init__(self, settings: it.Settings, seed: int, ledger: Ledger, clock, wall: float):
+        super().__init__()
         self.settings, self.ledger, self.clock = settings, ledger, clock
         self.wall = wall  # added to the clock, it gives the wall's time
         self.brain = Watched(settings, seed)
@@ -43,10 +34,6 @@
         self.counts = Counter()
         self.ended: Counter[tuple[str, str]] = Counter()  # by topic type and how it ended
         self.fresh: dict[str, HandIn] = {}
-        self.kin = []  # lines to the other processes of this relay: each hears of our calls
-        self.afar: dict[tuple[str, int], tuple[object, str]] = {}  # their pushes: whose, and where
-        self.turns: dict[tuple[str, str], object] = {}  # their keys in order and ids: whose
-        self.theirs: dict[object, int] = {}  # how many notifications each of them holds
 
     # -- the queue --------------------------------------------------------------------------------
 
@@ -127,9 +114,6 @@
     def held_by_all(self) -> int:
         return self.held() + sum(self.theirs.values())
 
-    def before_afar(self, event: Afar):
-        return event.outcome if self.afar.pop((event.outcome.id, event.outcome.push), None) else None
-
     def before_outcome(self, o: it.Outcome):
         self.tell("ended", o.id, o.push, o.endpoint, o.result.value, *(getattr(o, name) for name in TOLD))
         self.counts[o.result.value] += 1
@@ -223,100 +207,6 @@
         if unsent:
             self.put(unsent)
 
-    # -- start and stop ---------------------------------------------------------------------------
-
-    def recover(self, update: it.ListUpdate, told: dict | None = None, beside: bool = False) -> None:
-        """Hand what the lives before still owe to the module, with its history; it decides.
-
-        told: what the process before us had learnt; beside: it lives, told or not.
-        """
-        self.round([update])
-        try:
-            if told is not None:
-                learnt.take(self.brain, told)
-        except (TypeError, ValueError, KeyError, AttributeError) as problem:
-            event("line.broken", why=f"what it has learnt makes no sense: {problem!r}")
-            told = None
-        if told is None and beside:
-            learnt.careful(self.brain)
-        self.adopt(list(self.ledger.owed.values()))
-        self.round(self.take_queue())
-
-    def adopt(self, left: list[Owed]) -> None:
-        topics, known = {t.name for t in self.settings.topic_types}, []
-        for o in left:
-            terms, most = terms_of(o.topic, o.rules)
-            if not o.notice and not terms and o.topic not in topics:
-                self.ledger.owe_notice(o.id, {"state": "failed"})
-            if o.notice:
-                self.ends.add(o.id, o.notice)
-            else:
-                maybe = o.first_maybe() - self.wall
-                due = o.due - self.wall
-                self.told_taken(o)
-                head = o.id, due, o.dest, o.topic, o.customer, o.order_key
-                known.append(it.Notification(*head, o.pushes, maybe, terms, most))
-        event("relay.recovered", owed=len(known), notices=len(left) - len(known))
-        self.put(known)
-
-    # -- the other processes of this relay ----------------------------------------------------------
-
-    def tell(self, *word) -> None:
-        for line in self.kin:
-            line.say(*word)
-
-    def hear(self, line, word: list) -> None:
-        """A call of theirs began or ended: the module counts it with ours."""
-        kind, *rest = word
-        if kind == "began":
-            topics = {t.name: t for t in self.settings.topic_types}
-            any_ = next(iter(topics.values()))
-            endpoint, items = rest
-            self.afar.update({(name, push): (line, endpoint) for name, push, _ in items})
-            told = tuple((name, push, topics.get(topic, any_)) for name, push, topic in items)
-            self.put([it.Overheard(endpoint, told)])
-        elif kind == "ended":
-            name, push, endpoint, result, *more = rest
-            facts = dict(zip(TOLD, more, strict=True))
-            self.put([Afar(it.Outcome(name, push, endpoint, Result(result), **facts))])
-        elif kind == "turn":
-            key, name, over, rest_until = rest
-            self.turns[key, name] = line
-            if over:
-                del self.turns[key, name]
-            if name not in self.ledger.owed:
-                self.put([it.Turn(key, name, over, rest_until)])
-        elif kind == "holds":
-            self.theirs[line] = int(rest[0])
-
-    def out(self) -> list:
-        """Our calls that are out, as "began" tells them."""
-        return [
-            (
-                call.route.id,
-                [(n.id, push, n.topic.name) for n, push in call.items if (n.id, push) in self.brain.out],
-            )
-            for call in {id(c): c for c, n in self.brain.out.values() if n.state != "afar"}.values()
-        ]
-
-    def gone(self, line) -> None:
-        """What it had out ends with it; whoever owes those notifications has its history of them."""
-        if line in self.kin:
-            self.kin.remove(line)
-        self.theirs.pop(line, None)
-        theirs = [(key, at) for key, (whose, at) in self.afar.items() if whose is line]
-        self.put([Afar(it.Outcome(*key, at, Result.CANCELLED)) for key, at in theirs])
-        for (name, push), at in theirs:  # to a third one too, which heard of them through us
-            self.tell("ended", name, push, at, Result.CANCELLED.value, 0.0, False, 0.0, 0.0, False, 1.0)
-
-    def all_adopted(self) -> None:
-        """What those that are gone owed is ours: a turn of theirs that is not among it is over."""
-        for (key, name), line in list(self.turns.items()):
-            if line not in self.kin:
-                del self.turns[key, name]
-                if name not in self.ledger.owed:
-                    self.put([it.Turn(key, name, True)])
-
     def in_progress(self) -> int:
         return sum(not owed.notice for owed in self.ledger.owed.values())
 
@@ -326,7 +216,7 @@
     BEFORE = {
         HandIn: before_hand_in,
         it.Outcome: before_outcome,
-        Afar: before_afar,
+        Afar: Kin.before_afar,
         it.Withdrawn: before_withdrawn,
     }
 
