Whether refused calls use a limit up is proven by kind, from refusals against deliveries at nothing left

A thin one went on by the free path though it was proven (part x idle < THIN). Of answers with under a tenth left 2,152 were deliveries and 16,462 refusals; a mere rate delivers one in two at twice its limit. Now a kind's score counts both (Habit); the free path of a counted limit is open only while answers tell it ample.

--- a/ryestack/brain/outcomes.py
+++ b/ryestack/brain/outcomes.py
@@ -48,6 +48,8 @@
         self.step(ntf, "ended" if o.ended or o.result is Result.DELIVERED else "came to nothing")
 
     def judge(self, route, call, o):
+        if o.left < route.pacer.USED_UP and o.result in (Result.FULL, Result.DELIVERED):
+            route.dest.habit.add(o.result is Result.FULL)
         if o.result is Result.DELIVERED:
             for pacer in route.dest.bound(route):
                 pacer.good(call.sent, self.now, pacer is route.pacer)
@@ -78,8 +80,7 @@
             pacer.bad(call.sent, self.now, False, ran=silent)
         self.turn(route, "tripped" if route.tally.out() else "failed")
 
-    def overdue(self, call):
-        """A push past its time is evidence before its time-out: it covers hangs, silence, slow answers."""
+    def overdue(self, call):  # evidence before its time-out: it covers hangs, silence, slow answers
         if call.left < len(call.items):
             return
         call.late, call.route.calls = True, call.route.calls - 1  # it takes no room: its like may never end
@@ -92,8 +93,7 @@
         sick = any(r.tally.row or r.state in ("open", "trial") for r in dest.order)
         return max(1, int(self.set.slots * (self.SHARE_SICK if sick else self.SHARE)))
 
-    def free_a_slot(self):
-        """Late calls give way, for want of a slot any, for want of a share one of that destination's."""
+    def free_a_slot(self):  # late calls give way: for want of a slot any, of a share one of that destination
         if not self.late or not self.set.may_cancel:
             return
         for dest in [d for d in self.touched.values() if d.parked]:
--- a/ryestack/brain/pacer.py
+++ b/ryestack/brain/pacer.py
@@ -1,4 +1,4 @@
-"""The pace of one destination, or of one route apart."""
+"""The pace of one destination, or one route apart: told rate, waits, refusals, warm-up."""
 
 from math import inf
 
@@ -6,12 +6,9 @@
 
 
 class Pacer:
-    """What one destination, or one route apart, may be sent: told rate, waits, refusals, warm-up."""
-
     GAIN = 1.5  # over our part, as relays are uneven; 1 where a call gathers many: waits fill it
     # Where refused calls use a limit up, a fleet must come under it: what is left tells whether it does.
-    LEAST, MOST, LESS, MORE, USED_UP, AMPLE = 0.5, 3.0, 0.7, 1.2, 0.2, 0.5
-    AGE, COUNTS = 0.5, 2  # seconds a told share may be old; used-up refusals in a row: else some calls pass
+    LEAST, MOST, LESS, MORE, USED_UP, AMPLE, AGE = 0.5, 3.0, 0.7, 1.2, 0.2, 0.5, 0.5  # seconds a share is new
     OWN = 30.0  # seconds, half-life: parts are lasting; over 5 s one delivery of a thin one shows as many
     BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
     BACK, EASE = 0.5, 0.925  # seconds a token lacking, twice that a refusal; eased so, balance is at 1 in 10
@@ -31,7 +28,7 @@
         self.told = max(0.1, rate) if settings.told_rates else self.UNTOLD  # a list may tell none
         self.tokens = chance.random() ** (1.0 / self.told)  # a draw by rate among routes
         self.back, self.refusals, self.hungry, self.opens, self.ease = self.BACK, 0, 0.0, 0.0, self.GAIN
-        self.bad_since = min((p.bad_since for p in near), default=inf)
+        self.ample, self.bad_since = False, min((p.bad_since for p in near), default=inf)
         self.wait_until = max((p.wait_until for p in near), default=0.0)
 
     def heed(self, settings):
@@ -39,8 +36,7 @@
         self.rules, self.relays, self.idle = settings.rules, settings.relays, settings.connection_idle
         self.rough = self.ROUGH if settings.rough_rates else 1.0
 
-    def part(self, now):
-        """The even part, or what it took of ours, which sums to no more; not what is asked, as in a clump."""
+    def part(self, now):  # the even one, or what it took of ours, which sums to no more; not what is asked
         even = self.told / self.relays
         if self.cold is None:
             return max(even / self.dest.sharing(), self.taken.rate(now))
@@ -55,7 +51,8 @@
         return self.GAIN if self.free(now) else min(1.0, self.ease) if self.gathers(now) else self.ease
 
     def left(self, part, now):
-        if self.dest.counts and now >= self.stepped + self.AGE and not self.USED_UP <= part < self.AMPLE:
+        self.ample, due = part >= self.AMPLE, now >= self.stepped + self.AGE
+        if self.dest.habit.counts and due and not self.USED_UP <= part < self.AMPLE:
             more = min(self.MOST, self.ease * self.MORE)
             less = max(self.LEAST, min(1.0, self.ease) * self.LESS)
             self.ease, self.stepped = more if part >= self.AMPLE else less, now
@@ -83,8 +80,9 @@
         return max(start, when)
 
     def free(self, now):  # a token would come too late to wait for: until refused, it need not
-        pacers = {r.pacer for r in self.dest.order} if self.dest.counts else ()
-        return not self.gathers(now) and sum(p.part(now) for p in pacers) * self.idle < self.THIN
+        pacers = {r.pacer for r in self.dest.order} if self.dest.habit.counts else ()
+        few = sum(p.part(now) for p in pacers) * self.idle < self.THIN
+        return few and not self.gathers(now) and (self.ample or not pacers)  # else a fleet keeps it used up
 
     def thin(self, now):
         return self.cold is None and self.free(now) and 0.0 < self.part(now) * self.idle < self.THIN
@@ -106,7 +104,6 @@
         self.opens = now + wait if wait > self.OUT_AFTER else self.opens if sent <= self.opens else 0.0
         if refused:
             self.refusals, self.hungry = self.refusals + 1, now
-            self.dest.counts = self.dest.counts or (used_up and self.refusals >= self.COUNTS)
             # At a random time: relays that a clump met refused together must not come again together.
             self.back, self.at = self.back * 2**self.refusals, now
             self.tokens = -(1 + self.refusals * (self.cold is None and self.free(now))) * self.random.random()
--- a/ryestack/brain/rounds.py
+++ b/ryestack/brain/rounds.py
@@ -6,7 +6,7 @@
 from math import inf
 
 from .. import interface as it
-from .measures import Times
+from .measures import Habit, Times
 from .outcomes import Outcomes
 from .routes import Call, Dest
 from .walk import AGAIN, ONCE, Ntf
@@ -15,8 +15,7 @@
 class Brain(Outcomes):
     OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.5, 3.0, 2.0  # times 9 in 10 stay under, there, all; seconds
     TIMEOUT, TIMEOUT_LEAST = 6.0, 10.0  # the same for giving a push up; the slow still run
-    ROOM = 1.2  # times what our gain's rate keeps busy: at twice, calls queued and slots ran short
-    USUAL = 0.5  # a push's time before anything was measured
+    ROOM, USUAL = 1.2, 0.5  # times what our gain keeps busy: at 2, calls queued; a push's time at first
     # Calls in an idle connection's time: fewer, and most close unused, or stand idle half of it where short.
     KEPT, KEPT_SHORT = 0.25, 16.0
 
@@ -29,7 +28,7 @@
         self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, {}, {}
         self.slots, self.heap, self.seq, self.woken, self.asking = settings.slots, [], 0, inf, self.ASK
         self.acts, self.touched, self.travel, self.idle, self.leaves, self.sure = [], {}, {}, {}, inf, inf
-        self.short = {}  # kind of destination -> until when its endpoints count as short of connections
+        self.short, self.habits = {}, defaultdict(Habit)  # by kind: until when short of connections
         if settings.asks_for_list:
             self.at(self.random.uniform(0.0, self.ASK), Outcomes.ask, None)  # a fleet may start at once
 
@@ -59,8 +58,7 @@
             self.acts.append(it.Wake(max(0.0, self.woken - now)))
         return self.acts
 
-    def room(self, route):
-        """Calls that a route holds before more would only queue; past it the route counts as refusing."""
+    def room(self, route):  # calls that it holds before more would only queue; past it it counts as refusing
         routes = sum(r.pacer is route.pacer for r in route.dest.order)
         busy = route.pacer.part(self.now) / routes * min(route.dest.usual, route.dest.times.quantile(0.3))
         return max(1.0, self.ROOM * route.pacer.gain(self.now) * busy)
@@ -79,8 +77,7 @@
         loses = ends and any(n.topic.effect not in (ONCE, mine) for n in others)
         return self.joins(route) or not (route.tally.row and (loses or ntf.pushes * 2 >= ntf.most))
 
-    def shuns(self, route, ntf):
-        """One topic type may fail where others are taken: it goes by a sister meanwhile, be it the worse."""
+    def shuns(self, route, ntf):  # one topic type may fail where others are taken: it goes by a sister then
         well = [r for r in ntf.dest.order if self.now >= r.lanes.get(ntf.topic.name, 0.0)]
         well = [r for r in well if ntf.maybe_at == inf or self.repeats(ntf, r.zone)]
         return route not in well and any(r.state in ("closed", "trial") for r in well)
@@ -146,12 +143,10 @@
         longest = inf if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, times)
         self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest), self.begin_in(ntf)))
 
-    def hang_up(self):
-        """An idle connection fills a place that others lack, where endpoints take few."""
+    def hang_up(self):  # an idle connection fills a place that others lack, where endpoints take few
         for route in self.idle.values():
-            uses = route.pacer.part(self.now) * self.set.connection_idle
-            short = self.now < self.short.get(route.dest.kind.name, 0.0)
-            if not route.calls and uses < (self.KEPT_SHORT if short else self.KEPT):
+            kept = self.KEPT_SHORT if self.now < self.short.get(route.dest.kind.name, 0.0) else self.KEPT
+            if not route.calls and route.pacer.part(self.now) * self.set.connection_idle < kept:
                 self.acts.append(it.HangUp(route.id))
         self.idle = {}
 
--- a/ryestack/brain/routes.py
+++ b/ryestack/brain/routes.py
@@ -4,7 +4,7 @@
 from math import inf
 
 from .. import interface as it
-from .measures import Tally, Times
+from .measures import Habit, Tally, Times
 from .pacer import Pacer
 
 # A route: (states, input, next state, effect); what is not listed changes nothing.
@@ -38,14 +38,13 @@
 
 
 class Dest:
-    # Pushes after a refusal, for each notification asked: fleets that come again keep a used-up limit so.
-    CREDIT, CREDIT_MOST = 0.5, 3.0
+    CREDIT, CREDIT_MOST = 0.5, 3.0  # pushes after a refusal for one asked: with more a limit stays used up
     STEP, RISE = 16, 1.1  # deliveries, times: a spell of slowness is over before the usual pace has followed
 
     def __init__(self, times, chance, now):
         self.kind, self.order, self.parked, self.tally, self.calls = None, [], {}, Tally(), 0
         self.times, self.wake, self.hungry, self.usual, self.seen = Times(times), inf, 0.0, inf, 0
-        self.credit, self.credit_at, self.counts = chance.random(), now, False
+        self.credit, self.credit_at, self.habit = chance.random(), now, Habit()
 
     def expected(self):
         return self.times.quantile(0.5)
@@ -109,6 +108,7 @@
     def add_route(self, e):
         dest = self.dests[e.destination]
         dest.kind = dest.kind or self.kinds.get(e.kind) or it.Kind(e.kind)
+        dest.habit = self.habits[dest.kind.name]
         one = dest.order[0].pacer if dest.order and dest.kind.batch > 1 and not dest.kind.apart else None
         pacer = one or Pacer(self.set, dest, self.random, self.now, e.rate)
         route = self.routes[e.id] = Route(e, dest, pacer)
--- a/ryestack/brain/walk.py
+++ b/ryestack/brain/walk.py
@@ -1,14 +1,17 @@
-"""Notifications: how each is held, walks its routes and ends, the turns of a key, and the rules' guard."""
+"""Notifications: how each is held, walks its routes and ends, a key's turns; pushes pass the rules' Guard."""
 
 from math import inf
 
 from .. import interface as it
-from ..interface import Effect, Result
 from .routes import Circuits, Dest
 
-ONCE, AGAIN = Effect.ONCE_ONLY, Effect.REPEATABLE
-NEVER_RAN = {Result.FULL, Result.NO_CONNECTION, Result.NOT_SENT}  # proof that a push never ran
-MAY_STILL_RUN = {Result.TIMED_OUT, Result.BROKEN, Result.CANCELLED}  # a key in order rests after these
+ONCE, AGAIN = it.Effect.ONCE_ONLY, it.Effect.REPEATABLE
+NEVER_RAN = {it.Result.FULL, it.Result.NO_CONNECTION, it.Result.NOT_SENT}  # proof that a push never ran
+MAY_STILL_RUN = {
+    it.Result.TIMED_OUT,
+    it.Result.BROKEN,
+    it.Result.CANCELLED,
+}  # a key in order rests after these
 
 # A notification: (state, input) -> (next state, effect).
 NTF = {
@@ -31,11 +34,8 @@
 
 
 class Guard(Circuits):
-    """The rules' guard: every push and every throttling passes here."""
-
-    def repeats(self, ntf, zone):
-        """Rule 2, of one that may have run: may it go to an endpoint in that hall again?"""
-        if ntf.topic.effect is not Effect.COLLAPSIBLE:
+    def repeats(self, ntf, zone):  # rule 2, of one that may have run: may it go to that hall again?
+        if ntf.topic.effect is not it.Effect.COLLAPSIBLE:
             return ntf.topic.effect is AGAIN
         drops = ntf.topic.group == "all" or (ntf.topic.group == "zone" and zone == ntf.maybe_zone != "")
         return drops and self.begin_in(ntf) > 0.0
@@ -66,7 +66,7 @@
     WALK_REST = 0.6  # before a walk begins anew: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
     SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
-    DOOR = 0.95  # of what we may hold: past it we choose what goes, before the door does
+    DOOR, LATE, PRICE = 0.95, 0.3, 0.3  # of our hold; an end before the last LATE of a time costs PRICE of it
 
     def step(self, ntf, heard):
         ntf.state, effect = NTF.get((ntf.state, heard), (ntf.state, None))
@@ -90,8 +90,8 @@
         self.again(ntf)
         if len(self.held) > self.set.max_open * self.DOOR:
             # Where most are parked the next has least to win: one sick destination must not fill the hold.
-            crowded = max(self.dests.values(), key=lambda d: len(d.parked))
-            self.step(min(crowded.parked.values(), key=self.rank), "given up")
+            most = max(self.dests.values(), key=lambda d: len(d.parked)).parked.values()
+            self.step(min(most, key=lambda n: self.loses(n, n is ntf)), "given up")
 
     def park(self, ntf):
         if not ntf.dest.parked:
@@ -146,8 +146,12 @@
             self.at(row[1], Walk.touch, other.dest)
         self.next_turn(theirs)
 
-    def rank(self, ntf):
-        """Benefit to be won by a push now for each second of a slot; the older first among equals."""
+    def loses(self, ntf, new):  # its end costs what it may win, and a price early in its time, once taken
+        early = not new and ntf.due - self.now > ntf.topic.ttl * self.LATE
+        price = self.PRICE * ntf.benefit / ntf.dest.expected()
+        return self.rank(ntf)[0] + (price if early else 0.0), -ntf.due
+
+    def rank(self, ntf):  # benefit to be won by a push now for a slot's second; the older first among equals
         topic, took = ntf.topic, ntf.dest.expected()
         late, part = self.now + took - (ntf.due - topic.ttl) - topic.objective, self.now + took < ntf.due
         if late > 0.0 and self.set.late is it.Late.HALVES:
--- a/ryestack/lifecycle/learnt.py
+++ b/ryestack/lifecycle/learnt.py
@@ -4,7 +4,7 @@
 """
 
 from ..brain import Brain
-from ..brain.measures import Flow, Tally, Times
+from ..brain.measures import Flow, Habit, Tally, Times
 from ..brain.pacer import Pacer
 from ..brain.routes import Dest, Route
 
@@ -13,7 +13,8 @@
     Pacer: "told rough tokens at back refusals hungry bad_since cold wait_until ease opens",
     Flow: "sum at",
     Tally: "row good bad at",
-    Dest: "usual seen hungry credit credit_at counts",
+    Dest: "usual seen hungry credit credit_at",
+    Habit: "score counts",
     Times: "bins count",
 }
 
@@ -23,6 +24,7 @@
         "routes": {r.id: [_facts(part) for part in _of_route(r)] for r in brain.routes.values()},
         "dests": {str(n): [_facts(part) for part in _of_dest(d)] for n, d in brain.dests.items()},
         "short": brain.short,
+        "habits": {kind: _facts(habit) for kind, habit in brain.habits.items()},
         "times": _facts(brain.times),
     }
 
@@ -40,6 +42,8 @@
         if (dest := brain.dests.get(int(number))) is not None:
             _learn(_of_dest(dest), parts)
     brain.short = dict(learnt.get("short", {}))
+    for kind, facts in learnt.get("habits", {}).items():
+        _learn([brain.habits[kind]], [facts])
     _learn([brain.times], [learnt.get("times", {})])
 
 
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -76,6 +76,14 @@
         well = it.Notification("x", 20.0, 8, "again")
         self.assertNotIn("x", kinds(b.round(1.1, [well]), it.Throttle))
 
+    def test_what_was_taken_keeps_its_place_for_seven_tenths_of_its_time(self):
+        """Given up earlier it costs a part of its worth; a new one that is turned away costs nothing."""
+        for now, gone in ((2.0, "x"), (16.0, "n0")):
+            b = brain(routes=(), max_open=4)
+            b.round(1.0, [take(f"n{i}", due=20.9) for i in range(3)])
+            new = take("x", due=now + 20.0)
+            self.assertEqual(kinds(b.round(now, [new]), it.Throttle), [gone])
+
     def test_what_waits_is_not_looked_through_while_no_route_is_open(self):
         b = brain(routes=("a",))
         b.routes["a"].pacer.wait_until = 9.0
