--- a/ryestack/lab/peers.py
+++ b/ryestack/lab/peers.py
@@ -82,6 +82,18 @@
         peers = {"cluster": "trial", "name": name, "guards": 2, "lease": LEASE, "alone": self.alone}
         return {"format": 1, "log": {"repeat": 0.0, "level": "DEBUG"}, "peers": {**peers, "relays": relays}}
 
+    def twin(self, name: str) -> RelayProcess:
+        """Another relay that calls itself that, with a folder and addresses of its own."""
+        folder = self.folder / f"{name}-twin"
+        folder.mkdir()
+        told, listen = self.operator(name), f"127.0.0.1:{free_port()}"
+        mine = next(relay for relay in told["peers"]["relays"] if relay["name"] == name)
+        mine["address"] = f"127.0.0.1:{free_port()}"
+        operator = folder / "operator.toml"
+        operator.write_text(tomli_w.dumps(told))
+        config = {**self.relays[name].config, "listen": listen}
+        return RelayProcess(config, folder, environment={"RYESTACK_OPERATOR": str(operator)})
+
     # -- what befalls it --------------------------------------------------------------------------------
 
     async def kill(self, name: str, wipe: bool = False) -> None:
--- a/ryestack/lifecycle/guarded.py
+++ b/ryestack/lifecycle/guarded.py
@@ -44,6 +44,7 @@
         self.missed: dict[str, float] = {}  # over while we might not say so, and their time
         self.waiting: list[Waiting] = []
         self.regained: set[int] = set()
+        self.acted = False  # this life has had its own seat once
         self.counts = Counter()
 
     # -- the core's clock -----------------------------------------------------------------------------
--- a/ryestack/lifecycle/peering.py
+++ b/ryestack/lifecycle/peering.py
@@ -1,13 +1,18 @@
 """Puts the guarding of work together for an installation that has `[peers]`; loaded only there."""
 
+import asyncio
 import random
 
 from ..operator.schema import Peers
 from ..peers.node import Node, Terms
+from ..peers.roster import TWIN
 from ..peers.wire import Door, Post
+from .config import BadConfig
 from .guarded import Guarded
 from .lives import Lives
 
+PATIENCE = 3  # leases: one whose folder was lost is refused for one, until its name has been silent so long
+
 
 class Peering:
     """The sockets and the core of one relay among its peers."""
@@ -18,8 +23,14 @@
         addresses = {relay.name: relay.address for relay in peers.relays}
         host, _, port = addresses[self.name].rpartition(":")
         self.door = Door((host, int(port)), lambda letter: self.guarded.hear(letter))
-        self.door.bind()
-        self.post = Post(addresses, lambda letter: self.guarded.answered(letter))
+        try:
+            self.door.bind()
+        except OSError as problem:
+            raise BadConfig(
+                f"peers.relays: {self.name}: {addresses[self.name]}: {problem.strerror}"
+            ) from None
+        self.post = Post(addresses, lambda letter: self.guarded.answered(letter), self.refused)
+        self.twin = asyncio.get_running_loop().create_future()
         self.guarded: Guarded = None
 
     def begin(self, sole: bool) -> None:
@@ -32,10 +43,24 @@
         node = Node(terms, lives.life, lives.sole, chance, self.owner.clock())
         self.guarded = Guarded(self.owner, node, self.post.send, self.peers.alone, lives)
         self.owner.guarded = self.guarded
+        self.began = self.owner.clock()
+
+    def refused(self, why: str) -> None:
+        """A name belongs to one relay: who comes later, and can't prove that the other is over, ends."""
+        late = self.guarded.now() > self.began + PATIENCE * self.peers.lease
+        if why == TWIN and late and not self.guarded.acted and not self.twin.done():
+            self.twin.set_result(why)
 
     async def run(self) -> None:
         await self.door.open()
-        await self.guarded.run()
+        running = asyncio.ensure_future(self.guarded.run())
+        try:
+            await asyncio.wait([running, self.twin], return_when=asyncio.FIRST_COMPLETED)
+            if self.twin.done():
+                raise BadConfig(f"peers.name: {self.name}: {TWIN}")
+            await running
+        finally:
+            running.cancel()
 
     async def close(self) -> None:
         await self.door.close()
--- a/ryestack/lifecycle/service.py
+++ b/ryestack/lifecycle/service.py
@@ -31,6 +31,9 @@
     log.setup(config.name, chosen.format, chosen.level, chosen.repeat)
     try:
         asyncio.run(_serve(config))
+    except BadConfig as bad:  # what only a start shows: an address in use, a name that another relay has
+        print(f"ryestack: {bad}", file=sys.stderr)
+        return 2
     except OSError as problem:
         log.event("relay.ended", why=str(problem))
         return 1
--- a/ryestack/lifecycle/takeover.py
+++ b/ryestack/lifecycle/takeover.py
@@ -27,6 +27,7 @@
             else:
                 known.join(owed)
             begun.append(ledger.owed[owed.id])
+        self.acted = self.acted or seat is self.node.own
         event("seat.acts", seat=seat.name[0], life=seat.name[1], owed=len(begun), epoch=seat.epoch)
         self.go_on(begun, seat)
         self.on_known(seat)
--- a/ryestack/peers/roster.py
+++ b/ryestack/peers/roster.py
@@ -11,6 +11,7 @@
     ("there quiet", "said it leaves", "left"),
 )
 TABLE = {(state, heard): to for states, heard, to in ROWS for state in states.split()}
+TWIN = "another relay of that name still speaks"
 GONE = 10  # times the lease: far past any pause that a take-over has not dealt with
 WINDOW = 1024  # numbers back within which a word may come late; what is older counts as doubled
 
@@ -37,7 +38,7 @@
             return "of a life that is over"
         if life > peer.life:
             if not sole and peer.life and now < peer.heard + self.lease:
-                return "another relay of that name still speaks"
+                return TWIN
             peer.life, peer.newest, peer.seen = life, 0, set()
         if number in peer.seen or number <= peer.newest - WINDOW:
             return "said before"
--- a/ryestack/peers/wire.py
+++ b/ryestack/peers/wire.py
@@ -77,10 +77,12 @@
 
 
 class Post:
-    """Carries letters to peers. answered(letter) is told each answer that is a letter."""
+    """Carries letters to peers."""
 
-    def __init__(self, addresses: dict[str, str], answered):
-        self.addresses, self.answered, self.out, self.dropped = addresses, answered, Counter(), 0
+    def __init__(self, addresses: dict[str, str], answered, refused):
+        """answered(letter) is told each answer that is a letter, refused(why) each that turns one down."""
+        self.addresses, self.answered, self.refused = addresses, answered, refused
+        self.out, self.dropped = Counter(), 0
         self.tasks: set[asyncio.Task] = set()
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE * 0.9)
         self.session = aiohttp.ClientSession(connector=connector, cookie_jar=aiohttp.DummyCookieJar())
@@ -103,7 +105,9 @@
             if said.status == 200:
                 self.answered(words.read(answer))
             elif said.status == 409:
-                event("peer.refuses", peer=to, why=answer.decode(errors="replace").strip())
+                why = answer[:200].decode(errors="replace").strip()
+                event("peer.refuses", peer=to, why=why)
+                self.refused(why)
         except words.BadWord as problem:
             event("peer.senseless", peer=to, why=str(problem))
         except (aiohttp.ClientError, OSError, TimeoutError):
--- /dev/null
+++ b/tests/test_peers_config.py
@@ -0,0 +1,135 @@
+"""`[peers]`: what cannot be used is one line and status 2, any bytes at the peers' address change nothing."""
+
+import asyncio
+import contextlib
+import random
+import socket
+
+import aiohttp
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ryestack.lab.peers import Cluster
+from ryestack.lab.trial import TrialFailed
+from ryestack.operator.schema import Peer, Peers, peers_rules
+from ryestack.peers import words
+from ryestack.peers.node import Node, Refused, Terms
+from ryestack.peers.words import Append, BadWord, Letter, Record, Vote
+
+RELAYS = [Peer(f"r{i}", f"127.0.0.1:{9000 + i}", "ab"[i % 2]) for i in range(3)]
+
+
+@pytest.mark.parametrize(
+    "change, key, said",
+    [
+        ({"relays": [*RELAYS, RELAYS[0]]}, "peers.relays", "names r0 twice"),
+        ({"relays": [*RELAYS, Peer("r9", RELAYS[0].address)]}, "peers.relays", "one address twice"),
+        ({"relays": [Peer("r0", "nowhere"), RELAYS[1]], "guards": 1}, "peers.relays", "must be address:port"),
+        ({"name": "r7"}, "peers.name", "r7"),
+        ({"guards": 3}, "peers.guards", "2 other relays"),
+        ({"cluster": ""}, "peers.cluster", "must be named"),
+    ],
+)
+def test_each_fault_names_its_key(change, key, said):
+    good = {"cluster": "c", "name": "r0", "relays": RELAYS, "guards": 2}
+    assert peers_rules(Peers(**good)) == []
+    [(found, what)] = peers_rules(Peers(**{**good, **change}))
+    assert found == key and said in what
+
+
+def node(now=0.0):
+    zones = {"r0": "a", "r1": "b", "r2": "a"}
+    return Node(Terms("c", "r0", zones, 2, 1.0), 5, False, random.Random(1), now)
+
+
+def letter(word, **more):
+    head = {"cluster": "c", "sender": "r1", "life": 3, "to": "r0", "number": 1}
+    return Letter(**{**head, **more}, word=word)
+
+
+APPEND = Append(("r1", 3), 3, 0.0, 0, [], True)
+
+
+@pytest.mark.parametrize(
+    "more",
+    [{"cluster": "d"}, {"sender": "r9"}, {"to": "r2"}, {"sender": "r0"}],
+)
+def test_a_foreign_letter_changes_nothing(more):
+    n = node()
+    with pytest.raises(Refused):
+        n.hear(letter(APPEND, **more), 1.0)
+    assert list(n.seats) == [("r0", 5)] and n.refused == 1
+
+
+def test_old_lives_doubled_letters_and_a_second_relay_of_a_name_are_refused_and_a_folder_proves_it_is_none():
+    n = node()
+    n.hear(letter(APPEND), 5.0)
+    for more, why in (({}, "said before"), ({"life": 2}, "over"), ({"life": 4, "number": 2}, "still speaks")):
+        with pytest.raises(Refused, match=why):
+            n.hear(letter(APPEND, **more), 5.1)
+    n.hear(letter(APPEND, life=4, number=2, sole=True), 5.2)
+    with pytest.raises(Refused, match="over"):
+        n.hear(letter(APPEND, number=9), 5.3)
+
+
+@given(st.binary(max_size=400))
+def test_any_bytes_are_a_letter_or_no_word(data):
+    with contextlib.suppress(BadWord):
+        words.read(data)
+
+
+@given(st.integers(0, 2**32))
+def test_a_hundred_thousand_bodies_change_nothing(seed):
+    """A thousand bodies an example: random bytes, and letters with a byte changed."""
+    chance, n = random.Random(seed), node()
+    good = words.write(letter(Append(("r1", 3), 3, 0.0, 0, [Record("x", b"y")], True)))
+    for number in range(1000):
+        body = bytearray(good if number % 2 else chance.randbytes(chance.randrange(80)))
+        if body:
+            body[chance.randrange(len(body))] = chance.randrange(256)
+        with contextlib.suppress(BadWord, Refused):
+            n.hear(words.read(bytes(body)), 5.0)
+    assert len(n.seats) < 12 and len(n.roster.peers) == 2
+
+
+@given(
+    st.lists(
+        st.sampled_from([Vote(("r1", 3), 4), Vote(("r1", 3), -1), APPEND, Append(("r9", 1), 3, 0.0, 0, [])])
+    )
+)
+def test_words_of_any_order_raise_nothing_but_refusals(said):
+    n = node()
+    for number, word in enumerate(said, 1):
+        with contextlib.suppress(Refused):
+            n.hear(letter(word, number=number), 5.0 + number)
+
+
+def test_an_address_in_use_and_a_name_that_another_has_end_a_start_with_status_2(tmp_path):
+    async def play():
+        cluster = Cluster(tmp_path, 3, 7)
+        held = socket.create_server(("127.0.0.1", int(cluster.peers["r2"].rpartition(":")[2])))
+        try:
+            with pytest.raises(TrialFailed, match="ended with 2") as taken:
+                await cluster.start()
+            held.close()
+            await cluster.restart("r2")
+            await asyncio.sleep(2.0)
+            async with aiohttp.ClientSession() as session:
+                for body in (b"", b"x" * 100, b"\x85"):
+                    async with session.post(f"http://{cluster.peers['r0']}/peers", data=body) as said:
+                        assert said.status == 400
+                async with session.get(f"http://{cluster.peers['r0']}/else") as said:
+                    assert said.status == 404
+            # Another relay with the name of the first, in a folder of its own.
+            twin = cluster.twin("r0")
+            await twin.start()
+            status = await asyncio.wait_for(twin.process.wait(), 12.0)
+            return str(taken.value), status, twin.tail()
+        finally:
+            held.close()
+            await cluster.close()
+
+    said, status, tail = asyncio.run(play())
+    assert "peers.relays: r2" in said
+    assert status == 2 and "another relay of that name still speaks" in tail
