--- a/ryestack/lifecycle/guarded.py
+++ b/ryestack/lifecycle/guarded.py
@@ -50,8 +50,11 @@
     # -- the core's clock -----------------------------------------------------------------------------
 
     async def run(self) -> None:
+        # With several lives before it is not known whose each is: one in two seats would have two holders.
+        ours = list(self.stray.values()) if len(self.lives.before) == 1 else []
+        journal = [record for owed in ours for record in facts.all_of(owed)]
         for life in self.lives.before:
-            self.node.claim((self.node.terms.me, life), self.now())
+            self.node.claim((self.node.terms.me, life), self.now(), journal)
         while True:
             self.tick()
             await asyncio.sleep(TICK)
--- a/ryestack/peers/kept.py
+++ b/ryestack/peers/kept.py
@@ -1,8 +1,21 @@
-"""What there is of a seat: the facts of what is owed, and what is over already. Pure."""
+"""What there is of a seat: the facts of what is owed, what is over already, how far others have it. Pure."""
+
+from dataclasses import dataclass
+from math import inf
 
 from .words import Record
 
 
+@dataclass
+class Member:
+    """Another member, as the holder sees it."""
+
+    has: int = -1  # position it has of this epoch, -1 if nothing yet
+    granted: float = -inf  # when we asked for the youngest grant it gave, by our clock
+    sent: float = -inf
+    waits: bool = False  # a word to it is out
+
+
 class Kept:
     def __init__(self, records=()):
         self.items: dict[str, list[Record]] = {}  # the facts of each notification that is owed, in order
--- a/ryestack/peers/node.py
+++ b/ryestack/peers/node.py
@@ -108,10 +108,10 @@
         self.gather(seat)
         return at
 
-    def claim(self, name: SeatName, now: float) -> Seat:
-        """An earlier life of ours."""
+    def claim(self, name: SeatName, now: float, journal: list[Record] = ()) -> Seat:
+        """An earlier life of ours; journal: what the folder has of it."""
         seat = self.seat(name)
-        seat.claim(now, self.sole)
+        seat.claim(now, self.sole, journal)
         self.gather(seat)
         return seat
 
--- a/ryestack/peers/seat.py
+++ b/ryestack/peers/seat.py
@@ -4,10 +4,9 @@
 asked; who granted votes for nobody else until the lease has run out by its own clock, and DRIFT more.
 """
 
-from dataclasses import dataclass
 from math import inf
 
-from .kept import Kept
+from .kept import Kept, Member
 from .words import Append, Appended, Record, SeatName, Vote, Voted
 
 # (states, input, next state, effect); what is not listed changes nothing.
@@ -23,48 +22,45 @@
 DRIFT = 0.02  # how far two clocks' rates may differ: machines of one kind stay under a thousandth
 BEATS = 4  # in a lease: two may be lost, and the third still comes in time
 RETRY = 0.25  # of a beat: no answer for so long, and the word counts as lost
+WEAK = 4  # leases: then members that may have forgotten count too, as two losses at once leave no others
 KEPT = 4096  # records that a holder keeps for members that lie behind; further behind they get the whole
 
 
-@dataclass
-class Member:
-    """Another member, as the holder sees it."""
-
-    has: int = -1  # position it has of this epoch, -1 if nothing yet
-    granted: float = -inf  # when we asked for the youngest grant it gave, by our clock
-    sent: float = -inf
-    waits: bool = False  # a word to it is out
-
-
 class Seat:
     """now is the relay's own clock, which never goes back; effects gather in `effects` as tuples."""
 
     def __init__(self, name: SeatName, group: tuple, me: str, lease: float, chance, barred: float):
         """barred: until when this member grants nothing, as it may have granted before a start and
         forgotten."""
-        self.name, self.group, self.me, self.lease, self.random = name, group, me, lease, chance
+        self.name, self.group, self.me, self.random = name, group, me, chance
+        self.lease, self.patience = lease, lease / BEATS
         self.mine = False  # ours, and of this very life: then we grant it to nobody, so that a kill frees it
         self.others = {n: Member() for n in group if n != me}
         self.majority = len(group) // 2 + 1
         self.state, self.epoch, self.at = "granted", 0, (0, 0)
         self.kept = Kept()
         self.grant_until, self.holder = barred, ""
+        self.knows, self.first_ask = False, inf  # whether nothing of it may be forgotten; since when we ask
         self.ask_at, self.tries, self.votes, self.asked, self.released = inf, 0, {}, 0, False
         self.log, self.base, self.barrier, self.acting, self.told, self.seen = [], 0, 0, False, 0, 0
-        self.effects: list[tuple] = []
+        self.effects, self.journal = [], []
 
     # -- inputs ---------------------------------------------------------------------------------------
 
     def open(self, now: float) -> None:
         """The keeper's own, at the start of a life: no other can know of it yet."""
         self.state, self.epoch, self.at, self.mine = "holding", len(self.group), (len(self.group), 0), True
-        self.holder = self.me
+        self.holder, self.knows = self.me, True
         self.tick(now)
 
-    def claim(self, now: float, released: bool) -> None:
-        """The keeper's next life wants it; released: its folder proves that the one before is over."""
-        self.released, self.ask_at, self.seen = released, now, len(self.group)
+    def claim(self, now: float, released: bool, journal: list[Record] = ()) -> None:
+        """The keeper's next life wants it; released: its folder proves that the one before is over.
+
+        journal: what that folder has of it, which no guard may have; it is in the seat once it is taken up.
+        """
+        self.released, self.ask_at, self.seen, self.journal = released, now, len(self.group), list(journal)
         self.grant_until = now if released else self.grant_until
+        self.knows = released  # the journal in that folder has all that was taken
         self.tick(now)
 
     def write(self, now: float, records: list[Record]) -> int:
@@ -86,7 +82,7 @@
             self.turn("too few in time", now)
         elif self.state == "granted" and now >= self.grant_until and (self.kept.items or self.ask_at < inf):
             if self.ask_at == inf:  # in turn, the first of the group soonest, and not in step
-                self.ask_at = now + self.patience() * (self.group.index(self.me) + self.random.random())
+                self.ask_at = now + self.patience * (self.group.index(self.me) + self.random.random())
             if now >= self.ask_at:
                 self.turn("nobody acts", now)
 
@@ -98,12 +94,13 @@
             self.epoch = a.epoch
             self.turn("a higher epoch", now)
         self.turn("another holds", now)
-        self.holder, self.ask_at, self.tries = sender, inf, 0
+        self.holder, self.ask_at, self.tries, self.first_ask = sender, inf, 0, inf
         if not self.mine:
             self.grant_until = now + self.lease * (1.0 + DRIFT)
         have = self.at[1] if self.at[0] == a.epoch else -1
         if a.whole and have < a.base:
             self.kept, self.at, have = Kept(a.records), (a.epoch, a.base), a.base
+            self.knows = True
         elif not a.whole and a.base <= have:
             fresh = a.records[have - a.base :]
             self.kept.apply(fresh)
@@ -135,14 +132,18 @@
         self.epoch = v.epoch
         self.turn("a higher epoch", now)
         self.ask_at = now + self.lease  # let who asked take it up
-        return Voted(self.name, v.epoch, True, v.epoch, 0.0, self.at, self.kept.whole())
+        return Voted(self.name, v.epoch, True, v.epoch, 0.0, self.at, self.kept.whole(), self.knows)
 
     def on_voted(self, now: float, sender: str, v: Voted) -> None:
         if v.epoch != self.asks_in():
             return
         if v.yes:
             self.votes[sender] = v
-            if len(self.votes) + 1 >= self.majority:
+            # Who has started anew may have forgotten what it once covered: a majority that remembers is
+            # waited for.
+            remember = self.knows + sum(v.knows for v in self.votes.values())
+            late = now >= self.first_ask + WEAK * self.lease
+            if remember >= self.majority or (late and len(self.votes) + 1 >= self.majority):
                 self.turn("a majority", now)
         elif v.highest >= self.asked:
             self.seen = max(self.seen, v.highest)
@@ -162,7 +163,8 @@
         """
         count, mine = len(self.group), self.group.index(self.me)
         self.asked = (max(self.epoch, self.seen) // count + 1) * count + mine
-        self.votes, self.ask_at = {}, now + self.patience() * 2.0
+        self.votes, self.ask_at = {}, now + self.patience * 2.0
+        self.first_ask = min(self.first_ask, now)
         if self.majority == 1:
             return self.turn("a majority", now)
         for name in self.others:
@@ -170,7 +172,7 @@
 
     def wait_longer(self, now: float) -> None:
         self.tries += 1
-        longest = min(2.0 ** min(self.tries, 8) * self.patience(), 2.0 * self.lease)
+        longest = min(2.0 ** min(self.tries, 8) * self.patience, 2.0 * self.lease)
         self.ask_at = now + longest * self.random.uniform(0.3, 1.0)
 
     def take_up(self, now: float) -> None:
@@ -179,7 +181,11 @@
         best = max(self.votes.values(), key=lambda v: tuple(v.at), default=None)
         if best is not None and tuple(best.at) > self.at:
             self.kept, self.at = Kept(best.records), tuple(best.at)
+        known = {*self.kept.items, *self.kept.gone}
+        self.kept.apply([record for record in self.journal if record.id not in known])
+        self.journal = []
         self.log, self.base, self.ask_at, self.tries, self.told = [], self.at[1] + 1, inf, 0, 0
+        self.knows, self.first_ask = True, inf
         self.epoch, self.at, self.holder = self.asked, (self.asked, self.at[1] + 1), self.me
         self.barrier = self.at[1]  # it acts once all it took up is covered in its own epoch
         self.others = {name: Member() for name in self.others}
@@ -238,10 +244,7 @@
 
     def append_for(self, member: Member, now: float) -> Append:
         settled = self.covered() >= self.barrier
-        if self.base <= member.has:
-            news = self.log[member.has - self.base :]
-            return Append(self.name, self.epoch, now, member.has, news, False, settled)
-        return Append(self.name, self.epoch, now, self.at[1], self.kept.whole(), True, settled)
-
-    def patience(self) -> float:
-        return self.lease / BEATS
+        whole = member.has < self.base
+        base = self.at[1] if whole else member.has
+        records = self.kept.whole() if whole else self.log[member.has - self.base :]
+        return Append(self.name, self.epoch, now, base, records, whole, settled)
--- a/ryestack/peers/words.py
+++ b/ryestack/peers/words.py
@@ -57,7 +57,8 @@
 
 
 class Voted(msgspec.Struct, frozen=True, tag="voted"):
-    """yes, with all we have; or no, with the highest epoch known here and how long our grant still runs."""
+    """yes, with all we have (knows: since before any of it was covered); or no, with the highest epoch
+    known here and how long our grant still runs."""
 
     seat: SeatName
     epoch: int
@@ -66,6 +67,7 @@
     wait: float = 0.0
     at: tuple[int, int] = (0, 0)
     records: list[Record] = []
+    knows: bool = False
 
 
 Word = Append | Appended | Vote | Voted
