--- a/ryestack/peers/roster.py
+++ b/ryestack/peers/roster.py
@@ -28,6 +28,7 @@
 class Roster:
     def __init__(self, names, lease: float):
         self.peers, self.lease, self.turns = {name: Peer() for name in names}, lease, []
+        self.known: dict[str, Peer] = {}  # who has ever spoken: few of a thousand share a group with us
 
     def admit(self, name: str, life: int, number: int, sole: bool, now: float) -> str:
         """Why a word is refused, "" if it is not. sole: its folder proves that no earlier life of it runs."""
@@ -52,10 +53,11 @@
 
     def spoke(self, name: str, now: float) -> None:
         self.peers[name].heard = now
+        self.known[name] = self.peers[name]
         self.turn(name, "spoke")
 
     def tick(self, now: float) -> None:
-        for name, peer in self.peers.items():
+        for name, peer in self.known.items():
             if now >= peer.heard + GONE * self.lease:
                 self.turn(name, "silent for long")
             if now >= peer.heard + self.lease:
--- a/ryestack/peers/seat.py
+++ b/ryestack/peers/seat.py
@@ -235,7 +235,7 @@
     def send_all(self, now: float) -> None:
         beat = self.lease / BEATS
         for name, member in self.others.items():
-            lost = now >= member.sent + beat * RETRY
+            lost = now >= member.sent + beat * (RETRY if now < member.granted + self.lease else 1.0)
             if (member.has < self.at[1] and (not member.waits or lost)) or now >= member.sent + beat:
                 member.sent, member.waits = now, True
                 self.effects.append(("send", name, self.append_for(member, now)))
