--- a/ryestack/cli/trial.py
+++ b/ryestack/cli/trial.py
@@ -15,11 +15,20 @@
 from .output import FOUND, Json, Seed, print_json, say, unusable
 
 
-async def _run(folder: Path, rate: float, seed: int, note, staff: bool):
-    """Ctrl-C and SIGTERM end it from within, so that no child is left."""
+def _ends_from_within() -> None:
+    """Ctrl-C and SIGTERM cancel the running task, so that no child is left."""
     task, loop = asyncio.current_task(), asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, task.cancel)
+
+
+async def _many(folder: Path, seconds: float, seed: int, told) -> list[dict]:
+    _ends_from_within()
+    return await peers.many(folder, seconds, seed, told)
+
+
+async def _run(folder: Path, rate: float, seed: int, note, staff: bool):
+    _ends_from_within()
     chosen = (operation.story, operation.LOAD) if staff else (lab.killed, lab.LOAD)
     return await lab.run(folder, rate, seed, say, note, *chosen)
 
@@ -42,7 +51,9 @@
         line("  ".join(heads))
         try:
             told = lambda row: line("  ".join(str(row[head]) for head in heads))  # noqa: E731
-            rows = asyncio.run(peers.many(Path(keep or made), seconds, seed, told))
+            rows = asyncio.run(_many(Path(keep or made), seconds, seed, told))
+        except asyncio.CancelledError:
+            raise typer.Exit(130) from None
         except (lab.TrialFailed, OSError) as problem:
             raise unusable(str(problem)) from None
     bad = [row for row in rows if row["lost"] or row["twice"] or row["two_ends"] or row["false_ends"]]
