--- a/ryestack/lab/trial.py
+++ b/ryestack/lab/trial.py
@@ -3,11 +3,13 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 import aiohttp
@@ -81,8 +83,12 @@
 
 
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return probe.getsockname()[1]
+    """One below those that the system gives to outgoing connections: none of them takes it before its user
+    does."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
 
 
 class RelayProcess:
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 
+from ryestack.lab.trial import free_port
 from ryestack.lifecycle.config import BadConfig, Mixed, load
 from ryestack.lifecycle.relay import PHASES, Relay
 from ryestack.store.journal import Journal
@@ -29,9 +30,7 @@
         path = config(self.folder, platform, change=change, **({"ops": ops} if ops else {}))
         with open(path) as file:
             told = json.load(file)
-        probe = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-        self.listen = told["listen"] = f"127.0.0.1:{probe.sockets[0].getsockname()[1]}"
-        probe.close()
+        self.listen = told["listen"] = f"127.0.0.1:{free_port()}"
         told["known"]["endpoints"][0]["address"] = endpoint
         with open(path, "w") as file:
             json.dump(told, file)
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -10,6 +10,7 @@
 
 from ryestack import interface as it
 from ryestack.interface import Result
+from ryestack.lab.trial import free_port
 from ryestack.lifecycle.relay import PHASES
 from ryestack.lifecycle.watched import Watched
 from ryestack.observe import figures
@@ -66,9 +67,7 @@
 
 class Staffed(Program):
     async def asyncSetUp(self):
-        probe = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-        self.ops = f"127.0.0.1:{probe.sockets[0].getsockname()[1]}"
-        probe.close()
+        self.ops = f"127.0.0.1:{free_port()}"
         self.seen, self.times, self.notices = 0, [], []
         self.failing = b""  # the answer, if it is not 200
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 
+from ryestack.lab.trial import free_port
 from ryestack.lifecycle.line import Post, answer
 from ryestack.wire.server import REFUSED, TAKEN
 
@@ -19,9 +20,7 @@
     """The program, twice."""
 
     async def second(self):
-        probe = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-        self.ops = f"127.0.0.1:{probe.sockets[0].getsockname()[1]}"
-        probe.close()
+        self.ops = f"127.0.0.1:{free_port()}"
         began = time.monotonic()
         first, self.process = self.process, await self.run_it(f"{self.folder}/config.json", LB_OPS=self.ops)
         while True:
