--- a/ryestack/lifecycle/facts.py
+++ b/ryestack/lifecycle/facts.py
@@ -30,12 +30,13 @@
 
 def all_of(o: Owed) -> list[Record]:
     """A notification with the history it has."""
-    facts = [taken(o), *(pushed(o, push, at) for push, at in o.open.items())]
+    facts = [taken(o), *(pushed(o, push, at, o.busy) for push, at in o.open.items())]
     return [*facts, noticed(o, o.notice)] if o.notice else facts
 
 
-def pushed(o: Owed, push: int, at: float) -> Record:
-    return Record(o.id, _write(["push", push, at]), due=o.due)
+def pushed(o: Owed, push: int, at: float, until: float) -> Record:
+    """at, until: when it went and when its keeper gives it up, of the wall's clock."""
+    return Record(o.id, _write(["push", push, at, until]), due=o.due)
 
 
 def ended(o: Owed, push: int, never_ran: bool) -> Record:
@@ -52,7 +53,7 @@
 
 def owed(records: list[Record]) -> Owed | None:
     """None where the facts make no sense: they are another's words."""
-    made = None
+    made, out = None, {}
     try:
         for record in records:
             kind, *rest = _read(record.fact)
@@ -62,11 +63,14 @@
                 made = Owed(record.id, due, dest, topic, customer, order_key, key, body, rules, pushes, maybe)
             elif kind == "push":
                 made.open[rest[0]], made.pushes = rest[1], made.pushes + 1
+                out[rest[0]] = float(rest[2])
             elif kind == "outcome":
-                sent = made.open.pop(rest[0], inf)
+                sent, _ = made.open.pop(rest[0], inf), out.pop(rest[0], None)
                 made.maybe_at = made.maybe_at if rest[1] else min(made.maybe_at, sent)
             elif kind == "notice":
                 made.notice = rest[0]
     except (msgspec.MsgspecError, ValueError, TypeError, AttributeError, KeyError, IndexError):
         return None
+    if made:
+        made.busy = max(out.values(), default=0.0)
     return made
--- a/ryestack/lifecycle/guarded.py
+++ b/ryestack/lifecycle/guarded.py
@@ -43,6 +43,8 @@
         self.waiting: list[Waiting] = []
         self.regained: set[int] = set()
         self.acted = False  # this life has had its own seat once
+        self.renews = False  # our seat is another's, and a new life is not written yet
+        self.fault: Exception | None = None  # what must not be passed over: the relay ends by it
         self.counts = Counter()
 
     # -- the core's clock -----------------------------------------------------------------------------
@@ -61,8 +63,12 @@
         return self.owner.clock()
 
     def tick(self) -> None:
+        if self.fault:
+            raise self.fault
         now = self.now()
         self.node.tick(now, now + self.owner.wall)
+        if self.renews:
+            self.renew()
         late = [w for w in self.waiting if now >= w.until]
         self.waiting = [w for w in self.waiting if now < w.until]
         for each in late:
@@ -82,8 +88,12 @@
     def flush(self) -> None:
         while self.node.effects:
             effects, self.node.effects = self.node.effects, []
-            for kind, *rest in effects:
-                getattr(self, f"on_{kind}")(*rest)
+            try:
+                for kind, *rest in effects:
+                    getattr(self, f"on_{kind}")(*rest)
+            except Exception as problem:  # a letter's task would end by it unseen
+                self.fault = problem
+                raise
 
     def on_send(self, to: str, letter) -> None:
         self.send(to, letter)
@@ -135,7 +145,8 @@
         if left <= 0.0:
             return None
         number = owed.pushes - 1
-        at = self.write(seat, [facts.pushed(owed, number, owed.open.get(number, 0.0))])
+        until = self.now() + self.owner.wall + push.timeout
+        at = self.write(seat, [facts.pushed(owed, number, owed.open.get(number, 0.0), until)])
         if owed.effect(self.owner.settings) is Effect.REPEATABLE:
             return min(push.begin, left), None
         cleared = asyncio.get_running_loop().create_future()
--- a/ryestack/lifecycle/lives.py
+++ b/ryestack/lifecycle/lives.py
@@ -4,6 +4,7 @@
 import json
 import os
 import time
+from contextlib import suppress
 from pathlib import Path
 
 NAME = "lives"
@@ -21,20 +22,30 @@
         except (OSError, ValueError, TypeError):
             self.sole = False
         self.life = max([int(time.time() * 1000), *(life + 1 for life in self.before)])
-        self.write()
+        self.write([*self.before, self.life])
 
-    def next(self, life: int) -> None:
-        """This process goes on as another life."""
+    def next(self, life: int) -> bool:
+        """Whether this process may go on as another life: only once that is written.
+
+        Else the next start would not know what is not its own any more.
+        """
+        try:
+            self.write([*self.before, self.life, life])
+        except OSError:
+            return False
         self.before, self.life = [*self.before, self.life], life
-        self.write()
+        return True
 
     def done(self, finished: set[int]) -> None:
+        """Those have no work left; where it can't be written they are asked after once more."""
         if finished & set(self.before):
-            self.before = [life for life in self.before if life not in finished]
-            self.write()
+            left = [life for life in self.before if life not in finished]
+            with suppress(OSError):
+                self.write([*left, self.life])
+                self.before = left
 
-    def write(self) -> None:
-        """Raises OSError: without it the next start would not know what is not its own any more."""
+    def write(self, lives: list[int]) -> None:
+        """Raises OSError."""
         fresh = self.path.with_name(NAME + ".new")
-        fresh.write_text(json.dumps([*self.before, self.life]))
+        fresh.write_text(json.dumps(lives))
         os.replace(fresh, self.path)
--- a/ryestack/lifecycle/remembering.py
+++ b/ryestack/lifecycle/remembering.py
@@ -5,7 +5,7 @@
 import zlib
 
 from ..store import remembered
-from .learnt import told
+from .learnt import KEPT, told
 
 REMEMBERS = (
     2.0  # seconds between copies of what is learnt: it is of tens of seconds, and a copy takes a moment
@@ -28,7 +28,7 @@
             )
 
     def under(self) -> str:
-        return str(zlib.crc32(repr(self.config.settings).encode()))
+        return str(zlib.crc32(repr((self.config.settings, KEPT)).encode()))
 
     def remembered(self) -> dict | None:
         return remembered.load(self.config.state, self.under(), self.clock(), time.time())
--- a/ryestack/lifecycle/takeover.py
+++ b/ryestack/lifecycle/takeover.py
@@ -3,10 +3,14 @@
 The table of what is kept where is in docs/design/peers.md; what may be acted on is for the pure core to say.
 """
 
+import asyncio
+
 from ..observe.log import event
 from ..peers.seat import Seat
 from . import facts
 
+EARLY = 0.05  # seconds before its time is up that one which still waits is given up
+
 
 class TakeOver:
     """The part of `Guarded` that follows who holds a seat."""
@@ -24,8 +28,9 @@
             if known is None:
                 self.counts["taken over"] += 1
                 ledger.welcome(owed)
-            else:
+            else:  # our own life before is over, and its calls with it
                 known.join(owed)
+                known.busy = 0.0
             begun.append(ledger.owed[owed.id])
         self.acted = self.acted or seat is self.node.own
         event("seat.acts", seat=seat.name[0], life=seat.name[1], owed=len(begun), epoch=seat.epoch)
@@ -68,7 +73,19 @@
                 self.owner.ledger.alone(each.id)
         if covered:
             self.write(seat, [record for each in owed for record in facts.all_of(each)])
-        self.owner.adopt(owed)
+        self.owner.adopt([each for each in owed if each.busy <= wall])
+        for each in (
+            o for o in owed if o.busy > wall
+        ):  # never two pushes out: its keeper may only stand still
+            loop = asyncio.get_running_loop()
+            loop.call_later(min(each.busy, each.due - EARLY) - wall, self.resume, each.id, seat)
+
+    def resume(self, name: str, seat: Seat) -> None:
+        """What may have been out is over now."""
+        owed = self.owner.ledger.owed.get(name)
+        if owed and self.seat_of.get(name) is seat and name not in self.paused:
+            owed.busy = 0.0
+            self.owner.adopt([owed])
 
     def on_lapsed(self, seat: Seat) -> None:
         event("seat.lapsed", seat=seat.name[0], life=seat.name[1])
@@ -85,7 +102,13 @@
             if self.owner.ledger.is_guest(name):
                 self.forget(name)
         if seat is self.node.own:
-            self.lives.next(self.node.renew(self.now()))
+            self.renews = True
+
+    def renew(self) -> None:
+        """What comes from here on is of a new life. On a full disk it waits: until then we are alone."""
+        if self.lives.next(self.node.life + 1):
+            self.renews = False
+            self.node.renew(self.now())
 
     def stop(self, seat: Seat) -> None:
         names = {n for n, whose in self.seat_of.items() if whose is seat}
--- a/ryestack/peers/node.py
+++ b/ryestack/peers/node.py
@@ -8,6 +8,8 @@
 from .seat import DRIFT, Seat
 from .words import Append, Appended, Letter, Record, SeatName, Vote, Voted
 
+FORGETS = 1.0  # seconds between looks at whose time is up among what is over: it is looked through whole
+LIVES = 64  # of one relay that are remembered at once: more is a fault of its, or no relay of ours
 DONE = 10  # times the lease that an empty seat is remembered: who lies behind still asks after it
 
 
@@ -30,6 +32,7 @@
     def __init__(self, terms: Terms, life: int, sole: bool, chance, now: float):
         self.terms, self.life, self.sole, self.random = terms, life, sole, chance
         self.number, self.effects, self.refused = 0, [], 0
+        self.forgets_at = now
         self.barred = now + terms.lease * (1.0 + DRIFT)
         self.roster = Roster([n for n in terms.zones if n != terms.me], terms.lease)
         self.seats: dict[SeatName, Seat] = {}
@@ -55,6 +58,9 @@
             self.admit(letter, now)
             if letter.word.seat[0] not in self.terms.zones:
                 raise Refused("a seat of no relay here")
+            lives = [known for known in self.seats if known[0] == word.seat[0]]
+            if word.seat not in self.seats and len(lives) >= LIVES:
+                raise Refused("too many lives of that relay")
             if isinstance(word, Append) and word.epoch > 0 and word.base >= 0:
                 seat = self.seat(word.seat)
                 answer = seat.on_append(now, letter.sender, word)
@@ -93,10 +99,13 @@
 
     def tick(self, now: float, wall: float = 0.0) -> None:
         self.roster.tick(now)
+        forgets = now >= self.forgets_at
+        self.forgets_at = now + FORGETS if forgets else self.forgets_at
         for name, seat in list(self.seats.items()):
             seat.tick(now)
             self.gather(seat)
-            seat.kept.forget(wall)
+            if forgets:
+                seat.kept.forget(wall)
             idle = not seat.kept.items and now >= seat.busy_until() + DONE * self.terms.lease
             if idle and seat is not self.own:
                 del self.seats[name]
--- a/ryestack/peers/wire.py
+++ b/ryestack/peers/wire.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import logging
 import socket
 from collections import Counter
 
@@ -15,6 +16,8 @@
 from . import words
 from .node import Refused
 
+QUIET = logging.getLogger("ryestack.peers")  # bad requests are answered; a traceback of each helps nobody
+QUIET.setLevel(logging.CRITICAL)
 PATH = "/peers"
 OUT = 4  # letters to a peer at once: a lost one must not hold up the next
 PATIENCE = 10.0  # seconds for an answer; what comes later is asked for again long before
@@ -27,7 +30,9 @@
 
     def __init__(self, at: tuple[str, int], hear):
         self.at, self.hear, self.listener, self.sock = at, hear, None, None
-        self.server = web.Server(self.handle, access_log=None, keepalive_timeout=IDLE, lingering_time=0.0)
+        self.server = web.Server(
+            self.handle, access_log=None, keepalive_timeout=IDLE, lingering_time=0.0, logger=QUIET
+        )
 
     def bind(self) -> None:
         """Raises OSError where the address is in use."""
@@ -100,12 +105,16 @@
         try:
             async with asyncio.timeout(PATIENCE):
                 said = await self.session.post(f"http://{self.addresses[to]}{PATH}", data=body)
-                async with said:
-                    answer = await said.content.read(words.MOST)
+                async with said:  # a piece at a time: what a seat holds comes in many
+                    answer = bytearray()
+                    async for chunk in said.content.iter_any():
+                        answer += chunk
+                        if len(answer) > words.MOST:
+                            raise words.BadWord("an answer without bounds")
             if said.status == 200:
-                self.answered(words.read(answer))
+                self.answered(words.read(bytes(answer)))
             elif said.status == 409:
-                why = answer[:200].decode(errors="replace").strip()
+                why = bytes(answer[:200]).decode(errors="replace").strip()
                 event("peer.refuses", peer=to, why=why)
                 self.refused(why)
         except words.BadWord as problem:
--- a/ryestack/store/remembered.py
+++ b/ryestack/store/remembered.py
@@ -6,6 +6,8 @@
 
 import json
 import os
+import zlib
+from contextlib import suppress
 from pathlib import Path
 
 NAME = "learnt"
@@ -17,7 +19,8 @@
 def save(folder: str, learnt: dict, under: str, clock: float, wall: float) -> None:
     """under: a mark of the settings; clock: now, as the times in learnt are told; wall: the same moment."""
     told = {"under": under, "clock": clock, "wall": wall, "learnt": learnt}
-    data = json.dumps(told, separators=(",", ":")).encode()
+    text = json.dumps(told, separators=(",", ":")).encode()
+    data = b"%08x\n" % zlib.crc32(text) + text
     fresh = Path(folder) / f"{NAME}.new"
     if len(data) > MOST // 2:
         return
@@ -25,13 +28,17 @@
         fresh.write_bytes(data)
         os.replace(fresh, Path(folder) / NAME)
     except OSError:
-        fresh.unlink(missing_ok=True)
+        with suppress(OSError):
+            fresh.unlink()
 
 
 def load(folder: str, under: str, clock: float, wall: float) -> dict | None:
     """What the life before had learnt; None where there is none, or of another time, clock or settings."""
     try:
-        told = json.loads((Path(folder) / NAME).read_bytes())
+        mark, _, text = (Path(folder) / NAME).read_bytes().partition(b"\n")
+        if int(mark, 16) != zlib.crc32(text):  # damaged: a module must not begin with it, start after start
+            return None
+        told = json.loads(text)
         before, then, learnt = told["clock"], told["wall"], told["learnt"]
         same = (
             told["under"] == under
--- a/tests/test_peers_config.py
+++ b/tests/test_peers_config.py
@@ -12,10 +12,12 @@
 
 from ryestack.lab.peers import Cluster
 from ryestack.lab.trial import TrialFailed
+from ryestack.lifecycle.lives import Lives
 from ryestack.operator.schema import Peer, Peers, peers_rules
 from ryestack.peers import words
-from ryestack.peers.node import Node, Refused, Terms
-from ryestack.peers.words import Append, BadWord, Letter, Record, Vote
+from ryestack.peers.node import LIVES, Node, Refused, Terms
+from ryestack.peers.wire import Door, Post
+from ryestack.peers.words import Append, BadWord, Letter, Record, Vote, Voted
 
 RELAYS = [Peer(f"r{i}", f"127.0.0.1:{9000 + i}", "ab"[i % 2]) for i in range(3)]
 
@@ -62,6 +64,48 @@
     assert list(n.seats) == [("r0", 5)] and n.refused == 1
 
 
+def test_lives_that_no_relay_has_do_not_pile_up():
+    n = node()
+    for life in range(1, 300):
+        try:
+            n.hear(letter(Append(("r1", life), 3, 0.0, 0, [], True), number=life), 5.0)
+        except Refused as why:
+            assert "too many lives" in str(why)
+    assert len(n.seats) == LIVES + 1
+
+
+def test_an_answer_of_many_pieces_is_read_whole():
+    """All that a seat holds comes in one answer: what stops at its first piece never takes over."""
+    records = [Record(f"n{i}", bytes(60_000)) for i in range(60)]
+    said = letter(Voted(("r1", 3), 4, True, 4, 0.0, (3, 60), records, True))
+
+    async def play():
+        door, told = Door(("127.0.0.1", 0), lambda _: said), asyncio.Queue()
+        door.bind()
+        address = await door.open()
+        post = Post({"r1": address}, told.put_nowait, lambda _: None)
+        post.send("r1", letter(Vote(("r1", 3), 4)))
+        try:
+            return await asyncio.wait_for(told.get(), 5.0)
+        finally:
+            await post.close()
+            await door.close()
+
+    assert asyncio.run(play()) == said
+
+
+def test_a_new_life_waits_for_room_on_the_disk_and_a_finished_one_is_asked_after_again(tmp_path):
+    lives = Lives(str(tmp_path), True)
+    first = lives.life
+    assert lives.next(first + 1) and lives.before == [first]
+    lives.path = tmp_path / "none" / "lives"  # nothing can be written there
+    assert not lives.next(first + 2) and (lives.life, lives.before) == (first + 1, [first])
+    lives.done({first})
+    assert lives.before == [first]
+    again = Lives(str(tmp_path), True)
+    assert again.before == [first, first + 1] and again.life > first + 1 and again.sole
+
+
 def test_old_lives_doubled_letters_and_a_second_relay_of_a_name_are_refused_and_a_folder_proves_it_is_none():
     n = node()
     n.hear(letter(APPEND), 5.0)
--- a/tests/test_remembered.py
+++ b/tests/test_remembered.py
@@ -43,6 +43,14 @@
     assert remembered.load(str(tmp_path), "s", 10.0, 1010.0) is None
 
 
+def test_a_damaged_file_is_nothing_though_it_reads_well(tmp_path):
+    remembered.save(str(tmp_path), learnt.told(Brain(settings(), 1)), "s", 10.0, 1010.0)
+    good = (tmp_path / remembered.NAME).read_bytes()
+    assert remembered.load(str(tmp_path), "s", 12.0, 1012.0) is not None
+    (tmp_path / remembered.NAME).write_bytes(good.replace(b'"bins":[', b'"bins":["x",', 1))
+    assert remembered.load(str(tmp_path), "s", 12.0, 1012.0) is None
+
+
 def test_what_is_too_large_or_has_no_folder_is_not_kept(tmp_path):
     remembered.save(str(tmp_path), {"x": "y" * remembered.MOST}, "s", 10.0, 1010.0)
     remembered.save(str(tmp_path / "none"), {}, "s", 10.0, 1010.0)
