--- a/ryestack/lifecycle/takeover.py
+++ b/ryestack/lifecycle/takeover.py
@@ -74,10 +74,8 @@
         if covered:
             self.write(seat, [record for each in owed for record in facts.all_of(each)])
         self.owner.adopt([each for each in owed if each.busy <= wall])
-        for each in (
-            o for o in owed if o.busy > wall
-        ):  # never two pushes out: its keeper may only stand still
-            loop = asyncio.get_running_loop()
+        for each in (o for o in owed if o.busy > wall):
+            loop = asyncio.get_running_loop()  # never two pushes out: its keeper may merely stand still
             loop.call_later(min(each.busy, each.due - EARLY) - wall, self.resume, each.id, seat)
 
     def resume(self, name: str, seat: Seat) -> None:
--- a/tests/test_peers_takeover.py
+++ b/tests/test_peers_takeover.py
@@ -17,10 +17,8 @@
 
 def guarded(clock):
     adopted, ledger = [], Ledger(None)
-    owner = SimpleNamespace(
-        clock=clock, wall=1000.0, ledger=ledger, settings=settings(), adopt=lambda o: adopted.extend(x.id for x in o),
-        pause=lambda names: None,
-    )  # fmt: skip
+    owner = SimpleNamespace(clock=clock, wall=1000.0, ledger=ledger, settings=settings())
+    owner.adopt, owner.pause = lambda owed: adopted.extend(o.id for o in owed), lambda names: None
     node = Node(Terms("c", "r0", {"r0": "a"}, 0, 1.0), 1, True, random.Random(1), clock())
     lives = SimpleNamespace(before=[], done=lambda finished: None)
     return Guarded(owner, node, lambda *_: None, "serve", lives), adopted
