--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -12,7 +12,7 @@
 from ..ports import Item
 from ..settings import left_of, limit_of
 from . import forms
-from .replies import CALL, MOST_HEAD, Progress, Reply
+from .endpoint_connection import CALL, MOST_HEAD, EndpointConnection, Progress
 
 STATUS = {
     200: Result.DELIVERED,
@@ -44,7 +44,7 @@
         self.members, self.clock, self.tell, self.whole, self.most = members, clock, tell, most, most
         self.running: dict[tuple[str, int], asyncio.Task] = {}
         self.written = 0  # messages whose call went out whole
-        self.kept: dict[Reply, None] = {}  # all connections to endpoints, the oldest first
+        self.kept: dict[EndpointConnection, None] = {}  # all connections to endpoints, the oldest first
         self.begun: dict[asyncio.Task, tuple[Progress, asyncio.Timeout]] = {}  # connected or not yet
         self.retune(settings)
         idle = settings.connection_idle * IDLE_PART
@@ -53,7 +53,9 @@
             happy_eyeballs_delay=None,
             **({"keepalive_timeout": idle} if idle else {"force_close": True}),
         )
-        connector._factory = partial(Reply, asyncio.get_running_loop(), self.kept)  # the library has no hook
+        connector._factory = partial(
+            EndpointConnection, asyncio.get_running_loop(), self.kept
+        )  # the library has no hook
         self.session = aiohttp.ClientSession(
             connector=connector,
             max_line_size=MOST_HEAD,
--- a/ryestack/wire/replies.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -40,7 +40,7 @@
 CALL: ContextVar[Progress] = ContextVar("call")  # the call that the running task makes
 
 
-class Reply(ResponseHandler):
+class EndpointConnection(ResponseHandler):
     """One connection to an endpoint, idle or with the call whose answer it reads."""
 
     def __init__(self, loop, kept: dict):
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -4,8 +4,6 @@
 """
 
 import asyncio
-import logging
-import select
 import socket
 
 import aiohttp
@@ -15,16 +13,13 @@
 from ..observe.log import event
 from ..ports import HandIn, Verdict
 from . import forms
+from .client_connection import IDLE, QUIET, ClientConnection, ConnectionServer, Full
 
-IDLE = 2.2  # seconds: a connection with no open request may end after 2, and a bad client must hear within 3
-EBB, QUIET_FOR = 0.1, 0.3  # seconds between looks at whom to let go, and that such a one has said nothing
-BODY = 2.6  # seconds for a first request from its connection on, for a later one from its head on
+EBB = 0.1  # seconds between looks at whom to let go
 UNREAD = 2 * 1024 * 1024  # bytes of bodies not yet whole, over all connections
 BUFFER = 16 * 1024  # bytes that the library reads ahead on a connection
 BATCH = 16  # connections accepted in one turn of the loop: what usual clients sent is read between
 BACKLOG = 512
-QUIET = logging.getLogger("ryestack.clients")  # bad requests are answered; a traceback of each helps nobody
-QUIET.setLevel(logging.CRITICAL)
 TAKEN, REFUSED, FAILED, MALFORMED, TOO_SLOW, TOO_LARGE = 202, 503, 500, 400, 408, 413
 
 
@@ -36,56 +31,6 @@
 }
 
 
-class Door(web.RequestHandler):
-    """One client's connection. What cannot be read ends it: with an error if it comes first, behind an open
-    request at once, with all that waits."""
-
-    def __init__(self, manager, *, loop, **more):
-        super().__init__(manager, loop=loop, **more)
-        self.since = self.heard_at = loop.time()
-        self.spoilt = False
-
-    def data_received(self, data: bytes) -> None:
-        if self.spoilt:
-            return
-        self.heard_at = self._loop.time()
-        super().data_received(data)
-        if self._messages and not hasattr(self._messages[-1][0], "headers"):  # the parser's own error
-            self.spoilt = True
-            if self._waiter is None or len(self._messages) > 1:  # none waits: a request is under way
-                self.force_close()
-            elif self.transport is not None:
-                self.transport.pause_reading()
-
-    def idle(self) -> bool:
-        """Whether it waits for a request of which nothing whole has come."""
-        return self._waiter is not None and not self._waiter.done()  # done: one has come and is not begun
-
-    def ends(self) -> float:
-        """When it ends if no request comes."""
-        return self._next_keepalive_close_time
-
-    def end_if_quiet(self) -> None:
-        """End it unless it may have a request: one on its way is answered, and ends it then."""
-        if self.transport is None or not self.idle() or self._loop.time() < self.heard_at + QUIET_FOR:
-            return
-        waiting = select.poll()
-        waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        if not waiting.poll(0):
-            self.force_close()
-
-    def until(self, now: float) -> float:
-        """When the open request must have come whole."""
-        return (self.since if self._request_count == 1 else now) + BODY
-
-
-class Doors(web.Server):
-    """The library's server, with connections of our own."""
-
-    def __call__(self) -> Door:
-        return Door(self, loop=self._loop, **self._kwargs)
-
-
 class Clients:
     """Serves clients; hand_in and withdraw put into the queue of the task that owns the decisions."""
 
@@ -107,7 +52,7 @@
         )
         self.listener, self.at, self.ebbing = None, at, None
         # Reading on after an error would take in what its client still has to send: up to 60 MB.
-        self.server = Doors(
+        self.server = ConnectionServer(
             self.handle,
             access_log=None,
             keepalive_timeout=IDLE,
@@ -142,7 +87,7 @@
 
     def share(self, processes: int) -> None:
         self.most = max(1, self.whole // processes)
-        idle = sorted(filter(Door.idle, self.server.connections), key=Door.ends)
+        idle = sorted(filter(ClientConnection.idle, self.server.connections), key=ClientConnection.ends)
         for connection in idle[: max(0, len(self.server.connections) - self.most)]:
             connection.end_if_quiet()
 
@@ -175,7 +120,7 @@
         """At the bound the oldest idle connection makes room: silent ones must not keep others out."""
         connections = self.server.connections
         if len(connections) >= self.most:
-            oldest = min(filter(Door.idle, connections), key=Door.ends, default=None)
+            oldest = min(filter(ClientConnection.idle, connections), key=ClientConnection.ends, default=None)
             if oldest is None:
                 event("front.full", bound=self.most)
                 return Full()
@@ -288,10 +233,3 @@
         return answer
 
     ROUTES = {"/api": ("POST", api), "/_health": ("GET", health)}
-
-
-class Full(asyncio.Protocol):
-    """Meets a connection past the bound: it ends at once, before anything is read."""
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        transport.close()
--- a/ryestack/wire/staff.py
+++ b/ryestack/wire/staff.py
@@ -8,7 +8,8 @@
 
 from aiohttp import web
 
-from .server import BACKLOG, QUIET, Door, Doors
+from .client_connection import QUIET, ClientConnection, ConnectionServer
+from .server import BACKLOG
 
 MOST = (
     16  # connections; at the bound the oldest makes room: a call is whole within a moment of its connection
@@ -23,7 +24,7 @@
 
     def __init__(self, calls: dict, at: tuple[str, int]):
         self.calls, self.at, self.listener = calls, at, None
-        self.server = Doors(
+        self.server = ConnectionServer(
             self.handle, access_log=None, keepalive_timeout=HELD, lingering_time=0.0, logger=QUIET
         )
 
@@ -37,7 +38,7 @@
     def accept(self) -> asyncio.Protocol:
         connections = self.server.connections
         if len(connections) >= MOST:
-            min(connections, key=lambda c: (not Door.idle(c), c.since)).force_close()
+            min(connections, key=lambda c: (not ClientConnection.idle(c), c.since)).force_close()
         return self.server()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
