A call ends with the time of its first message; ends, waits and lists at close range

Lines at fault: calls.py start_one/end_early let a call go on to its longest time. Now it is over, and its connection closed, with its first message's; the module lets one that is short of time (under nine in ten of the usual) share no call (rounds.py joins).

--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -37,6 +37,27 @@
         self.assertEqual(len(pushes(b.round(1.0, [take(f"n{i}") for i in range(20)]))), 20)
         self.assertEqual(b.slots, 11)
 
+    def test_one_short_of_time_does_not_cut_the_call_of_others(self):
+        """A call is over with the time of its first: the others would be cut off in the midst of it."""
+        b = brain(kind="bulk", rate=1000.0)
+        for seconds in (*[0.1] * 40, *[3.0] * 10):
+            b.dests[7].took(seconds)
+        fresh = [take(f"n{i}", due=40.0) for i in range(3)]
+        sent = pushes(b.round(1.0, [take("short", due=3.0), *fresh]))
+        self.assertEqual([name for name, _ in sent if name != "short"], ["n0", "n1", "n2"])
+        self.assertEqual([n.id for n, _ in b.out["n0", 0][0].items], ["n0", "n1", "n2"])
+        b = brain(kind="bulk", rate=1000.0)  # while all take about as long, none is short
+        self.assertEqual(len(pushes(b.round(1.0, [take("short", due=3.0), *fresh]))), 4)
+
+    def test_a_wait_binds_from_the_head_of_its_answer(self):
+        for kind, free in (("shared", []), ("apart", ["b"])):
+            b = brain(kind)
+            b.round(1.0, [take("n")])
+            told = b.round(1.1, [it.WaitTold("a", 3.0), take("m"), it.WaitTold("none", 1.0)])
+            self.assertIn(it.CallOff("a"), told)
+            self.assertEqual([at for _, at in pushes(told)], free)
+            self.assertEqual([at for _, at in pushes(b.round(4.0, [take("o")]))], free)
+
 
 class Rules(unittest.TestCase):
     def test_what_forbids_new_calls_calls_off_those_that_have_not_begun(self):
--- /dev/null
+++ b/tests/test_winding_up.py
@@ -0,0 +1,69 @@
+"""The last moments of a process: what is decided then must not look to the next one as if it may have run."""
+
+import asyncio
+import unittest
+
+from ryestack import interface as it
+from ryestack.interface import Result
+from ryestack.lifecycle.config import load
+from ryestack.lifecycle.relay import Relay
+from ryestack.ports import HandIn
+from ryestack.store.journal import Journal
+from ryestack.store.ledger import Ledger
+
+from .helpers import Folder, config, take
+
+
+class Courier:
+    """Holds each push until it is closed; then its outcomes come, as those of calls that are cut off do."""
+
+    def __init__(self, tell):
+        self.tell, self.started, self.closed = tell, [], False
+
+    def start(self, endpoint, items):
+        if self.closed:
+            raise AssertionError("a push is started on a courier that is closed")
+        self.started += [(endpoint, item) for item in items]
+
+    async def close(self):
+        await asyncio.sleep(0.02)  # rounds of the owner's own task run meanwhile
+        self.closed = True
+        told = [it.Outcome(i.id, i.push, at, Result.NO_CONNECTION) for at, i in self.started]
+        self.started = []
+        self.tell(told)
+
+    def forget(self):
+        pass
+
+    call_off = hang_up = lambda self, endpoint: None
+
+
+class WindingUp(Folder, unittest.IsolatedAsyncioTestCase):
+    async def test_no_push_is_decided_once_the_courier_closes_and_an_untried_one_stays_untried(self):
+        for own_task in (False, True):
+            self.setUp()
+            path = config(self.folder, "127.0.0.1:1")
+            relay = Relay(load({"LB_CONFIG": path, "LB_STATE": self.folder}))
+            owner, loop = relay.owner, asyncio.get_running_loop()
+            owner.courier = relay.parts.courier = Courier(owner.put)
+            relay.ledger.recover()
+            owner.recover([relay.parts.directory.known()])
+            for name in ("n", "m"):
+                owner.brain.slots = 1 if name == "n" else 0  # the second waits for the slot of the first
+                told = loop.create_future(), loop.create_future()
+                owner.round([HandIn(take(name, due=loop.time() + 9.0), "k", b"x", *told)])
+            self.assertEqual([item.id for _, item in owner.courier.started], ["n"])
+            task = asyncio.ensure_future(owner.run()) if own_task else None
+            await relay.wind_up()
+            if task:
+                task.cancel()
+            await relay.close()
+            kept = Ledger(Journal(self.folder, 3_000_000))
+            kept.recover()
+            kept.journal.close()
+            found = {o.id: (o.pushes, o.open) for o in kept.owed.values()}
+            self.assertEqual(found, {"n": (1, {}), "m": (0, {})})
+
+
+if __name__ == "__main__":
+    unittest.main()
