--- a/ryestack/wire/endpoint_connection.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -147,6 +147,8 @@
         self.head, self.call.words = self.head + data, True
         while found := FIRST_LINE.match(self.head):
             status = int(found[1])
+            if status == 200 and self.transport.get_write_buffer_size():
+                return self.spoilt()  # an endpoint begins a call with its last byte: this is none of its answers
             if status >= 200 and not self.call.status:
                 self.call.status = status
                 self.call.heard()
--- /dev/null
+++ b/tests/test_close_range.py
@@ -0,0 +1,142 @@
+"""Starts, stops and full descriptors at close range: the program itself, or the relay in one loop."""
+
+import asyncio
+import contextlib
+import json
+import resource
+import signal
+import socket
+import sys
+import time
+import unittest
+import unittest.mock
+
+from ryestack.lifecycle.config import load
+from ryestack.lifecycle.relay import Relay
+from ryestack.store.journal import Journal
+from ryestack.store.ledger import Ledger
+from ryestack.store.owed import Owed
+from ryestack.wire.server import TAKEN
+
+from .helpers import Folder, config, http, listed, stand_in
+from .test_lifecycle import Program
+
+SOCKETS = 256
+
+
+class Starting(Folder, unittest.IsolatedAsyncioTestCase):
+    async def test_a_stop_that_comes_while_it_starts_or_twice_is_a_clean_end_that_loses_nothing(self):
+        server, agent = await stand_in(lambda *_: http(200, json.dumps(listed()).encode()))
+        for at in ("begun", "recovered"):
+            path = config(self.folder, agent)
+            relay = Relay(load({"LB_CONFIG": path, "LB_STATE": self.folder}))
+            relay.ledger.recover()
+            relay.ledger.take(Owed(at, time.time() + 9.0, 7, "again", "c", "", "k", b"x"))
+            relay.ledger.journal.close()
+            relay.ledger.owed.clear()
+            happen = relay.happen
+
+            async def crossed(what, happen=happen, relay=relay, at=at):
+                if what == at:
+                    relay.stop_asked.set()
+                    relay.reread_asked.release()  # SIGHUP with it
+                await happen(what)
+                relay.stop_asked.set()
+
+            relay.happen = crossed
+            async with asyncio.timeout(6.0):
+                await relay.run()
+            self.assertEqual(relay.phase, "ended")
+            await relay.close()
+        kept = Ledger(Journal(self.folder, 3_000_000))
+        kept.recover()
+        kept.journal.close()
+        self.assertEqual(sorted(kept.owed), ["begun", "recovered"])
+        server.close()
+
+
+class Limits(Program, unittest.IsolatedAsyncioTestCase):
+    async def test_ready_in_time_with_a_full_folder_and_no_discovery(self):
+        """Of the seconds that a restart has, nine in ten within 10: a machine at rest takes under one."""
+        kept = Ledger(Journal(self.folder, 1_500_000))
+        kept.recover()
+        n, due = 0, time.time() + 60.0
+        while kept.take(Owed(f"n{n}", due, 7, "again", "c", "", "k", b"x" * (20_000 if n < 25 else 1))):
+            n += 1
+        kept.journal.close()
+        self.assertGreater(kept.live, 0.35 * 1_500_000)
+        other, agent = await stand_in(lambda *_: b"")
+        began = time.monotonic()
+        process = await self.start("127.0.0.1:9", agent)
+        took = time.monotonic() - began
+        self.assertLess(took, 10.0)
+        process.kill()
+        await process.wait()
+        other.close()
+
+    async def test_idle_clients_that_fill_the_descriptors_keep_neither_list_nor_partner_nor_client_out(self):
+        calls, down, asked = [], True, asyncio.Event()
+
+        def platform(head, _):
+            if down:
+                return None
+            asked.set()
+            return http(200, json.dumps({**listed(index=7), "endpoints": []}).encode())
+
+        server, address = await stand_in(lambda head, _: calls.append(head) or http(200))
+        other, agent = await stand_in(platform)
+        await self.start(address, agent, ops=None)
+        process = await self.limited()
+        idle = []
+        for _ in range(2 * SOCKETS):  # twice what there is; the oldest make room
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(("127.0.0.1", int(self.listen.rpartition(":")[2])))
+            idle.append(sock)
+            if not len(idle) % 32:
+                await asyncio.sleep(0.02)
+        down = False
+        self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "full"}), TAKEN)
+        async with asyncio.timeout(8.0):
+            while not calls:
+                await asyncio.sleep(0.02)
+            await asked.wait()
+        self.assertIsNone(process.returncode)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(await asyncio.wait_for(process.wait(), 6.0), 0)
+        for each in (server, other, *idle):
+            each.close()
+
+    async def limited(self):
+        """The program again, at the same place, with no more descriptors than its configuration says."""
+        path = f"{self.folder}/config.json"
+        with open(path) as file:
+            told = json.load(file)
+        told["limits"]["sockets"] = SOCKETS
+        with open(path, "w") as file:
+            json.dump(told, file)
+        self.first.kill()
+        await self.first.wait()
+        before = resource.getrlimit(resource.RLIMIT_NOFILE)
+        code = (
+            f"import resource as r, runpy, sys; r.setrlimit(r.RLIMIT_NOFILE, ({SOCKETS}, {SOCKETS}));"
+            "sys.argv = ['ryestack']; runpy.run_module('ryestack', run_name='__main__')"
+        )
+        self.program = [sys.executable, "-c", code]
+        self.assertEqual(before, resource.getrlimit(resource.RLIMIT_NOFILE))
+        return await self.run_it(path)
+
+    async def run_it(self, path, **more):
+        real, program = asyncio.create_subprocess_exec, getattr(self, "program", None)
+
+        async def instead(*args, **kw):
+            return await real(*(program or args), **kw)
+
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(unittest.mock.patch.object(asyncio, "create_subprocess_exec", instead))
+            self.first = await super().run_it(path, **more)
+        return self.first
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -179,6 +179,13 @@
                         got += len(data)
             self.assertLess(got, len(body) - 1024)
 
+    async def test_a_200_that_comes_before_our_last_byte_is_gone_delivers_nothing(self):
+        self.calls.start("a", [item(body=b"b" * 32 * 1024 * 1024)])
+        sock = await self.accept()
+        await self.heard(sock, b"\r\n\r\nb")
+        sock.send(http(200))
+        self.assertEqual((await self.next()).result, Result.BROKEN)
+
     async def test_a_call_that_is_over_takes_nothing_back_from_the_next_on_its_connection(self):
         self.calls.start("a", [item("first")])
         first = next(iter(self.calls.begun.values()))
