--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -61,7 +61,7 @@
         "front.full",
         "DEBUG",
         "bound",
-        "a connection past the bound was closed: none of those there is idle",
+        "a connection past the bound was answered 503 or closed: none of those there is idle",
         "more relays, or more descriptors",
         "*",
     ),
--- a/ryestack/wire/staff.py
+++ b/ryestack/wire/staff.py
@@ -36,9 +36,9 @@
         return f"{host}:{port}"
 
     def accept(self) -> asyncio.Protocol:
-        connections = self.server.connections
-        if len(connections) >= MOST:
-            min(connections, key=lambda c: (not ClientConnection.idle(c), c.since)).force_close()
+        if self.server.full(MOST):
+            held = [c for c in self.server.connections if c not in self.server.ending]
+            min(held, key=lambda c: (not ClientConnection.idle(c), c.since)).force_close()
         return self.server()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
