The wait in an answer that crosses our giving a call up is heard

Lines: Gate.close, EndpointConnection. The protocol gives a call up by the end of our sending, so now that is all that ends at once; the head of an answer is read for 0.15 s (calls that come within 100 ms of a wait, and 50 of slack, get through: later it is late anyway), then the connection is closed. Nothing else of such an answer counts: a 200 in it delivers nothing. Two tests, by cancel and by time-out.

--- a/ryestack/wire/endpoint_connection.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -20,6 +20,9 @@
 END = b"\r\n\r\n"
 MOST_HEAD = 64 * 1024  # bytes, of all that goes before a body: what endpoints say takes a few hundred
 BODILESS = (204, 304)
+LAST_WORD = (
+    0.15  # seconds for the head of an answer to a call given up: past them its wait is late in any case
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -54,8 +57,9 @@
 class Gate:
     """What the library takes for its transport: the last look before the first byte of a call is written."""
 
-    def __init__(self, transport: asyncio.Transport, begin):
-        self.transport, self.begin, self.is_closing = transport, begin, transport.is_closing
+    def __init__(self, transport: asyncio.Transport, begin, close):
+        self.transport, self.begin, self.close = transport, begin, close
+        self.is_closing = transport.is_closing
 
     def write(self, data) -> None:
         self.begin()
@@ -65,10 +69,6 @@
         self.begin()
         self.transport.writelines(parts)
 
-    def close(self) -> None:
-        """What is given up must not go out later from our own buffer."""
-        self.transport.abort() if self.transport.get_write_buffer_size() else self.transport.close()
-
     def __getattr__(self, name: str):
         return getattr(self.transport, name)
 
@@ -80,16 +80,37 @@
         super().__init__(loop)
         self.kept, self.call, self.endpoint, self.idle_since = kept, None, "", loop.time()
         self.head, self.passed, self.left, self.said = b"", 0, 0, None
+        self.whole, self.given_up = (
+            None,
+            None,
+        )  # the transport itself; the time-out of a call that is given up
 
     def connection_made(self, transport) -> None:
         super().connection_made(transport)
-        self.transport = Gate(transport, self.begin)
+        self.whole, self.transport = transport, Gate(transport, self.begin, self.end)
         self.kept[self] = None
 
     def connection_lost(self, exc) -> None:
         self.kept.pop(self, None)
+        if self.given_up:
+            self.given_up.cancel()
         super().connection_lost(exc)
 
+    def end(self) -> None:
+        """The library closes it. The end of our sending gives a call up; its answer may be on its way, and the
+        wait in its head binds all the same, so that is still read."""
+        if self.whole.get_write_buffer_size():  # what is given up must not go out later from our own buffer
+            self.whole.abort()
+        elif self.call is None or not self.call.begun or self.head is None:
+            self.whole.close()
+        elif self.given_up is None and not self.whole.is_closing():
+            self.given_up = self._loop.call_later(LAST_WORD, self.whole.abort)
+            try:
+                self.whole.write_eof()
+                self.whole.resume_reading()
+            except (OSError, RuntimeError):  # it is gone already
+                self.whole.abort()
+
     def is_connected(self) -> bool:
         """Asked before it is used again: bytes or an end that wait unread are no answer to the next call."""
         if not super().is_connected():
@@ -138,18 +159,16 @@
     def data_received(self, data: bytes) -> None:
         if not data:  # the parser goes on after a pause
             return super().data_received(data)
-        if (
-            self.call is None or not self.call.begun
-        ):  # no call is open, or none of it written: nothing may come
+        if self.call is None or not self.call.begun:  # none is open, or none of it written: nothing may come
             return self.spoilt()
         if self.head is None:
             return self.body(data)
         self.head, self.call.words = self.head + data, True
         while found := FIRST_LINE.match(self.head):
             status = int(found[1])
-            if status == 200 and self.transport.get_write_buffer_size():
+            if status == 200 and self.whole.get_write_buffer_size():
                 return self.spoilt()  # an endpoint begins a call with its last byte: this is no answer to it
-            if status >= 200 and not self.call.status:
+            if status >= 200 and not self.call.status and not self.given_up:
                 self.call.status = status
                 self.call.heard()
             head, end, rest = self.head.partition(END)
@@ -169,6 +188,8 @@
             return
         headers, self.left = self.said.headers, -1
         self.call.told(headers)
+        if self.given_up:
+            return self.whole.abort()
         if status in BODILESS:
             self.left = 0
         elif "Transfer-Encoding" not in headers and "Content-Length" in headers:
@@ -196,5 +217,4 @@
     def spoilt(self) -> None:
         """Close at once; what was read whole before stays as it is."""
         self.force_close()
-        if self.transport is not None:
-            self.transport.close()
+        self.whole.abort() if self.whole.get_write_buffer_size() else self.whole.close()
--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -116,6 +116,34 @@
         o = await self.next()
         self.assertEqual((o.result, o.wait), (Result.BROKEN, 0.7))
 
+    async def test_a_wait_in_an_answer_that_crosses_our_giving_up_is_heard(self):
+        """By a cancel, a time-out: the answer was written before our end had come."""
+        for end, more in ((lambda: self.calls.cancel("n", 0), {}), (lambda: None, {"timeout": 0.2})):
+            self.calls.start("a", [item(**more)])
+            sock = await self.accept()
+            await self.heard(sock)
+            end()
+            self.assertIn((await self.next()).result, (Result.CANCELLED, Result.TIMED_OUT))
+            self.assertEqual(await asyncio.wait_for(self.loop.sock_recv(sock, 9), 1.0), b"")  # given up
+            sock.send(b"HTTP/1.1 429 x\r\nX-Retry-In-Ms: 700\r\nContent-Length: 0\r\n\r\n")
+            self.assertEqual(await self.next(it.WaitTold), it.WaitTold("a", 0.7))
+            await self.gone()
+
+    async def test_what_else_comes_of_a_call_given_up_tells_nothing_and_holds_nothing(self):
+        for late in (http(200), b"HTTP/1.1 200 x\r\n", b"x" * 100_000, b""):
+            self.calls.start("a", [item(timeout=0.2)])
+            sock = await self.accept()
+            await self.heard(sock)
+            self.assertEqual((await self.next()).result, Result.TIMED_OUT)
+            sock.send(late)
+            await self.gone()
+        self.assertTrue(self.told.empty())
+
+    async def gone(self):
+        async with asyncio.timeout(2.0):
+            while self.calls.kept:
+                await asyncio.sleep(0.01)
+
     async def test_a_call_that_ends_while_its_client_is_told_leaves_that_word_to_the_next(self):
         heard = self.loop.create_future()
         self.calls.start("a", [item(heard=heard)])
