--- a/ryestack/wire/endpoint_connection.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -97,8 +97,8 @@
         super().connection_lost(exc)
 
     def end(self) -> None:
-        """The library closes it. The end of our sending gives a call up; its answer may be on its way, and the
-        wait in its head binds all the same, so that is still read."""
+        """The library closes it. The end of our sending gives a call up; its answer may be on its way, and
+        the wait in its head binds all the same: that is still read."""
         if self.whole.get_write_buffer_size():  # what is given up must not go out later from our own buffer
             self.whole.abort()
         elif self.call is None or not self.call.begun or self.head is None:
--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -132,11 +132,13 @@
     async def test_what_else_comes_of_a_call_given_up_tells_nothing_and_holds_nothing(self):
         for late in (http(200), b"HTTP/1.1 200 x\r\n", b"x" * 100_000, b""):
             self.calls.start("a", [item(timeout=0.2)])
+            [progress] = self.calls.begun.values()
             sock = await self.accept()
             await self.heard(sock)
             self.assertEqual((await self.next()).result, Result.TIMED_OUT)
             sock.send(late)
             await self.gone()
+            self.assertEqual(progress.status, 0)
         self.assertTrue(self.told.empty())
 
     async def gone(self):
