A hold that settings shrink under what is out ends no relay

Cause, read for: walk.py on_notification takes the least of the parked of the destination with most of them once more is held than the hold allows. With settings that lower maxOpen under what is out (SIGHUP), and a hand-in whose time is too short to be parked, nothing is parked anywhere: min() of nothing raised, and the relay ended. Now only one that was parked makes another give way. A test that raises without (test_brain). No other way leads there: without a change of settings each arrival past the bound parks, and takes one out.

--- a/ryestack/brain/walk.py
+++ b/ryestack/brain/walk.py
@@ -84,7 +84,7 @@
         if ntf.key:
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf  # those in turn, rest until
         self.again(ntf)
-        if len(self.held) > self.set.max_open * self.DOOR:  # one sick destination must not fill the hold
+        if ntf.state == "parked" and len(self.held) > self.set.max_open * self.DOOR:  # else none makes room
             most = max(self.dests.values(), key=lambda d: len(d.parked)).parked.values()
             self.step(min(most, key=lambda n: self.loses(n, n is ntf)), "given up")
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -7,7 +7,7 @@
 from ryestack import interface as it
 from ryestack.interface import Result
 
-from .helpers import brain, end, kinds, pushes, take
+from .helpers import brain, end, kinds, pushes, settings, take
 
 
 class Path(unittest.TestCase):
@@ -32,6 +32,13 @@
         b = brain(rate=1000.0)
         self.assertEqual(len(pushes(b.round(1.0, [take(f"n{i}") for i in range(20)]))), 9)
 
+    def test_one_with_no_time_left_at_a_hold_that_shrank_ends_alone(self):
+        """Settings may lower the hold under what is out: none is parked then that could make room."""
+        b = brain(rate=1000.0)
+        b.round(1.0, [take(f"n{i}") for i in range(5)])
+        b.round(1.1, [it.Retuned(settings(max_open=2))])
+        self.assertEqual(kinds(b.round(1.2, [take("late", due=1.21)]), it.Throttle), ["late"])
+
     def test_a_batch_takes_one_slot(self):
         b = brain(kind="bulk")
         self.assertEqual(len(pushes(b.round(1.0, [take(f"n{i}") for i in range(20)]))), 20)
