Only one much shorter of time than the others goes alone

Cause, from reading again: where a destination has turned slow, nine in ten of its calls take longer than any message has left, and no two would have shared a call, though all have about as much left and none would cut another off. Now one is short only if it also has less than half of what the others have. Each half of the condition is held by a test that fails without (test_brain).

--- a/ryestack/brain/rounds.py
+++ b/ryestack/brain/rounds.py
@@ -16,8 +16,7 @@
     OVERDUE, OVERDUE_ALL, OVERDUE_LEAST = 2.5, 3.0, 2.0  # times 9 in 10 stay under, there, all; seconds
     TIMEOUT, TIMEOUT_LEAST = 6.0, 10.0  # the same for giving a push up; the slow still run
     ROOM, USUAL = 1.2, 0.5  # times what our gain keeps busy: at 2, calls queued; a push's time at first
-    # Calls in an idle connection's time: fewer, and most close unused, or stand idle half of it where short.
-    KEPT, KEPT_SHORT = 0.25, 16.0
+    KEPT, KEPT_SHORT = 0.25, 16.0  # calls in an idle connection's time: with fewer, most close unused
 
     def __init__(self, settings, seed):
         self.set, self.random, self.now, self.quota = settings, random.Random(seed), 0.0, {}
@@ -84,7 +83,8 @@
 
     def joins(self, route, ntf=None):  # a call is over with the first time of its items': the short go alone
         call = self.travel.get(route.id)
-        short = call and ntf and min(ntf.due, call.due) - self.now < route.dest.times.quantile(0.9)
+        short = call and ntf and 2 * min(ntf.due, call.due) - self.now < max(ntf.due, call.due)
+        short = short and min(ntf.due, call.due) - self.now < route.dest.times.quantile(0.9)
         return call if call and not short and len(call.items) < route.dest.kind.batch else None
 
     def serve(self):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -53,8 +53,12 @@
         sent = pushes(b.round(1.0, [take("short", due=3.0), *fresh]))
         self.assertEqual([name for name, _ in sent if name != "short"], ["n0", "n1", "n2"])
         self.assertEqual([n.id for n, _ in b.out["n0", 0][0].items], ["n0", "n1", "n2"])
-        b = brain(kind="bulk", rate=1000.0)  # while all take about as long, none is short
-        self.assertEqual(len(pushes(b.round(1.0, [take("short", due=3.0), *fresh]))), 4)
+        for due, slow in ((3.0, 0.1), (30.0, 45.0)):  # enough for most calls there, or for all about as much
+            b = brain(kind="bulk", rate=1000.0)
+            for seconds in (*[0.1] * 40, *[slow] * 10):
+                b.dests[7].took(seconds)
+            self.assertEqual(len(pushes(b.round(1.0, [take("near", due=due), *fresh]))), 4)
+            self.assertEqual(len(b.out["n0", 0][0].items), 4)
 
     def test_a_wait_binds_from_the_head_of_its_answer(self):
         for kind, free in (("shared", []), ("apart", ["b"])):
