--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -354,13 +354,14 @@
 
     def test_a_broken_module_is_caught(self):
         """The judge sees what the guards prevent: each is taken out in turn."""
-
         class Again(Brain):
+            again = Brain.park
+
             def may_push(self, ntf, route):
                 return ntf.state == "parked" and not ntf.out
 
-            def again(self, ntf):
-                self.park(ntf)
+            def begin_in(self, ntf):
+                return math.inf
 
         class Deaf(Brain):
             def may_push(self, ntf, route):
