--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -356,7 +356,6 @@
         """The judge sees what the guards prevent: each is taken out in turn."""
         class Again(Brain):
             again = Brain.park
-
             def may_push(self, ntf, route):
                 return ntf.state == "parked" and not ntf.out
 
