A push is over 50 ms before its time by our clock

Lines: walk.py may_push, rounds.py push. Now 50 ms less, the protocol's own slack (the same that a repeat's window had).

--- a/ryestack/brain/rounds.py
+++ b/ryestack/brain/rounds.py
@@ -141,9 +141,9 @@
         ntf.dest.parked.pop(ntf.id, None)
         ntf.dest.credit -= ntf.refused
         self.step(ntf, "pushed")
-        times = self.TIMEOUT * route.dest.times.quantile(0.9)
+        left, times = ntf.due - self.EARLY - self.now, self.TIMEOUT * route.dest.times.quantile(0.9)
         longest = inf if ntf.topic.effect is ONCE else max(self.TIMEOUT_LEAST, times)
-        self.acts.append(it.Push(ntf.id, route.id, min(ntf.due - self.now, longest), self.begin_in(ntf)))
+        self.acts.append(it.Push(ntf.id, route.id, min(left, longest), self.begin_in(ntf)))
 
     def hang_up(self):  # an idle connection fills a place that others lack, where endpoints take few
         for route in self.idle.values():
--- a/ryestack/brain/walk.py
+++ b/ryestack/brain/walk.py
@@ -37,10 +37,10 @@
         return drops and self.begin_in(ntf) > 0.0
 
     def begin_in(self, ntf):  # a push that connects late must not begin after so long; a little early
-        return ntf.maybe_at - self.now + (inf if ntf.topic.effect is AGAIN else ntf.topic.window - 0.05)
+        return ntf.maybe_at - self.now + (inf if ntf.topic.effect is AGAIN else ntf.topic.window - self.EARLY)
 
     def may_push(self, ntf, route):
-        if ntf.state != "parked" or ntf.out or self.now >= ntf.due or ntf.pushes >= ntf.most:
+        if ntf.state != "parked" or ntf.out or self.now + self.EARLY >= ntf.due or ntf.pushes >= ntf.most:
             return False  # rule 1, and no second copies
         stale = self.now >= max(self.sure, route.good_at) + self.TOLD  # neither the list nor a delivery says
         if route.state == "draining" or stale or self.now < route.pacer.wait_until:
@@ -61,7 +61,7 @@
 class Walk(Guard):
     WALK_REST = 0.6  # before a walk begins anew: a few calls end there, and no objective is that short
     HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
-    SHARE_SPAN = 5.0  # seconds of its quota that a customer may run ahead
+    SHARE_SPAN, EARLY = 5.0, 0.05  # seconds of quota that a customer may run ahead; that we count late
     DOOR, LATE, PRICE = 0.95, 0.3, 0.3  # of our hold; an end before the last LATE of a time costs PRICE of it
 
     def step(self, ntf, heard):
