--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -96,7 +96,7 @@
         self.assertEqual(kinds(b.round(7.0, []), it.Throttle), ["n"])
 
     def test_a_push_is_over_before_its_time_is_by_the_clients_clock(self):
-        """Its time runs from the client's sending, which we read a moment later: what comes between is late."""
+        """Its time runs from the client's sending, which we read a moment later."""
         b = brain()
         for topic, left in (("again", 8.0), ("once", 14.0)):
             [push] = [a for a in b.round(1.0, [take(topic, topic, due=1.0 + left)]) if isinstance(a, it.Push)]
