--- a/ryestack/brain/rounds.py
+++ b/ryestack/brain/rounds.py
@@ -106,7 +106,7 @@
 
     def takes(self, route, ntf):
         later = route.id > ntf.past and self.now >= ntf.rest_until
-        later = later and (route.id not in self.travel or self.joins(route, ntf) or self.opens(route))
+        later = later and (self.joins(route, ntf) or not self.joins(route))  # else it waits for another call
         if ntf.refused:
             route.dest.earn(self.now)
             later = later and route.dest.credit >= 1.0 - 1e-6
