--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+import capacity_peers as guards  # noqa: E402
 import capacity_processes as processes  # noqa: E402
 import capacity_state as state  # noqa: E402
 
@@ -76,11 +77,20 @@
         "idle, 3 endpoints, a registry that says nothing new",
     ),
     "peers": Probe(
-        processes.peers_by_letters,
-        tuple(processes.LEASES),
+        guards.peers_by_letters,
+        tuple(guards.LEASES),
         "letters in 100 s",
         "3 relays, 2 guards each, idle; leases of 60, 15, 4 and 1 s",
     ),
+    "guard": Probe(
+        guards.guard_by_messages, (1000, 3000, 10_000, 30_000), "messages", "one seat, bodies of 200 bytes"
+    ),
+    "guarded": Probe(
+        guards.guarded_by_rate,
+        (5, 15, 50, 160),
+        "messages/s",
+        "3 relays, 2 guards each, lease 3 s, one endpoint, bodies of 64 bytes",
+    ),
     "message": Probe(
         processes.message_by_rate,
         (5, 15, 50, 160),
@@ -149,8 +159,8 @@
     named = probes or list(PROBES)
     told = {
         "commit": revision(), "python": platform.python_version(), "cores": len(os.sched_getaffinity(0)),
-        "reference_loop_s": reference(), "repeats": repeats, "command": f"python benchmarks/capacity.py {' '.join(named)}",
-        "slopes": {},
+        "reference_loop_s": reference(), "repeats": repeats, "slopes": {},
+        "command": f"python benchmarks/capacity.py {' '.join(named)}",
     }  # fmt: skip
     for name in named:
         told["slopes"] |= quantities(name, repeats)
--- a/benchmarks/capacity_processes.py
+++ b/benchmarks/capacity_processes.py
@@ -14,15 +14,11 @@
 
 import run_cost
 
-from ryestack.lab import peers
 from ryestack.lab.load import Load, Plan
 from ryestack.lab.trial import TOPICS, RelayProcess, free_port, platform_config
-from ryestack.standins.links import Link
 
 HERE = Path(__file__).resolve().parent
 SETTLE, WINDOW = 3.0, 10.0  # seconds
-LEASES = {13: 60.0, 53: 15.0, 200: 4.0, 800: 1.0}  # letters in 100 s to the lease that makes so many
-GUARDS, BEATS = 2, 4  # letters of a relay: one a guard and beat, a lease has four
 LEAST_SENT, LEAST_SECONDS = 120, 8.0  # of a load: messages, seconds
 IDLE = 4.0  # seconds that a relay is watched idle before a load
 
@@ -133,72 +129,6 @@
     }
 
 
-# -- peers -----------------------------------------------------------------------------------------------
-
-
-class Counted:
-    """A reader that counts the letters which pass."""
-
-    def __init__(self, reader, link: "CountingLink"):
-        self.reader, self.link = reader, link
-
-    async def read(self, most: int) -> bytes:
-        data = await self.reader.read(most)
-        self.link.letters += data.count(b"POST /peers")
-        return data
-
-
-class CountingLink(Link):
-    letters = 0
-
-    async def pump(self, reader, writer, way: str) -> None:
-        await super().pump(Counted(reader, self) if way == "out" else reader, writer, way)
-
-
-async def idle_cluster(folder: Path, lease: float, window: float) -> dict[str, float]:
-    """Three idle relays, a relay and second; lease 0: without peers. bytes: sent and received."""
-    cluster = peers.Cluster(folder, 3, 1)
-    links = {ways: CountingLink(link.target, 1) for ways, link in cluster.net.links.items()}
-    cluster.net.links, told = links, cluster.operator
-
-    def operator(name: str) -> dict:
-        whole = told(name)
-        return {**whole, "peers": {**whole["peers"], "lease": lease}} if lease else {"format": 1}
-
-    cluster.operator = operator
-    try:
-        await cluster.start()
-        await asyncio.sleep(SETTLE)
-        pids = [relay.process.pid for relay in cluster.relays.values()]
-        began, used = time.monotonic(), cpu(pids)
-        letters, carried = (
-            sum(getattr(link, key) for link in links.values()) for key in ("letters", "carried")
-        )
-        await asyncio.sleep(window)
-        spent = (time.monotonic() - began) * len(pids)
-        return {
-            "cpu": (cpu(pids) - used) / spent,
-            "letters": (sum(link.letters for link in links.values()) - letters) / spent,
-            "bytes": 2 * (sum(link.carried for link in links.values()) - carried) / spent,
-        }
-    finally:
-        await cluster.close()
-
-
-def peers_by_letters(letters: int) -> dict[str, float]:
-    """What a relay spends on its two guards and as one of two others, idle, by letters it sends."""
-    lease = LEASES[letters]
-    window = max(WINDOW, 2.0 * lease / BEATS + 12.0)
-    with tempfile.TemporaryDirectory() as folder:
-        alone = asyncio.run(idle_cluster(Path(folder) / "a", 0.0, WINDOW))
-        guarded = asyncio.run(idle_cluster(Path(folder) / "b", lease, window))
-    return {
-        "size": 100.0 * guarded["letters"],
-        "peers.idle_cpu": guarded["cpu"] - alone["cpu"],
-        "peers.idle_bytes": guarded["bytes"],
-    }
-
-
 # -- messages --------------------------------------------------------------------------------------------
 
 
