Control tier: the sketch, its messages and the operator file's keys

No relay can hold or follow 860,000 destinations (2.3 KB each in the decisions, 215 MB of list at a start, by the issue's probes). The sketch of what is to carry it, the message types and [control]; nothing reads them yet.

--- /dev/null
+++ b/ryestack/control/messages.py
@@ -0,0 +1,154 @@
+"""Messages between relays and control machines, and their encoding. Any bytes give a message or `BadMessage`.
+
+A version is the position of a change in the replicated log: it only grows, and every control machine means
+the same state by it. Times are seconds.
+"""
+
+import msgspec
+
+MAX_MESSAGE_BYTES = 1024 * 1024  # of any message: a snapshot comes in pieces far smaller than this
+MAX_BATCH_BYTES = 64 * 1024  # of entries in one Delta or Piece, unless a single entry is larger
+MAX_NAME_LENGTH = 128
+
+SHARED_SHARD = "*"  # holds the entries that every relay has: settings
+CONTROL_SHARD = "@"  # holds the entries that only control machines have: the relays and their places
+ALL_SHARDS = "**"  # asks for the entries of every shard: what a control machine that follows another holds
+
+
+class BadMessage(Exception):
+    """Bytes that are no message of this protocol."""
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """The newest value of one key.
+
+    key: `destination/7`, `setting/limits`, `relay/r1`; version: of the change that gave the value; shard: the
+    group of entries it belongs to; value: JSON, None where the key was deleted.
+    """
+
+    key: str
+    version: int
+    shard: str
+    value: bytes | None
+
+
+class Rejection(msgspec.Struct, frozen=True):
+    """A version that a relay could not apply: it stays whole on the one before."""
+
+    version: int
+    key: str
+    reason: str
+
+
+class Poll(msgspec.Struct, frozen=True, tag="poll"):
+    """A relay asks for what changed since the version it has applied, which acknowledges that version.
+
+    session: grows with each start of the relay; scope: digest of the shards it holds; hold: seconds that the
+    answer may wait for something new; rejected: set while the relay refuses a newer version.
+    """
+
+    cluster: str
+    relay: str
+    session: int
+    region: str
+    zone: str
+    version: int
+    scope: str
+    hold: float
+    rejected: Rejection | None = None
+
+
+class Follow(msgspec.Struct, frozen=True, tag="follow"):
+    """A control machine that is no voter asks another for all that changed since its version."""
+
+    cluster: str
+    machine: str
+    version: int
+    hold: float
+
+
+class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
+    """Asks for a shard's entries, in order of key, behind the key `after`; "" begins at the first."""
+
+    cluster: str
+    sender: str
+    shard: str
+    after: str = ""
+
+
+class Delta(msgspec.Struct, frozen=True, tag="delta"):
+    """The newest entries of the asker's shards with since < entry.version <= version, in order of version.
+
+    more: the rest up to the target version comes with a further Poll from `version`; the asker applies
+    nothing until it has all. Empty entries with a newer version: nothing in scope changed.
+    """
+
+    since: int
+    version: int
+    entries: list[Entry]
+    more: bool = False
+
+
+class Scope(msgspec.Struct, frozen=True, tag="scope"):
+    """The shards that the relay should hold as of `version`: they differ from those that its Poll named."""
+
+    version: int
+    shards: list[str]
+
+
+class Piece(msgspec.Struct, frozen=True, tag="piece"):
+    """Part of a shard as of `version`; done: there is no entry behind the last one."""
+
+    shard: str
+    version: int
+    entries: list[Entry]
+    done: bool
+
+
+class TooOld(msgspec.Struct, frozen=True, tag="too_old"):
+    """Deletions since the asked version are no longer known: the shards have to be fetched anew.
+
+    oldest: the lowest version that can be polled from.
+    """
+
+    oldest: int
+
+
+class Unavailable(msgspec.Struct, frozen=True, tag="unavailable"):
+    """The machine can't answer: it is behind the asker, or has not caught up since its start."""
+
+    version: int
+    reason: str
+
+
+Request = Poll | Follow | Fetch
+Answer = Delta | Scope | Piece | TooOld | Unavailable
+
+_requests = msgspec.msgpack.Decoder(Request)
+_answers = msgspec.msgpack.Decoder(Answer)
+_encoder = msgspec.msgpack.Encoder()
+_FAULTS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, OverflowError)
+
+
+def encode(message: Request | Answer) -> bytes:
+    """The bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decode_request(body: bytes) -> Request:
+    """Raises BadMessage for anything that is no request."""
+    return _decode(_requests, body)
+
+
+def decode_answer(body: bytes) -> Answer:
+    """Raises BadMessage for anything that is no answer."""
+    return _decode(_answers, body)
+
+
+def _decode(decoder: msgspec.msgpack.Decoder, body: bytes):
+    if len(body) > MAX_MESSAGE_BYTES:
+        raise BadMessage(f"{len(body)} bytes, {MAX_MESSAGE_BYTES} at most")
+    try:
+        return decoder.decode(body)
+    except _FAULTS as problem:
+        raise BadMessage(str(problem)) from None
--- a/ryestack/operator/schema.py
+++ b/ryestack/operator/schema.py
@@ -80,6 +80,43 @@
     ] = "serve"
 
 
+class ControlMachine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One control machine of the cluster."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=64, description="its name, unlike all others")]
+    address: Annotated[str, Meta(max_length=255, description="where it listens, address:port")]
+    region: Annotated[str, Meta(max_length=64, description="where it stands; relays there ask it first")] = ""
+    voter: Annotated[
+        bool, Meta(description="whether its copy of the change log counts for a majority; others follow")
+    ] = False
+
+
+class Control(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Destinations and settings from control machines, in scope; off where `cluster` is empty."""
+
+    cluster: Annotated[
+        str,
+        Meta(max_length=64, description="its name; what comes from another cluster is refused; empty: off"),
+    ] = ""
+    role: Annotated[
+        Literal["relay", "machine"],
+        Meta(description="`relay`: delivers for destinations in its scope; `machine`: a control machine"),
+    ] = "relay"
+    name: Annotated[
+        str,
+        Meta(max_length=64, description="which of `machines` this one is; a relay: empty for its own name"),
+    ] = ""
+    region: Annotated[str, Meta(max_length=64, description="a relay's region")] = ""
+    zone: Annotated[str, Meta(max_length=64, description="a relay's zone, what it shares a fate with")] = ""
+    machines: Annotated[
+        list[ControlMachine], Meta(description="all control machines, the same at each process")
+    ] = []
+    hold: Annotated[float, Meta(ge=1, le=30, description="seconds that a poll may wait for a change")] = 5.0
+    replicas: Annotated[
+        int, Meta(ge=1, le=7, description="relays that serve a destination; the same at each machine")
+    ] = 3
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
@@ -90,6 +127,7 @@
     directory: Directory = Directory()
     ends: Ends = Ends()
     peers: Peers = Peers()
+    control: Control = Control()
 
 
 def rules(chosen: Operator) -> list[tuple[str, str]]:
@@ -98,7 +136,7 @@
         return [("ends.path", "must name a file where ends.sink is file")]
     if chosen.ends.path and chosen.ends.sink != "file":
         return [("ends.path", "has no use where ends.sink is platform")]
-    return peers_rules(chosen.peers)
+    return peers_rules(chosen.peers) or control_rules(chosen.control)
 
 
 def peers_rules(peers: Peers) -> list[tuple[str, str]]:
@@ -106,8 +144,7 @@
     if not peers.cluster:
         return [("peers.cluster", "must be named where there are peers.relays")] if names else []
     for relay in peers.relays:
-        host, _, port = relay.address.rpartition(":")
-        if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        if not _is_address(relay.address):
             return [("peers.relays", f"{relay.name}: {relay.address} must be address:port")]
     if twice := sorted({name for name in names if names.count(name) > 1}):
         return [("peers.relays", f"names {twice[0]} twice")]
@@ -118,3 +155,27 @@
     if peers.guards > len(names) - 1:
         return [("peers.guards", f"is {peers.guards}, but there are {max(0, len(names) - 1)} other relays")]
     return []
+
+
+def control_rules(control: Control) -> list[tuple[str, str]]:
+    """Faults of [control] that no single key shows: (dotted key, what is wrong)."""
+    names = [machine.name for machine in control.machines]
+    if not control.cluster:
+        return [("control.cluster", "must be named where there are control.machines")] if names else []
+    for machine in control.machines:
+        if not _is_address(machine.address):
+            return [("control.machines", f"{machine.name}: {machine.address} must be address:port")]
+    if twice := sorted({name for name in names if names.count(name) > 1}):
+        return [("control.machines", f"names {twice[0]} twice")]
+    if len({machine.address for machine in control.machines}) < len(names):
+        return [("control.machines", "has one address twice")]
+    if not any(machine.voter for machine in control.machines):
+        return [("control.machines", "has no voter: no change could ever be taken")]
+    if control.role == "machine" and control.name not in names:
+        return [("control.name", f"is {control.name!r}, which control.machines does not name")]
+    return []
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isascii() and port.isdigit() and 0 < int(port) < 65536
