Control: assignment of shards of destinations to relays, first form

No relay can follow 860,000 destinations, so each needs a scope. Destinations fall into shards by a stable hash; a shard goes to `replicas` relays, home region first, spread over zones, by consistent hashing with bounded loads. The result depends on the set of relays (and the home regions named) alone.

Found on the way by the tests: a shard "eu-1/-1" was answered with the last one.

--- /dev/null
+++ b/ryestack/control/assignment.py
@@ -0,0 +1,217 @@
+"""Which relays serve which destination: a pure function of the set of relays.
+
+Destinations are grouped into shards by a stable hash, a fixed number of shards for each home region. A
+shard is served by `replicas` distinct relays: in its home region first, spread over the zones there, and
+within the bound of `bounded_load`. Whoever knows the same relays computes the same assignment.
+"""
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Set
+from hashlib import blake2b
+
+import msgspec
+
+from ryestack.control.bounded_load import hash_fraction
+from ryestack.control.zone_spread import Zones, deal_in_region
+
+REPLICAS = 3
+SHARDS_PER_REGION = 8192
+SLACK = 0.1
+MAXIMUM_DIGITS = 9
+"""Of the number in the name of a shard."""
+MAXIMUM_WEIGHT = 100.0
+
+
+class UnknownShard(KeyError):
+    """A shard whose region is not known here, or whose number is out of range."""
+
+
+class RelayMember(msgspec.Struct, frozen=True):
+    """A relay that serves destinations. `weight` is its capacity in proportion to that of the others."""
+
+    name: str
+    region: str
+    zone: str
+    weight: float = 1.0
+
+    def __post_init__(self) -> None:
+        if not 0 < self.weight <= MAXIMUM_WEIGHT:
+            allowed = f"above 0 and at most {MAXIMUM_WEIGHT} is allowed"
+            raise ValueError(f"weight of relay {self.name!r}: {self.weight} found, {allowed}")
+
+
+def shard_key(region: str, number: int) -> str:
+    """The name of a shard, as it goes over the wire: `eu-1/123`."""
+    return f"{region}/{number}"
+
+
+def shard_of(region: str, destination: str, shards_per_region: int = SHARDS_PER_REGION) -> str:
+    """The shard of a destination with this home region."""
+    digest = blake2b(destination.encode(), digest_size=8).digest()
+    return shard_key(region, int.from_bytes(digest, "little") % shards_per_region)
+
+
+class HomeLayout(msgspec.Struct, frozen=True):
+    """The relays of all shards of one home region."""
+
+    relays: tuple[tuple[str, ...], ...]
+    """By shard number."""
+    numbers: dict[str, tuple[int, ...]]
+    """Relay to the numbers of its shards, ascending."""
+
+
+class Assignment:
+    """The relays of every shard, for one set of relays. It does not change; a change gives a new one.
+
+    `homes` names the home regions of destinations, also such as have no relay (now): their shards are
+    served from other regions. Regions of relays need not be named.
+
+    The bound: of one home region's shards, a relay in a zone there has at most ceil((1 + slack) x fair
+    share) seats. Its fair share is its part, by weight, of the seats that the zone has. Shards that a
+    region without enough relays gives to others are dealt by the same bound on their own.
+    """
+
+    def __init__(
+        self,
+        members: Iterable[RelayMember],
+        replicas: int = REPLICAS,
+        shards_per_region: int = SHARDS_PER_REGION,
+        slack: float = SLACK,
+        homes: Iterable[str] = (),
+    ) -> None:
+        if replicas < 1 or shards_per_region < 1 or not slack > 0:
+            raise ValueError("replicas and shards_per_region have to be 1 or more, slack above 0")
+        self.replicas = replicas
+        self.shards_per_region = shards_per_region
+        self.slack = slack
+        self.homes = frozenset(homes)
+        self.members = _by_name(members)
+        self._lay_out({})
+
+    def relays_of(self, shard: str) -> tuple[str, ...]:
+        """The relays that serve a shard; their order says nothing. Raises UnknownShard."""
+        region, _, digits = shard.rpartition("/")
+        layout = self._layouts.get(region)
+        number = int(digits) if len(digits) <= MAXIMUM_DIGITS and digits.isdecimal() else None
+        if (
+            layout is None
+            or number not in range(self.shards_per_region)
+            or shard != shard_key(region, number)
+        ):
+            raise UnknownShard(f"shard {shard!r}: {self.shards_per_region} each in {sorted(self._layouts)}")
+        return layout.relays[number]
+
+    def shards_of(self, relay: str) -> tuple[str, ...]:
+        """The shards that a relay serves, ordered by home region and number; none for a relay not known."""
+        return tuple(
+            shard_key(home, number)
+            for home, layout in sorted(self._layouts.items())
+            for number in layout.numbers.get(relay, ())
+        )
+
+    def with_changes(
+        self,
+        joined: Iterable[RelayMember] = (),
+        left: Iterable[str] = (),
+        homes: Iterable[str] | None = None,
+    ) -> "Assignment":
+        """The assignment of the changed set, equal to one built anew.
+
+        Who joins under a known name takes its place. `homes`, where given, takes the place of those before.
+        """
+        members = dict(self.members)
+        for name in left:
+            members.pop(name, None)
+        members.update(_by_name(joined))
+        changed = object.__new__(Assignment)
+        changed.replicas, changed.shards_per_region = self.replicas, self.shards_per_region
+        changed.slack = self.slack
+        changed.homes = self.homes if homes is None else frozenset(homes)
+        changed.members = members
+        touched = {self.members[name].region for name in self.members.keys() - members.keys()}
+        for name, member in members.items():
+            former = self.members.get(name)
+            if member != former:
+                touched |= {member.region, former.region if former else member.region}
+        changed._lay_out(self._reusable(touched))
+        return changed
+
+    def _reusable(self, touched: Set[str]) -> dict[str, HomeLayout]:
+        """Layouts that no change in the touched regions concerns."""
+        return {
+            home: layout
+            for home, layout in self._layouts.items()
+            if home not in touched and self._serves_itself(home)
+        }
+
+    def _serves_itself(self, home: str) -> bool:
+        return _relay_count(self._regions.get(home, {})) >= self.replicas
+
+    def _lay_out(self, reusable: Mapping[str, HomeLayout]) -> None:
+        self._regions = _by_region(self.members.values())
+        self._region_weights = {
+            region: math.fsum(weight for relays in zones.values() for weight in relays.values())
+            for region, zones in self._regions.items()
+        }
+        self._layouts = {
+            home: reusable.get(home) or self._layout(home)
+            for home in sorted(self.homes | self._regions.keys())
+        }
+
+    def _layout(self, home: str) -> HomeLayout:
+        relays: list[tuple[str, ...]] = [()] * self.shards_per_region
+        for (region, seats), numbers in self._serving_groups(home).items():
+            shards = {shard_key(home, number): number for number in numbers}
+            for shard, names in deal_in_region(self._regions[region], shards, seats, self.slack).items():
+                relays[shards[shard]] += tuple(names)
+        numbers_of: defaultdict[str, list[int]] = defaultdict(list)
+        for number, names in enumerate(relays):
+            for name in names:
+                numbers_of[name].append(number)
+        return HomeLayout(tuple(relays), {name: tuple(numbers) for name, numbers in numbers_of.items()})
+
+    def _serving_groups(self, home: str) -> Mapping[tuple[str, int], Iterable[int]]:
+        """(serving region, seats there) to the numbers of the home region's shards."""
+        numbers = range(self.shards_per_region)
+        if self._serves_itself(home):
+            return {(home, self.replicas): numbers}
+        groups: defaultdict[tuple[str, int], list[int]] = defaultdict(list)
+        for number in numbers:
+            remaining = self.replicas
+            for region in self._region_order(home, number):
+                seats = min(remaining, _relay_count(self._regions[region]))
+                if seats:
+                    groups[region, seats].append(number)
+                    remaining -= seats
+        return groups
+
+    def _region_order(self, home: str, number: int) -> list[str]:
+        """The home region, then the others by weighted rendezvous hashing of the shard."""
+        shard = shard_key(home, number)
+
+        def score(region: str) -> tuple[bool, float, str]:
+            draw = -math.log(hash_fraction(f"region|{region}|{shard}")) / self._region_weights[region]
+            return region != home, draw, region
+
+        return sorted(self._regions, key=score)
+
+
+def _relay_count(zones: Zones) -> int:
+    return sum(len(relays) for relays in zones.values())
+
+
+def _by_name(members: Iterable[RelayMember]) -> dict[str, RelayMember]:
+    by_name: dict[str, RelayMember] = {}
+    for member in members:
+        if by_name.setdefault(member.name, member) != member:
+            raise ValueError(f"two relays are named {member.name!r}: {by_name[member.name]} and {member}")
+    return by_name
+
+
+def _by_region(members: Iterable[RelayMember]) -> dict[str, dict[str, dict[str, float]]]:
+    """Region to zone to relay to weight."""
+    regions: defaultdict[str, dict[str, dict[str, float]]] = defaultdict(dict)
+    for member in members:
+        regions[member.region].setdefault(member.zone, {})[member.name] = member.weight
+    return dict(regions)
