Control messages: a poll tells what is applied apart from where it asks from; a fetch names many shards

A further poll of a long delta asked from a version that was not applied yet, and so acknowledged it; a relay of a small fleet serves 8,192 shards and would have fetched each on its own; a delta cut in two and finished by a machine that lies behind the first would have mixed two versions, so it names its target. Forms only, nothing speaks them yet; not measured.

--- a/ryestack/control/messages.py
+++ b/ryestack/control/messages.py
@@ -4,11 +4,15 @@
 the same state by it. Times are seconds.
 """
 
+from collections.abc import Iterable
+from hashlib import blake2b
+
 import msgspec
 
 MAX_MESSAGE_BYTES = 1024 * 1024  # of any message: a snapshot comes in pieces far smaller than this
 MAX_BATCH_BYTES = 64 * 1024  # of entries in one Delta or Piece, unless a single entry is larger
 MAX_NAME_LENGTH = 128
+MAX_FETCH_SHARDS = 256  # named in one Fetch
 
 SHARED_SHARD = "*"  # holds the entries that every relay has: settings
 CONTROL_SHARD = "@"  # holds the entries that only control machines have: the relays and their places
@@ -19,7 +23,7 @@
     """Bytes that are no message of this protocol."""
 
 
-class Entry(msgspec.Struct, frozen=True, array_like=True):
+class Entry(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """The newest value of one key.
 
     key: `destination/7`, `setting/limits`, `relay/r1`; version: of the change that gave the value; shard: the
@@ -41,10 +45,12 @@
 
 
 class Poll(msgspec.Struct, frozen=True, tag="poll"):
-    """A relay asks for what changed since the version it has applied, which acknowledges that version.
+    """A relay asks for what changed in its shards since a version, and acknowledges the one it has applied.
 
-    session: grows with each start of the relay; scope: digest of the shards it holds; hold: seconds that the
-    answer may wait for something new; rejected: set while the relay refuses a newer version.
+    session: grows with each start of the relay; version: that the changes are asked from, which lies behind
+    `applied` while a version is being gathered; scope: `scope_digest` of the shards asked for; hold: seconds that
+    the answer may wait for something new; applied: the version in force at the relay, whole; rejected: set while
+    the relay refuses a newer one.
     """
 
     cluster: str
@@ -55,6 +61,7 @@
     version: int
     scope: str
     hold: float
+    applied: int = 0
     rejected: Rejection | None = None
 
 
@@ -68,24 +75,31 @@
 
 
 class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
-    """Asks for a shard's entries, in order of key, behind the key `after`; "" begins at the first."""
+    """Asks for the entries of shards, one shard after the other as they are named, each in order of key.
+
+    shards: MAX_FETCH_SHARDS at most; after: of the first of them, the key to go on behind; "" begins at its first.
+    In ALL_SHARDS, which is asked for alone, the order is by shard and key, and `after` is `position` of an entry.
+    """
 
     cluster: str
     sender: str
-    shard: str
+    shards: list[str]
     after: str = ""
 
 
 class Delta(msgspec.Struct, frozen=True, tag="delta"):
     """The newest entries of the asker's shards with since < entry.version <= version, in order of version.
 
-    more: the rest up to the target version comes with a further Poll from `version`; the asker applies
-    nothing until it has all. Empty entries with a newer version: nothing in scope changed.
+    target: the version that the machine had. more: version < target; the rest comes with a further Poll from
+    `version`. An entry that changed again between version and target is told with the rest alone, so nothing below
+    target may be applied, also where another machine tells the rest. No entries and a newer version: nothing in
+    scope changed.
     """
 
     since: int
     version: int
     entries: list[Entry]
+    target: int
     more: bool = False
 
 
@@ -97,7 +111,10 @@
 
 
 class Piece(msgspec.Struct, frozen=True, tag="piece"):
-    """Part of a shard as of `version`; done: there is no entry behind the last one."""
+    """Part of the fetched shards, read at `version`: all that were named before `shard`, and a part of that one.
+
+    done: nothing of `shard` is behind the last entry.
+    """
 
     shard: str
     version: int
@@ -130,6 +147,16 @@
 _FAULTS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, OverflowError)
 
 
+def scope_digest(shards: Iterable[str]) -> str:
+    """A short mark of a set of shards, in whatever order they come."""
+    return blake2b("\n".join(sorted(shards)).encode(), digest_size=8).hexdigest()
+
+
+def position(entry: Entry) -> str:
+    """Where an entry stands in the order of ALL_SHARDS."""
+    return f"{entry.shard} {entry.key}"
+
+
 def encode(message: Request | Answer) -> bytes:
     """The bytes of a message."""
     return _encoder.encode(message)
