--- a/ryestack/control/messages.py
+++ b/ryestack/control/messages.py
@@ -47,10 +47,9 @@
 class Poll(msgspec.Struct, frozen=True, tag="poll"):
     """A relay asks for what changed in its shards since a version, and acknowledges the one it has applied.
 
-    session: grows with each start of the relay; version: that the changes are asked from, which lies behind
-    `applied` while a version is being gathered; scope: `scope_digest` of the shards asked for; hold: seconds that
-    the answer may wait for something new; applied: the version in force at the relay, whole; rejected: set while
-    the relay refuses a newer one.
+    session: grows with each start of the relay; version: that the changes are asked from; scope: `scope_digest`
+    of the shards asked for; hold: seconds that the answer may wait for something new; applied: the version in
+    force at the relay, whole; rejected: set while the relay refuses a newer one.
     """
 
     cluster: str
@@ -77,8 +76,8 @@
 class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
     """Asks for the entries of shards, one shard after the other as they are named, each in order of key.
 
-    shards: MAX_FETCH_SHARDS at most; after: of the first of them, the key to go on behind; "" begins at its first.
-    In ALL_SHARDS, which is asked for alone, the order is by shard and key, and `after` is `position` of an entry.
+    shards: MAX_FETCH_SHARDS at most; after: of the first of them, the key to go on behind; "" begins at its
+    first. ALL_SHARDS is asked for alone: its order is by shard and key, and `after` is `position` of an entry.
     """
 
     cluster: str
@@ -91,9 +90,9 @@
     """The newest entries of the asker's shards with since < entry.version <= version, in order of version.
 
     target: the version that the machine had. more: version < target; the rest comes with a further Poll from
-    `version`. An entry that changed again between version and target is told with the rest alone, so nothing below
-    target may be applied, also where another machine tells the rest. No entries and a newer version: nothing in
-    scope changed.
+    `version`. An entry that changed again between version and target is told with the rest alone, so nothing
+    below target may be applied, also where another machine tells the rest. No entries and a newer version:
+    nothing in scope changed.
     """
 
     since: int
@@ -111,7 +110,7 @@
 
 
 class Piece(msgspec.Struct, frozen=True, tag="piece"):
-    """Part of the fetched shards, read at `version`: all that were named before `shard`, and a part of that one.
+    """Part of the fetched shards, read at `version`: those named before `shard` whole, and a part of that one.
 
     done: nothing of `shard` is behind the last entry.
     """
@@ -154,7 +153,7 @@
 
 def position(entry: Entry) -> str:
     """Where an entry stands in the order of ALL_SHARDS."""
-    return f"{entry.shard} {entry.key}"
+    return f"{entry.shard}\n{entry.key}"
 
 
 def encode(message: Request | Answer) -> bytes:
