--- a/ryestack/control/messages.py
+++ b/ryestack/control/messages.py
@@ -1,7 +1,8 @@
-"""Messages between relays and control machines, and their encoding. Any bytes give a message or `BadMessage`.
+"""Messages between relays and control machines, and their encoding. Any bytes give a message or
+`BadMessage`.
 
-A version is the position of a change in the replicated log: it only grows, and every control machine means
-the same state by it. Times are seconds.
+A version is the position of a change in the replicated log: it only grows, and every control machine
+means the same state by it. Times are seconds.
 """
 
 from collections.abc import Iterable
@@ -16,7 +17,8 @@
 
 SHARED_SHARD = "*"  # holds the entries that every relay has: settings
 CONTROL_SHARD = "@"  # holds the entries that only control machines have: the relays and their places
-ALL_SHARDS = "**"  # asks for the entries of every shard: what a control machine that follows another holds
+ALL_SHARDS = "**"  # asks for the entries of every shard: what a control machine that follows another
+holds
 
 
 class BadMessage(Exception):
@@ -26,8 +28,8 @@
 class Entry(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """The newest value of one key.
 
-    key: `destination/7`, `setting/limits`, `relay/r1`; version: of the change that gave the value; shard: the
-    group of entries it belongs to; value: JSON, None where the key was deleted.
+    key: `destination/7`, `setting/limits`, `relay/r1`; version: of the change that gave the value;
+    shard: the group of entries it belongs to; value: JSON, None where the key was deleted.
     """
 
     key: str
@@ -45,11 +47,13 @@
 
 
 class Poll(msgspec.Struct, frozen=True, tag="poll"):
-    """A relay asks for what changed in its shards since a version, and acknowledges the one it has applied.
+    """A relay asks for what changed in its shards since a version, and acknowledges the one it has
+    applied.
 
-    session: grows with each start of the relay; version: that the changes are asked from; scope: `scope_digest`
-    of the shards asked for; hold: seconds that the answer may wait for something new; applied: the version in
-    force at the relay, whole; rejected: set while the relay refuses a newer one.
+    session: grows with each start of the relay; version: that the changes are asked from; scope:
+    `scope_digest` of the shards asked for; hold: seconds that the answer may wait for something new;
+    applied: the version in force at the relay, whole; rejected: set while the relay refuses a newer
+    one.
     """
 
     cluster: str
@@ -76,8 +80,9 @@
 class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
     """Asks for the entries of shards, one shard after the other as they are named, each in order of key.
 
-    shards: MAX_FETCH_SHARDS at most; after: of the first of them, the key to go on behind; "" begins at its
-    first. ALL_SHARDS is asked for alone: its order is by shard and key, and `after` is `position` of an entry.
+    shards: MAX_FETCH_SHARDS at most; after: of the first of them, the key to go on behind; "" begins at
+    its first. ALL_SHARDS is asked for alone: its order is by shard and key, and `after` is `position`
+    of an entry.
     """
 
     cluster: str
@@ -87,12 +92,13 @@
 
 
 class Delta(msgspec.Struct, frozen=True, tag="delta"):
-    """The newest entries of the asker's shards with since < entry.version <= version, in order of version.
+    """The newest entries of the asker's shards with since < entry.version <= version, in order of
+    version.
 
-    target: the version that the machine had. more: version < target; the rest comes with a further Poll from
-    `version`. An entry that changed again between version and target is told with the rest alone, so nothing
-    below target may be applied, also where another machine tells the rest. No entries and a newer version:
-    nothing in scope changed.
+    target: the version that the machine had. more: version < target; the rest comes with a further Poll
+    from `version`. An entry that changed again between version and target is told with the rest alone,
+    so nothing below target may be applied, also where another machine tells the rest. No entries and a
+    newer version: nothing in scope changed.
     """
 
     since: int
@@ -103,14 +109,16 @@
 
 
 class Scope(msgspec.Struct, frozen=True, tag="scope"):
-    """The shards that the relay should hold as of `version`: they differ from those that its Poll named."""
+    """The shards that the relay should hold as of `version`: they differ from those that its Poll
+    named."""
 
     version: int
     shards: list[str]
 
 
 class Piece(msgspec.Struct, frozen=True, tag="piece"):
-    """Part of the fetched shards, read at `version`: those named before `shard` whole, and a part of that one.
+    """Part of the fetched shards, read at `version`: those named before `shard` whole, and a part of
+    that one.
 
     done: nothing of `shard` is behind the last entry.
     """
