--- a/ryestack/control/messages.py
+++ b/ryestack/control/messages.py
@@ -17,8 +17,7 @@
 
 SHARED_SHARD = "*"  # holds the entries that every relay has: settings
 CONTROL_SHARD = "@"  # holds the entries that only control machines have: the relays and their places
-ALL_SHARDS = "**"  # asks for the entries of every shard: what a control machine that follows another
-holds
+ALL_SHARDS = "**"  # asks for the entries of every shard: what a control machine that follows another holds
 
 
 class BadMessage(Exception):
