Control: the catalogue, a machine's answers and a relay's following of its scope, pure

A relay gathers the next version of its scope beside the one in force, over breaks and from machines at different versions, by two numbers: the position up to which all changes are in, and the version below which nothing may be applied. Proofs: 60 hypothesis sequences and 100 long plays of loss, delay, doubling, reordering, restarts, moves and scope changes; mutations found: applied in part, versions mixed, acknowledged before applied, changes between pieces lost, deletions forgotten, a move without a deletion, a shard that came back taken as followed, what is gone stays.

--- /dev/null
+++ b/ryestack/control/holdings.py
@@ -0,0 +1,63 @@
+"""What a relay holds in force: the entries of its shards at one version. Pure."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from .messages import Entry
+
+
+class Kept(msgspec.Struct, frozen=True):
+    """Holdings as they outlast a process."""
+
+    version: int
+    shards: list[str]
+    entries: list[Entry]
+
+
+class Update(msgspec.Struct, frozen=True):
+    """What a version changes: entries with a value, new or other than before, and keys that are gone."""
+
+    version: int
+    entries: list[Entry]
+    removed: list[str]
+
+
+class Holdings:
+    """version: 0 before the first is applied; shards: of the scope; tables: shard to key to entry."""
+
+    def __init__(self, kept: Kept | None = None) -> None:
+        self.version = kept.version if kept else 0
+        self.shards = frozenset(kept.shards if kept else ())
+        self.tables: dict[str, dict[str, Entry]] = {}
+        self.by_key: dict[str, Entry] = {}
+        for entry in kept.entries if kept else ():
+            self._put(entry)
+
+    def kept(self) -> Kept:
+        """For `Holdings(kept)` of a later process."""
+        return Kept(self.version, sorted(self.shards), list(self.by_key.values()))
+
+    def replace(
+        self, version: int, shards: Iterable[str], removed: Iterable[str], live: Iterable[Entry]
+    ) -> None:
+        """Another version is in force: keys that are gone, and entries that are new or may have moved."""
+        self.version, self.shards = version, frozenset(shards)
+        for key in removed:
+            self._drop(key)
+        for entry in live:
+            self._put(entry)
+
+    def _put(self, entry: Entry) -> None:
+        self._drop(entry.key)
+        self.tables.setdefault(entry.shard, {})[entry.key] = entry
+        self.by_key[entry.key] = entry
+
+    def _drop(self, key: str) -> None:
+        before = self.by_key.pop(key, None)
+        if before is None:
+            return
+        table = self.tables[before.shard]
+        del table[key]
+        if not table:
+            del self.tables[before.shard]
--- /dev/null
+++ b/ryestack/control/subscriber.py
@@ -0,0 +1,248 @@
+"""How a relay follows its scope at the control machines. Pure: answers and time in, requests and updates
+out.
+
+One request is out at a time, and only the answer to it counts. `step` says what to do now; `TABLE` what
+follows from what comes. An update is applied whole by whoever drives this, who then calls `commit`, or
+`reject`.
+"""
+
+from collections.abc import Sequence
+from enum import Enum
+from math import inf
+from random import Random
+
+import msgspec
+
+from .holdings import Holdings, Kept, Update
+from .messages import (
+    MAX_NAME_LENGTH,
+    Answer,
+    Delta,
+    Fetch,
+    Piece,
+    Poll,
+    Rejection,
+    Scope,
+    TooOld,
+)
+from .order import Failover, Machine, machine_order
+from .staging import MAX_STAGED_BYTES, BadAnswer, Staging, TooLarge
+
+ANSWER_SECONDS = 2.0  # for an answer, beside what the poll may be held
+LEAST_HOLD = 0.8  # part of the time that a poll is held that is not left to chance
+START_SECONDS = 0.3  # that the first polls of relays that start together spread over
+OVERSIZE_REST_SECONDS = 60.0  # before a scope that was too large is looked at again
+
+
+class State(Enum):
+    """What the subscriber waits for."""
+
+    WAITING = "waiting"  # for a time
+    ASKING = "asking"  # for an answer
+    READY = "ready"  # for a version to be applied or rejected
+
+
+class Input(Enum):
+    """What can come."""
+
+    DUE = "due"
+    CURRENT = "current"  # all that is held, or rejected, is confirmed
+    CHANGED = "changed"  # a version is complete
+    MORE = "more"  # part of one came
+    BEHIND = "behind"  # the machine has less than is held or gathered
+    FAILED = "failed"
+    OVERSIZE = "oversize"
+    COMMITTED = "committed"
+    REJECTED = "rejected"
+
+
+# (state, input) -> (next state, effect: a method of the subscriber)
+TABLE = {
+    (State.WAITING, Input.DUE): (State.ASKING, "_ask"),
+    (State.ASKING, Input.CURRENT): (State.WAITING, "_confirm"),
+    (State.ASKING, Input.CHANGED): (State.READY, "_offer"),
+    (State.ASKING, Input.MORE): (State.WAITING, "_go_on"),
+    (State.ASKING, Input.BEHIND): (State.WAITING, "_fail_over"),
+    (State.ASKING, Input.FAILED): (State.WAITING, "_fail_over"),
+    (State.ASKING, Input.OVERSIZE): (State.WAITING, "_give_up"),
+    (State.READY, Input.COMMITTED): (State.WAITING, "_take"),
+    (State.READY, Input.REJECTED): (State.WAITING, "_keep"),
+}
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Who a relay is to the control machines; session: grows with each start."""
+
+    cluster: str
+    relay: str
+    session: int
+    region: str
+    zone: str
+
+
+class Ask(msgspec.Struct, frozen=True):
+    """Send the request to the machine; timeout: seconds for the whole answer."""
+
+    number: int
+    machine: Machine
+    request: Poll | Fetch
+    timeout: float
+
+
+class Subscriber:
+    """wake_at: when `step` has something new if no answer comes; sure_at: when a machine last confirmed that
+    what is in force is the newest, -inf if none has; rejected: the version that is refused now."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        machines: Sequence[Machine],
+        hold: float,
+        chance: Random,
+        now: float,
+        kept: Kept | None = None,
+        limit_bytes: int = MAX_STAGED_BYTES,
+    ) -> None:
+        if not 0 < len(identity.relay) <= MAX_NAME_LENGTH:
+            raise ValueError(f"a relay's name has 1 to {MAX_NAME_LENGTH} characters")
+        self.identity, self._hold, self._chance, self._limit = identity, hold, chance, limit_bytes
+        self._failover = Failover(machine_order(identity.relay, identity.region, machines), chance)
+        self.holdings = Holdings(kept)
+        self._staging = Staging(self.holdings, limit_bytes)
+        self.state, self.sure_at = State.WAITING, -inf
+        self.wake_at = now + (chance.uniform(0.0, START_SECONDS) if kept else 0.0)
+        self.rejected: Rejection | None = None
+        self._number, self._asked_at = 0, now
+        self._out: Ask | None = None
+        self._update: Update | None = None
+
+    def step(self, now: float) -> Ask | Update | None:
+        """What to do now: send a request, apply an update, or nothing before `wake_at` or an answer."""
+        if self.state is State.WAITING and now >= self.wake_at:
+            self._happen(Input.DUE, now)
+            return self._out
+        return self._update
+
+    def heard(self, number: int, answer: Answer, now: float) -> None:
+        """The answer to the request of that number; one to any other request changes nothing."""
+        if self.state is State.ASKING and number == self._out.number:
+            self._happen(self._read(answer), now)
+
+    def failed(self, number: int, now: float) -> None:
+        """The request of that number got no answer, or none that can be read."""
+        if self.state is State.ASKING and number == self._out.number:
+            self._happen(Input.FAILED, now)
+
+    def commit(self, now: float) -> None:
+        """The update that `step` gave is in force."""
+        self._happen(Input.COMMITTED, now)
+
+    def reject(self, key: str, reason: str, now: float) -> None:
+        """The update can't be used, for the value of that key; what was in force stays."""
+        self.rejected = Rejection(self._update.version, key, reason)
+        self._happen(Input.REJECTED, now)
+
+    def age(self, now: float) -> float:
+        """Seconds since what is in force was known to be the newest, inf if it never was."""
+        return now - self.sure_at
+
+    @property
+    def machine(self) -> Machine:
+        """The control machine that is asked now."""
+        return self._failover.machine
+
+    def _happen(self, what: Input, now: float) -> None:
+        self.state, effect = TABLE[self.state, what]
+        getattr(self, effect)(now)
+
+    def _read(self, answer: Answer) -> Input:
+        staging, asked = self._staging, self._out.request
+        try:
+            if isinstance(answer, Piece) and isinstance(asked, Fetch):
+                staging.add_piece(asked.shards, answer)
+                return Input.MORE
+            if isinstance(asked, Fetch):
+                return Input.FAILED
+            if isinstance(answer, Scope) and answer.shards and set(answer.shards) != staging.shards:
+                staging.retarget(answer.shards)
+                return Input.MORE
+            if isinstance(answer, TooOld):
+                staging.refetch()
+                return Input.MORE
+            if isinstance(answer, Delta):
+                staging.add_delta(answer)
+                return self._read_delta(answer.more)
+            return Input.FAILED
+        except BadAnswer:
+            return Input.FAILED
+        except TooLarge as found:
+            reason = f"the scope takes more than {self._limit} bytes"
+            self.rejected = Rejection(self._staging.need, str(found), reason)
+            return Input.OVERSIZE
+
+    def _read_delta(self, more: bool) -> Input:
+        if more:
+            return Input.MORE
+        if not self._staging.complete():
+            return Input.BEHIND
+        news = self._staging.differs() and self._staging.unoffered
+        return Input.CHANGED if news else Input.CURRENT
+
+    # -- effects ----------------------------------------------------------------------------------
+
+    def _ask(self, now: float) -> None:
+        machine = self._failover.choose(now)
+        shards = self._staging.wanted()
+        request = self._fetch(shards) if shards else self._poll()
+        hold = request.hold if isinstance(request, Poll) else 0.0
+        self._number += 1
+        self._out = Ask(self._number, machine, request, hold + ANSWER_SECONDS)
+        self._asked_at, self.wake_at = now, inf
+
+    def _fetch(self, shards: list[str]) -> Fetch:
+        return Fetch(self.identity.cluster, self.identity.relay, shards, self._staging.after)
+
+    def _poll(self) -> Poll:
+        staging, who = self._staging, self.identity
+        hold = 0.0
+        if self._failover.confirmed and staging.complete():
+            hold = self._hold * self._chance.uniform(LEAST_HOLD, 1.0)
+        head = who.cluster, who.relay, who.session, who.region, who.zone
+        return Poll(*head, staging.position or 0, staging.digest, hold, self.holdings.version, self.rejected)
+
+    def _go_on(self, now: float) -> None:
+        """The machine answers: ask it again at once."""
+        self._failover.answered()
+        self._out, self.wake_at = None, now
+
+    def _confirm(self, now: float) -> None:
+        hold = self._out.request.hold
+        self._go_on(now)
+        self.wake_at = max(
+            now, self._asked_at + hold / 2.0
+        )  # a machine that holds no more polls answers at once
+        if not self._staging.differs():
+            self.holdings.version = self._staging.position
+            self.rejected, self.sure_at = None, now
+
+    def _offer(self, now: float) -> None:
+        self._go_on(now)
+        self._update, self.wake_at = self._staging.update(), inf
+
+    def _take(self, now: float) -> None:
+        self._staging.apply(self._update)
+        self._staging = Staging(self.holdings, self._limit)
+        self._update, self.rejected = None, None
+        self.sure_at = self.wake_at = now
+
+    def _keep(self, now: float) -> None:
+        """The staged version stays, so that a later change of the key can mend it."""
+        self._staging.unoffered = False
+        self._update, self.wake_at = None, now
+
+    def _fail_over(self, now: float) -> None:
+        self._out, self.wake_at = None, self._failover.failed(now)
+
+    def _give_up(self, now: float) -> None:
+        self._out, self._staging = None, Staging(self.holdings, self._limit)
+        self.wake_at = now + OVERSIZE_REST_SECONDS * self._chance.uniform(0.5, 1.0)
--- /dev/null
+++ b/tests/test_control_distribution.py
@@ -0,0 +1,154 @@
+"""Relays follow their scope over any sequence of faults: whole versions, never an older one, at last the newest."""
+
+import random
+from unittest.mock import patch
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ryestack.control import publisher
+from ryestack.control.catalogue import Catalogue
+from ryestack.control.staging import Staging
+from ryestack.control.subscriber import Input, Subscriber
+
+from .control_net import BAD, SETTING, SHARDS_PER_REGION, Net, destination, place
+
+VALUES = st.sampled_from([None, b"1", b"2", b"3" * 40])
+STEPS = st.one_of(
+    st.tuples(st.just("change"), st.lists(st.tuples(st.integers(0, 9), VALUES), min_size=1, max_size=4)),
+    st.tuples(st.just("move"), st.integers(0, 9), st.integers(0, SHARDS_PER_REGION - 1)),
+    st.tuples(st.just("setting"), st.sampled_from([b"1", b"2", BAD])),
+    st.tuples(st.just("leave"), st.integers(0, 2)),
+    st.tuples(st.just("join"), st.integers(0, 2)),
+    st.tuples(st.just("kill relay"), st.integers(0, 2)),
+    st.tuples(st.just("kill machine"), st.integers(0, 2)),
+    st.tuples(st.just("start machine"), st.integers(0, 2)),
+    st.tuples(st.just("lag"), st.integers(0, 2), st.sampled_from([0.0, 20.0, 200.0])),
+    st.tuples(st.just("loss"), st.sampled_from([0.0, 0.2, 0.6])),
+    st.tuples(st.just("late"), st.sampled_from([0.01, 0.5, 4.0])),
+    st.tuples(st.just("run"), st.sampled_from([0.05, 0.4, 2.0, 9.0])),
+)
+
+
+def play(net, steps):
+    for what, *arguments in steps:
+        DOES[what](net, *arguments)
+        net.run(0.05)
+    net.quiet()
+    net.judge_current()
+    assert net.broken == []
+
+
+def change(net, changes):
+    net.change([(*destination(number), value) for number, value in dict(changes).items()])
+
+
+def move(net, number, shard):
+    key, where = destination(number)
+    net.change([(key, f"{where.partition('/')[0]}/{shard}", b"moved")])
+
+
+DOES = {
+    "change": change,
+    "move": move,
+    "setting": lambda net, value: net.change([(*SETTING, value)]),
+    "leave": lambda net, number: net.change([(f"relay/r{number}", "@", None)]),
+    "join": lambda net, number: net.change([(f"relay/r{number}", "@", place(number))]),
+    "kill relay": lambda net, number: net.start_relay(f"r{number}", number),
+    "kill machine": lambda net, number: net.stop_machine(f"m{number}"),
+    "start machine": lambda net, number: net.start_machine(f"m{number}"),
+    "lag": lambda net, number, lag: net.lag.update({f"m{number}": lag}),
+    "loss": lambda net, share: setattr(net, "loss", share),
+    "late": lambda net, seconds: setattr(net, "late", seconds),
+    "run": lambda net, seconds: net.run(seconds),
+}
+
+
+@settings(max_examples=60)
+@given(st.integers(0, 99), st.lists(STEPS, max_size=25), st.sampled_from([0, 2, 1000]))
+def test_whatever_comes_between_each_relay_ends_with_its_scope_at_the_newest_version(seed, steps, tombstones):
+    play(Net(seed, double=0.2, max_tombstones=tombstones), steps)
+
+
+def chance_steps(seed, count=60):
+    """A long play without hypothesis: the same seed gives the same."""
+    rng = random.Random(seed)
+    steps, values = [], [None, b"1", b"2" * 400]
+    for _ in range(count):
+        what = rng.choice(list(DOES) + ["change", "change", "run", "move"])
+        arguments = {
+            "change": lambda: ([(rng.randrange(10), rng.choice(values)) for _ in range(3)],),
+            "move": lambda: (rng.randrange(10), rng.randrange(SHARDS_PER_REGION)),
+            "setting": lambda: (rng.choice([b"1", b"2", BAD]),),
+            "lag": lambda: (rng.randrange(3), rng.choice([0.0, 20.0, 200.0])),
+            "loss": lambda: (rng.choice([0.0, 0.2, 0.6]),),
+            "late": lambda: (rng.choice([0.01, 0.5, 4.0]),),
+            "run": lambda: (rng.choice([0.05, 0.4, 2.0, 9.0]),),
+        }.get(what, lambda: (rng.randrange(3),))()
+        steps.append((what, *arguments))
+    return steps
+
+
+def test_a_hundred_long_plays_of_chance_break_nothing():
+    with patch.object(publisher, "MAX_BATCH_BYTES", 500):  # so that deltas and pieces come in several
+        for seed in range(100):
+            play(Net(seed, double=0.2, max_tombstones=[0, 2, 1000][seed % 3]), chance_steps(seed))
+
+
+def whole_but_for_need(self):
+    return not self.missing and self.position is not None
+
+
+def offered_in_part(self, more):
+    news = self._staging.differs() and self._staging.unoffered and not self._staging.missing
+    return Input.CHANGED if news else Input.MORE if more else Input.CURRENT
+
+
+def acknowledging_what_is_staged(self, poll=Subscriber._poll):
+    asked = poll(self)
+    return msgspec.structs.replace(asked, applied=asked.version)
+
+
+def on_from_the_newest_piece(self, asked, piece, add_piece=Staging.add_piece):
+    before = self.position
+    add_piece(self, asked, piece)
+    self.position = piece.version if before is None else max(before, piece.version)
+
+
+def compacting_below_the_same_floor(self):
+    floor = self.floor
+    compact(self)
+    self.floor = floor
+
+
+def moving_without_a_deletion(self, entry):
+    self._place(entry)
+    return {entry.shard}
+
+
+def returned_shards_taken_as_followed(self, shards, retarget=Staging.retarget):
+    held = self._holdings.shards & set(shards)
+    retarget(self, shards)
+    self.retained = set(held)
+    self.missing = [shard for shard in self.missing if shard not in held]
+
+
+compact = Catalogue._compact
+MUTATIONS = {
+    "applied in part": (Subscriber, "_read_delta", offered_in_part),
+    "versions mixed": (Staging, "complete", whole_but_for_need),
+    "acknowledged before applied": (Subscriber, "_poll", acknowledging_what_is_staged),
+    "changes between pieces lost": (Staging, "add_piece", on_from_the_newest_piece),
+    "deletions forgotten": (Catalogue, "_compact", compacting_below_the_same_floor),
+    "a move forgets where it came from": (Catalogue, "_put", moving_without_a_deletion),
+    "a shard that came back is taken as followed": (Staging, "retarget", returned_shards_taken_as_followed),
+    "what is gone stays": (Staging, "_still_there", lambda self, key, after: True),
+}
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_the_plays_find_each_broken_rule(name):
+    with pytest.raises(AssertionError), patch.object(*MUTATIONS[name]):
+        test_a_hundred_long_plays_of_chance_break_nothing()
