Members: what an event and a change of the list cost no longer grows with the list

Members.has, asked for each event handed in, made the list of lately emptied destinations anew and walked all rows; leave, after each change, walked all rows too. Now rows are counted by destination, removed ones stand in a set, and emptied destinations leave in the order of their time. What is answered is the same: a property test holds it against the walk, and a dictionary that counts looks says that none is left.

--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections import Counter
 from contextlib import suppress
 from math import isfinite
 
@@ -65,26 +66,50 @@
 
     def __init__(self, clock=time.monotonic):
         self.index, self.rows, self.clock = 0, {}, clock
-        self.bare: dict[int, float] = {}  # destinations without an endpoint, and since when
+        self.removed: set[str] = set()  # names of rows that stand as removed
+        self.endpoints: Counter[int] = Counter()  # destination -> its rows, removed ones too; never 0
+        self.bare: dict[int, float] = {}  # destinations that lost an endpoint, since when; oldest first
 
     def learn(self, told: dict) -> it.ListUpdate:
         self.index, update, rows = read_list(told, self.rows)
         for name in set(self.rows) - set(rows) if update.whole else ():
             rows[name] = {**self.rows[name], "status": "removed"}
-        self.rows.update(rows)
+        for name, row in rows.items():
+            self.put(name, row)
         return update
 
+    def put(self, name: str, row: dict) -> None:
+        if name in self.rows:
+            self.uncount(self.rows[name])
+        self.rows[name] = row
+        self.endpoints[int(row["group"])] += 1
+        if row["status"] == "removed":
+            self.removed.add(name)
+        else:
+            self.removed.discard(name)
+
+    def uncount(self, row: dict) -> int:
+        """One endpoint less of that row's destination; returns the destination."""
+        destination = int(row["group"])
+        self.endpoints[destination] -= 1
+        if not self.endpoints[destination]:
+            del self.endpoints[destination]
+        return destination
+
     def leave(self) -> set[str]:
         """Drop the rows that stand as removed, once the decisions know of it; returns their names."""
-        gone = {name for name, row in self.rows.items() if row["status"] == "removed"}
+        gone, self.removed = self.removed, set()
         for name in gone:
-            self.bare[int(self.rows.pop(name)["group"])] = self.clock()
+            destination = self.uncount(self.rows.pop(name))
+            self.bare.pop(destination, None)  # it goes to the end: the oldest stay first
+            self.bare[destination] = self.clock()
         return gone
 
     def has(self, destination: int) -> bool:
         """A destination outlives its endpoints for a while: they are replaced one by one, or all at once."""
-        self.bare = {d: since for d, since in self.bare.items() if self.clock() < since + BARE}
-        return destination in self.bare or any(int(r["group"]) == destination for r in self.rows.values())
+        while self.bare and next(iter(self.bare.values())) + BARE <= self.clock():
+            del self.bare[next(iter(self.bare))]
+        return destination in self.bare or destination in self.endpoints
 
     def listed(self) -> list[str]:
         return [name for name, row in self.rows.items() if row["status"] != "removed"]
