Scale run: the frame, its resource plan and its judge

This is the frame: the plan refuses what does not fit (status 2, each need beside its limit), books of fixed records, links, stories, the judge and the report.

--- /dev/null
+++ b/ryestack/cli/scale.py
@@ -0,0 +1,104 @@
+"""ryestack try --scale: hollow relays beside real ones, control machines, faults between them, judged."""
+
+import asyncio
+import signal
+import tempfile
+from pathlib import Path
+
+import msgspec
+import typer
+
+from ..lab.scale import ScaleRun
+from ..lab.scale_plan import DoesNotFit, ScalePlan, largest, make_plan
+from ..lab.scale_processes import write_json
+from ..lab.scale_report import NOTIFICATION_RULES, ScaleResult
+from ..lab.scale_stories import STORIES, Lengths
+from ..lab.scale_usage import limits
+from ..lab.trial import TrialFailed
+from .output import FOUND, print_json, say, table, unusable
+
+PLAIN_PART = 0.4  # relays without control to compare with, of the number of real ones
+USUAL_SECONDS = 120.0  # which Lengths are made for
+STOPPED = 130
+
+
+def play(relays: int, real: int, seconds: float, seed: int, keep: str | None, as_json: bool) -> None:
+    """One run; raises typer.Exit: 0, 1 (a rule was broken) or 2 (does not fit, or could not be played)."""
+    real = min(real, relays)
+    plain = max(1, round(PLAIN_PART * real))
+    try:
+        plan = make_plan(relays, real, plain, limits())
+    except DoesNotFit as problem:
+        most = largest(real, plain, limits())
+        raise unusable(f"{relays} relays do not fit, {most} would: {problem}") from None
+    with tempfile.TemporaryDirectory(prefix="ryestack-scale-") as made:
+        folder = Path(keep or made)
+        try:
+            result = asyncio.run(_run(folder, plan, seed, seconds))
+        except asyncio.CancelledError:
+            raise typer.Exit(STOPPED) from None
+        except (TrialFailed, OSError, ExceptionGroup) as problem:
+            raise unusable(str(problem)) from None
+        told = msgspec.to_builtins(result)
+        if keep:
+            write_json(folder / "scale.json", told)
+    if as_json:
+        print_json(told)
+    else:
+        _show(result)
+    raise typer.Exit(0 if result.good() else FOUND)
+
+
+async def _run(folder: Path, plan: ScalePlan, seed: int, seconds: float) -> ScaleResult:
+    task, loop = asyncio.current_task(), asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)  # so that no child is left
+    part = seconds / USUAL_SECONDS
+    usual = Lengths()
+    lengths = Lengths(usual.ordinary * part, usual.fault * part, usual.parted * part)
+    return await ScaleRun(folder, plan, seed, lengths, say).run(list(STORIES))
+
+
+def _show(result: ScaleResult) -> None:
+    rows = [
+        [
+            story.story, story.changes, story.unanswered, *_delays(story.shared), *_delays(story.scoped),
+            *_delays(story.restarted), "yes" if story.caught_up else "NO",
+        ]
+        for story in result.stories
+    ]  # fmt: skip
+    parts = ["p50", "p99", "worst", "never"]
+    columns = ["story", "changes", "unanswered"]
+    columns += [f"{of} {part}" for of in ("shared", "scoped", "restarted") for part in parts] + ["caught up"]
+    table(f"seconds until in force, {result.relays} relays ({result.real} real)", columns, rows)
+    rows = [
+        [name, f"{c.hollow:.4g}", f"{c.real:.4g}", "" if c.ratio is None else f"{c.ratio:.3f}",
+         "" if c.spread is None else f"{c.spread:.2g}", "proven" if c.proven else "unproven"]
+        for name, c in result.compared.items()
+    ]  # fmt: skip
+    table("control a second", ["figure", "hollow", "real", "ratio", "real +-", "hollow is"], rows)
+    rows = [["memory of a hollow relay, kB", f"{result.hollow_memory / 1e3:.0f}"]]
+    rows += [["memory of a real relay, with and without control, kB", _pair(result)]]
+    if result.machine:
+        rows += [["core of a control machine, mean and most", _two(result.machine)]]
+        rows += [["memory of a control machine, mean, MB", f"{result.machine.memory_mean / 1e6:.0f}"]]
+    faults = ("older_after_newer", "lost_changes", "left_behind")
+    rows += [[name.replace("_", " "), getattr(result, name).count] for name in faults]
+    rows += [[f"notifications {name}", result.notifications[name]] for name in ("taken", *NOTIFICATION_RULES)]
+    table("the rest", ["what", "value"], rows)
+    for name in faults:
+        say("\n".join(getattr(result, name).lines))
+    say("\n".join(result.notifications["broken"][:10]))
+
+
+def _pair(result: ScaleResult) -> str:
+    return f"{result.real_memory / 1e3:.0f}, {result.plain_memory / 1e3:.0f}"
+
+
+def _two(use) -> str:
+    return f"{use.cpu_mean:.4f}, {use.cpu_most:.4f}"
+
+
+def _delays(found) -> list[str]:
+    values = ["-" if value is None else f"{value:.2f}" for value in (found.p50, found.p99, found.worst)]
+    return [*values, str(found.never)]
--- a/ryestack/cli/trial.py
+++ b/ryestack/cli/trial.py
@@ -78,14 +78,30 @@
         bool,
         typer.Option("--peers", help="Three to seven relays that guard each other; faults between them."),
     ] = False,
+    scale: Annotated[
+        bool,
+        typer.Option("--scale", help="Hundreds of relays, most of them hollow, and their control machines."),
+    ] = False,
+    relays: Annotated[int, typer.Option(min=1, max=12_000, help="With --scale: of all kinds.")] = 300,
+    real: Annotated[int, typer.Option(min=1, max=100, help="With --scale: relays that are processes.")] = 20,
     seconds: Annotated[
-        float, typer.Option(min=1, max=86400, help="With --peers: stories are begun for so long.")
+        float,
+        typer.Option(
+            min=1,
+            max=86400,
+            help="With --peers: stories are begun for so long. With --scale: two regions are parted for half "
+            "of it, other stories take their parts.",
+        ),
     ] = 120.0,
     as_json: Json = False,
 ) -> None:
     """A platform, partners and a relay: load, a partner that falls and returns, a kill -9, a judge."""
     if guarded:
         return _peers(seconds, seed, keep, as_json)
+    if scale:
+        from .scale import play  # the control tier and what reads its books: other trials need neither
+
+        return play(relays, real, seconds, seed, keep, as_json)
     seconds = operation.LOAD if staff else lab.LOAD
     bar, note = progress(int(rate * seconds))
     with tempfile.TemporaryDirectory(prefix="ryestack-try-") as made:
--- /dev/null
+++ b/ryestack/lab/scale_changes.py
@@ -0,0 +1,169 @@
+"""Destinations and changes of a scale run: what is handed to control machines, and what they answered."""
+
+import asyncio
+import time
+from contextlib import suppress
+from dataclasses import replace
+from random import Random
+
+import aiohttp
+import msgspec
+
+from .scale_book import digest, value_digest
+from .scale_judge import Change
+from .scale_plan import REGIONS, ScalePlan
+from .trial import TrialFailed
+
+BATCH = 400  # entries in one change while the run is being set up
+BATCHES_AT_ONCE = 4
+SETUP_WITHIN = 120.0  # seconds for one batch, over all tries
+PATIENCE = 5.0  # seconds for the answer to one try of a change
+TRIES = 4  # of a change, each at another machine
+PAUSE = 0.2  # seconds between tries
+SETTINGS = 16  # shared keys that changes go round
+CHANGED_DESTINATIONS = 64  # destinations that changes go round; no load goes to them
+ENDPOINTS = ("a", "b")
+WEIGHT = 50.0
+
+
+class NotAnswered(Exception):
+    """No control machine said that a change holds; it may hold or not."""
+
+
+def region_of(destination: int) -> str:
+    return REGIONS[destination % len(REGIONS)]
+
+
+def destination_key(destination: int) -> str:
+    return f"destination/{destination}"
+
+
+def destination_value(destination: int, addresses: list[str], weight: float = WEIGHT) -> dict:
+    """A destination of two endpoints; addresses: of the partners' stand-ins, dealt in turn."""
+    region = region_of(destination)
+    endpoints = [
+        {
+            "name": f"d{destination}{letter}", "zone": f"{region}-{number}", "type": "shop", "status": "up",
+            "address": addresses[(destination + number) % len(addresses)], "weight": weight,
+        }
+        for number, letter in enumerate(ENDPOINTS)
+    ]  # fmt: skip
+    return {"region": region, "endpoints": endpoints}
+
+
+class Changes:
+    """Hands changes to control machines and keeps what was answered.
+
+    addresses: machine to where it listens; partners: addresses of endpoints.
+    """
+
+    def __init__(self, plan: ScalePlan, addresses: dict[str, str], partners: list[str], seed: int):
+        self.plan, self.addresses, self.partners = plan, addresses, partners
+        self.random, self.made, self.order = Random(f"{seed} changes"), [], list(addresses.values())
+        self.count, self.newest, self.tried_again = 0, 0, 0
+        self.session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        self.session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
+
+    async def close(self) -> None:
+        if self.session:
+            await self.session.close()
+
+    # -- setting up -------------------------------------------------------------------------------------
+
+    async def load(self) -> None:
+        """All relays' places, then all destinations. Raises TrialFailed."""
+        rows = [
+            (f"relay/{p.name}", {"region": p.region, "zone": p.zone, "weight": 1.0}) for p in self.plan.relays
+        ]
+        await self._load(rows)
+        numbers = range(self.plan.destinations)
+        await self._load([(destination_key(n), destination_value(n, self.partners)) for n in numbers])
+
+    async def _load(self, rows: list[tuple[str, dict]]) -> None:
+        turn = asyncio.Semaphore(BATCHES_AT_ONCE)
+
+        async def batch(begin: int) -> None:
+            async with turn:
+                until = time.monotonic() + SETUP_WITHIN
+                while time.monotonic() < until:
+                    with suppress(NotAnswered):
+                        self.newest = max(self.newest, await self.post(rows[begin : begin + BATCH]))
+                        return
+                raise TrialFailed(f"no control machine took {BATCH} entries within {SETUP_WITHIN:g} s")
+
+        async with asyncio.TaskGroup() as group:
+            for begin in range(0, len(rows), BATCH):
+                group.create_task(batch(begin))
+
+    # -- what is measured -------------------------------------------------------------------------------
+
+    def draw(self) -> tuple[str, dict, bool]:
+        """(key, value, whether all relays share it) of the next change: shared and scoped in turn."""
+        self.count += 1
+        if self.count % 2:
+            number = self.count // 2 % SETTINGS
+            return f"setting/scale-{number}", {"number": self.count, "note": "x" * 60}, True
+        destination = self.count // 2 % min(CHANGED_DESTINATIONS, self.plan.destinations)
+        weight = WEIGHT + self.count / 1000.0
+        return destination_key(destination), destination_value(destination, self.partners, weight), False
+
+    async def one(self) -> Change:
+        """Hands in the next change and enters what came of it."""
+        key, value, shared = self.draw()
+        asked, version, tried_again = time.monotonic(), 0, self.tried_again
+        with suppress(NotAnswered):
+            version = await self.post([(key, value)])
+        made = Change(
+            key=digest(key), value=value_digest(msgspec.json.encode(value)), shared=shared, asked=asked,
+            answered=time.monotonic(), version=version,
+        )  # fmt: skip
+        self.made.append(made)
+        if version and self.tried_again > tried_again:
+            self.made.append(replace(made, version=0))  # an earlier try may hold behind a later change
+        self.newest = max(self.newest, version)
+        return made
+
+    async def steady(self, rate: float) -> None:
+        """Changes at a rate a second until it is cancelled; those on their way are waited for."""
+        tasks: set[asyncio.Task] = set()
+        try:
+            while True:
+                task = asyncio.ensure_future(self.one())
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+                await asyncio.sleep(1.0 / rate)
+        finally:
+            if tasks:
+                await asyncio.wait(tasks, timeout=PATIENCE * TRIES)
+
+    async def burst(self, count: int, seconds: float) -> None:
+        """So many changes, evenly over some seconds, whatever is answered meanwhile."""
+        tasks = []
+        for _ in range(count):
+            tasks.append(asyncio.ensure_future(self.one()))
+            await asyncio.sleep(seconds / count)
+        await asyncio.wait(tasks)
+
+    # -- the wire ---------------------------------------------------------------------------------------
+
+    async def post(self, rows: list[tuple[str, dict | None]]) -> int:
+        """The version that holds these entries; raises NotAnswered.
+
+        A try without an answer may hold too: then the same values hold by two versions.
+        """
+        body = msgspec.json.encode({"entries": [{"key": key, "value": value} for key, value in rows]})
+        for _ in range(TRIES):
+            address = self.order[0]
+            with suppress(aiohttp.ClientError, OSError, TimeoutError, ValueError):
+                limit = aiohttp.ClientTimeout(total=PATIENCE)
+                url = f"http://{address}/control/changes"
+                async with self.session.post(url, data=body, timeout=limit) as answer:
+                    told = msgspec.json.decode(await answer.read(), type=dict)
+                    if answer.status == 200:
+                        return told["version"]
+            self.tried_again += 1
+            self.order.append(self.order.pop(0))
+            await asyncio.sleep(PAUSE)
+        raise NotAnswered
--- /dev/null
+++ b/ryestack/lab/scale_fleet.py
@@ -0,0 +1,133 @@
+"""Puts the processes of a scale run together: folders, operator files, addresses, ways to each other."""
+
+import random
+import socket
+from contextlib import suppress
+from pathlib import Path
+
+import tomli_w
+
+from ..operator.schema import ControlMachine
+from .hollow_messages import HollowPlace, Specification
+from .scale_links import Roads
+from .scale_load import TOPICS, Outside
+from .scale_plan import Place, ScalePlan
+from .scale_processes import HostProcess, MachineProcess
+from .trial import RelayProcess, TrialFailed, platform_config
+
+CLUSTER = "scale"
+REPLICAS = 3
+LISTENED = (20_000, 32_000)  # below the ports that the system gives to outgoing connections
+TRIES = 1_000
+REAL, SAMPLE = "real", "sample"  # groups whose traffic is measured
+
+
+def free_addresses(count: int, chance: random.Random) -> list[str]:
+    """Addresses on loopback, all different, free just now; raises TrialFailed where there are too few."""
+    found: dict[str, None] = {}
+    for _ in range(TRIES + 4 * count):
+        if len(found) == count:
+            break
+        port = chance.randrange(*LISTENED)
+        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            found[f"127.0.0.1:{port}"] = None
+    if len(found) < count:
+        raise TrialFailed(f"only {len(found)} of {count} ports from {LISTENED[0]} to {LISTENED[1]} are free")
+    return list(found)
+
+
+class Fleet:
+    """All processes of a plan, made but not started."""
+
+    def __init__(self, folder: Path, plan: ScalePlan, outside: Outside, hold: float, seed: int):
+        self.folder, self.plan, self.outside, self.hold, self.seed = folder, plan, outside, hold, seed
+        chance = random.Random(f"{seed} ports")
+        names = [machine.place.name for machine in plan.machines]
+        listeners = [place.name for place in plan.real] + plan.plain
+        free = free_addresses(len(names) + len(listeners), chance)
+        self.addresses = dict(zip(names, free, strict=False))
+        self.listens = dict(zip(listeners, free[len(names) :], strict=True))
+        regions = [machine.place.region for machine in plan.machines]
+        self.faulty = names[min(2, len(names) - 1)]
+        self.lost_zone = plan.machines[1].place.zone
+        self.roads = Roads(plan.machines, self.addresses, self.faulty, (regions[0], regions[1]), seed)
+        self.machines: dict[str, MachineProcess] = {}
+        self.relays: dict[str, RelayProcess] = {}
+        self.plain: dict[str, RelayProcess] = {}
+        self.hosts: dict[str, HostProcess] = {}
+
+    async def make(self) -> None:
+        for machine in self.plan.machines:
+            self.machines[machine.place.name] = await self._machine(machine.place)
+        for place in self.plan.real:
+            self.relays[place.name] = await self._relay(place)
+        for name in self.plan.plain:
+            folder = self._folder(name)
+            self.plain[name] = RelayProcess(self._config(name), folder)
+        sample = self._sample()
+        for number, places in enumerate(self.plan.hosts):
+            name = f"host{number}"
+            self.hosts[name] = HostProcess(await self._host(name, places, sample), self.folder / name)
+
+    def _sample(self) -> set[str]:
+        """As many hollow relays as there are real ones, at the like places."""
+        hollow = [place.name for host in self.plan.hosts for place in host]
+        return set(sorted(hollow, key=lambda name: int(name[1:]))[: len(self.plan.real)])
+
+    async def _machine(self, place: Place) -> MachineProcess:
+        table = await self.roads.table(place.name, place)
+        operator = self._operator_file(place, "machine", table)
+        config = self._config(place.name, self.addresses[place.name])
+        return MachineProcess(self.addresses[place.name], config, operator.parent, operator)
+
+    async def _relay(self, place: Place) -> RelayProcess:
+        operator = self._operator_file(place, "relay", await self.roads.table(REAL, place, measured=True))
+        environment = {"RYESTACK_OPERATOR": str(operator)}
+        return RelayProcess(self._config(place.name), operator.parent, environment=environment)
+
+    async def _host(self, name: str, places: list[Place], sample: set[str]) -> Specification:
+        tables, relays = {}, []
+        for place in places:
+            measured = place.name in sample
+            group = f"{SAMPLE if measured else 'region'}@{place.region}"
+            if group not in tables:
+                tables[group] = await self.roads.table(group.partition("@")[0], place, measured)
+            relays.append(HollowPlace(place.name, place.region, place.zone, group))
+        return Specification(
+            cluster=CLUSTER, machines=self.control_machines(self.addresses), tables=tables, relays=relays,
+            hold=self.hold, replicas=REPLICAS, seed=self.seed, book=str(self._folder(name) / "book"),
+        )  # fmt: skip
+
+    def control_machines(self, table: dict[str, str]) -> list[ControlMachine]:
+        """All machines at the addresses that one of the fleet reaches them by."""
+        return [
+            ControlMachine(
+                name=machine.place.name, address=table[machine.place.name], region=machine.place.region,
+                voter=machine.voter,
+            )
+            for machine in self.plan.machines
+        ]  # fmt: skip
+
+    def _folder(self, name: str) -> Path:
+        folder = self.folder / name
+        folder.mkdir(parents=True, exist_ok=True)
+        return folder
+
+    def _config(self, name: str, listen: str | None = None) -> dict:
+        platform = self.outside.platform
+        address = listen or self.listens[name]
+        config = platform_config(address, platform.address, platform.listing(), TOPICS, self.seed)
+        return {**config, "name": name}
+
+    def _operator_file(self, place: Place, role: str, table: dict[str, str]) -> Path:
+        machines = [
+            {"name": m.name, "address": m.address, "region": m.region, "voter": m.voter}
+            for m in self.control_machines(table)
+        ]
+        control = {
+            "cluster": CLUSTER, "role": role, "name": place.name, "region": place.region, "zone": place.zone,
+            "hold": self.hold, "replicas": REPLICAS, "machines": machines,
+        }  # fmt: skip
+        path = self._folder(place.name) / "operator.toml"
+        path.write_text(tomli_w.dumps({"format": 1, "log": {"repeat": 0.0}, "control": control}))
+        return path
--- /dev/null
+++ b/ryestack/lab/scale_report.py
@@ -0,0 +1,230 @@
+"""The result of a scale run: typed, as JSON and as a table by size."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from .scale_fleet import REAL, SAMPLE
+from .scale_judge import (
+    Change,
+    Faults,
+    InForce,
+    caught_up,
+    in_force,
+    lost_changes,
+    older_after_newer,
+    percentile,
+)
+from .scale_links import Traffic
+from .scale_usage import Usage
+
+AGREES_WITHIN = 0.15  # of the real relays' figure, else the hollow one is unproven
+NOTIFICATION_RULES = ("lost", "twice", "two_ends", "false_ends", "after_its_end", "late")
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """A story: when it began and ended, until when all were waited for, and whether all had caught up."""
+
+    story: str
+    began: float
+    ended: float
+    settled: float
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Measured:
+    """Two looks at all processes and measured links, so many seconds apart."""
+
+    seconds: float
+    before: dict[str, Usage]
+    after: dict[str, Usage]
+    traffic_before: dict[str, Traffic]
+    traffic_after: dict[str, Traffic]
+
+    def cpu(self, name: str) -> float:
+        """Part of a core that a process used."""
+        return (self.after[name].cpu - self.before[name].cpu) / self.seconds
+
+    def traffic(self, group: str, what: str) -> float:
+        """`carried` (bytes) or `reads` (pieces) of a group's links, each second."""
+        before, after = self.traffic_before[group], self.traffic_after[group]
+        return (getattr(after, what) - getattr(before, what)) / self.seconds
+
+
+class Delays(msgspec.Struct, frozen=True):
+    """Seconds, of `count` cases; None of none. never: cases that did not come about."""
+
+    count: int
+    never: int
+    p50: float | None
+    p99: float | None
+    worst: float | None
+
+
+class StoryResult(msgspec.Struct, frozen=True):
+    """What a story did to changes asked for in it.
+
+    unanswered: changes that no machine answered; shared, scoped: until in force at all relays concerned;
+    restarted: from a relay's start until it is current; caught_up: whether all were, a while after the story.
+    """
+
+    story: str
+    seconds: float
+    caught_up: bool
+    caught_up_after: float
+    changes: int
+    unanswered: int
+    shared: Delays
+    scoped: Delays
+    restarted: Delays
+    slowest: str
+
+
+class Compared(msgspec.Struct, frozen=True):
+    """A figure of a hollow relay beside that of a real one; both each second.
+
+    proven: whether they agree within AGREES_WITHIN; spread: standard error of the real figure, where known.
+    """
+
+    hollow: float
+    real: float
+    ratio: float | None
+    proven: bool
+    spread: float | None = None
+
+
+class MachineUse(msgspec.Struct, frozen=True):
+    """Of control machines over the ordinary window: parts of a core, bytes resident."""
+
+    cpu_mean: float
+    cpu_most: float
+    memory_mean: int
+    memory_most: int
+
+
+class ScaleResult(msgspec.Struct, frozen=True):
+    """All of a run."""
+
+    relays: int
+    real: int
+    hollow: int
+    machines: int
+    voters: int
+    destinations: int
+    seed: int
+    hold: float
+    setup: dict[str, float]
+    needs: dict[str, int]
+    stories: list[StoryResult]
+    compared: dict[str, Compared]
+    hollow_memory: float
+    real_memory: float
+    plain_memory: float
+    machine: MachineUse | None
+    changes: int
+    older_after_newer: Faults
+    lost_changes: Faults
+    left_behind: Faults
+    notifications: dict
+
+    def good(self) -> bool:
+        """Whether no rule was broken and every change came in force."""
+        kept = not (self.older_after_newer.count or self.lost_changes.count or self.left_behind.count)
+        return kept and self.notifications["good"] and all(story.caught_up for story in self.stories)
+
+
+def result_of(run, notifications: dict, alive: set[str], left: Faults) -> ScaleResult:
+    """run: a ScaleRun that has ended; alive: hollow relays whose books tell what they held at the end."""
+    plan, scope = run.plan, run.scope_of_key()
+    made, measures, fleet = run.changes.made, run.operations.measures, run.fleet
+    force = in_force(made, run.lines(), scope)
+    starts = caught_up(made, run.lines())
+    hollow_count = len(run.operations.hollow_names)
+    host_memory = _mean_memory(measures, fleet.hosts) * len(fleet.hosts)
+    return ScaleResult(
+        relays=len(plan.relays), real=len(plan.real), hollow=hollow_count, machines=len(plan.machines),
+        voters=sum(machine.voter for machine in plan.machines), destinations=plan.destinations, seed=run.seed,
+        hold=run.hold, setup={name: round(value, 2) for name, value in run.setup.items()}, needs=plan.needs,
+        stories=[story_of(window, made, force, starts) for window in run.windows],
+        compared=compared(measures, run.operations) if measures else {},
+        hollow_memory=host_memory / max(1, hollow_count),
+        real_memory=_mean_memory(measures, fleet.relays), plain_memory=_mean_memory(measures, fleet.plain),
+        machine=machine_use(measures, fleet.machines) if measures else None,
+        changes=len(made), older_after_newer=older_after_newer(run.lines()),
+        lost_changes=lost_changes(made, run.lines(), alive, scope), left_behind=left,
+        notifications=notifications,
+    )  # fmt: skip
+
+
+def story_of(
+    window: Window, made: list[Change], force: list[InForce], starts: list[tuple[float, float]]
+) -> StoryResult:
+    """force: of all changes of the run; starts: (when, seconds until current) of all starts of relays."""
+    mine = [each for each in force if window.began <= each.change.asked < window.settled]
+    asked = [change for change in made if window.began <= change.asked < window.settled]
+    slowest = max(mine, key=lambda each: each.seconds or 0.0, default=None)
+    restarted = [seconds for at, seconds in starts if window.began <= at < window.settled]
+    return StoryResult(
+        story=window.story, seconds=round(window.ended - window.began, 2), caught_up=window.whole,
+        caught_up_after=round(window.settled - window.ended, 2), changes=len(asked),
+        unanswered=sum(not change.version for change in asked),
+        shared=delays([each.seconds for each in mine if each.change.shared]),
+        scoped=delays([each.seconds for each in mine if not each.change.shared]),
+        restarted=delays(restarted), slowest=slowest.slowest if slowest else "",
+    )  # fmt: skip
+
+
+def delays(seconds: list[float | None]) -> Delays:
+    """None among them: it never came about."""
+    found = [value for value in seconds if value is not None]
+    parts = [percentile(found, 0.5), percentile(found, 0.99), max(found, default=None)]
+    rounded = [None if part is None else round(part, 3) for part in parts]
+    return Delays(len(seconds), len(seconds) - len(found), *rounded)
+
+
+def compared(measures: Measured, operations) -> dict[str, Compared]:
+    """Bytes, pieces and processor time for control each second, of hollow relays beside real ones."""
+    fleet, count = operations.fleet, max(1, len(operations.real_names))
+    found = {}
+    for name in ("carried", "reads"):
+        each = {group: measures.traffic(group, name) / count for group in (REAL, SAMPLE)}
+        found[name] = beside(each[SAMPLE], each[REAL])
+    hosts = sum(measures.cpu(name) for name in fleet.hosts) / max(1, len(operations.hollow_names))
+    real, plain = ([measures.cpu(name) for name in names] for names in (fleet.relays, fleet.plain))
+    found["cpu"] = beside(hosts, *control_cpu(real, plain))
+    return found
+
+
+def control_cpu(real: list[float], plain: list[float]) -> tuple[float, float]:
+    """What idle relays use more than such without control, in the mean, and the standard error of that."""
+    if not real or not plain:
+        return 0.0, 0.0
+    spread = (_variance(real) / len(real) + _variance(plain) / len(plain)) ** 0.5
+    return sum(real) / len(real) - sum(plain) / len(plain), spread
+
+
+def beside(hollow: float, real: float, spread: float | None = None) -> Compared:
+    """Proven are two figures that agree; with a spread, only where that lies within the same bound too."""
+    ratio = hollow / real if real > 0.0 else None
+    agrees = ratio is not None and abs(ratio - 1.0) <= AGREES_WITHIN
+    sharp = spread is None or spread <= AGREES_WITHIN * real
+    return Compared(hollow, real, ratio, agrees and sharp, spread)
+
+
+def machine_use(measures: Measured, names: Iterable[str]) -> MachineUse:
+    cpu = [measures.cpu(name) for name in names]
+    memory = [measures.after[name].memory for name in names]
+    return MachineUse(sum(cpu) / len(cpu), max(cpu), sum(memory) // len(memory), max(memory))
+
+
+def _variance(values: list[float]) -> float:
+    mean = sum(values) / len(values)
+    return sum((value - mean) ** 2 for value in values) / max(1, len(values) - 1)
+
+
+def _mean_memory(measures: Measured | None, names: Iterable[str]) -> float:
+    found = [measures.after[name].memory for name in names] if measures else []
+    return sum(found) / len(found) if found else 0.0
--- a/ryestack/standins/links.py
+++ b/ryestack/standins/links.py
@@ -25,7 +25,7 @@
         self.target, self.random = target, random.Random(seed)
         self.mode, self.delay, self.rate = "ok", 0.5, 20_000.0
         self.server, self.address, self.writers, self.tasks = None, "", set(), set()
-        self.carried = 0
+        self.carried, self.reads = 0, 0  # bytes let through, and in how many pieces
 
     async def start(self) -> str:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -72,6 +72,7 @@
                 if self.mode == "slow":
                     await asyncio.sleep(len(data) / self.rate)
                 self.carried += len(data)
+                self.reads += 1
                 writer.write(data)
                 await writer.drain()
         writer.transport.abort()
