--- a/ryestack/lab/scale_plan.py
+++ b/ryestack/lab/scale_plan.py
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """What there is: memory in bytes, descriptors a process, ports that a connection may come from, processes."""
+    """What there is: memory (bytes), descriptors a process, ports of outgoing connections, processes."""
 
     memory: int
     descriptors: int
