--- a/tests/test_control_distribution.py
+++ b/tests/test_control_distribution.py
@@ -1,4 +1,4 @@
-"""Relays follow their scope over any sequence of faults: whole versions, never an older one, at last the newest."""
+"""Relays follow their scope over any faults: whole versions, never an older one, at last the newest."""
 
 import random
 from unittest.mock import patch
