--- /dev/null
+++ b/ryestack/control/client.py
@@ -0,0 +1,145 @@
+"""A relay's connection to the control machines: one request at a time, in bounded time and size.
+
+What is asked and what follows from it is decided by `Subscriber`; this carries it. Many clients can share one
+HTTP session, so that a process can hold hundreds of them.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+
+import aiohttp
+
+from . import messages
+from .holdings import Kept, Update
+from .messages import MAX_MESSAGE_BYTES, PATH, Answer, BadMessage, Entry, Rejection
+from .order import Machine
+from .subscriber import Subscriber
+from .subscription import Ask, Identity, Input
+
+# What aiohttp would add to each request: an idle relay would pay for it every few seconds.
+SPARED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+IDLE_SECONDS = 30.0  # that an unused connection may stand
+LEAD_ON = (Input.FAILED, Input.BEHIND)  # answers after which another machine is asked
+MAX_REASON_BYTES = 200  # of a refusal that are passed on
+
+Apply = Callable[[list[Entry], list[str], int], None]
+"""apply(entries, removed, version): put a version in force, whole: entries that are new or changed, and the
+keys that are gone."""
+Check = Callable[[list[Entry]], Rejection | None]
+"""check(entries): None where they can all be used, else what the relay says of the one that can't; its
+version is of no account."""
+Trouble = Callable[[str], None]
+"""trouble(why): a machine gave no answer that could be used; "" once one does again."""
+
+
+class _NoAnswer(Exception):
+    """The machine answered with another status than 200, or without bounds."""
+
+
+class ControlClient:
+    """Follows the scope of one relay; `run` does it until cancelled.
+
+    hold: seconds that a poll may wait; clock: seconds, of the loop; session: one that others share, which the
+    client then leaves open; kept: what the life before had in force.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        machines: Sequence[Machine],
+        apply: Apply,
+        check: Check,
+        *,
+        hold: float,
+        clock: Callable[[], float],
+        chance: Random,
+        session: aiohttp.ClientSession | None = None,
+        kept: Kept | None = None,
+        trouble: Trouble | None = None,
+    ) -> None:
+        self._apply, self._check, self._clock = apply, check, clock
+        self._trouble, self._troubled = trouble, False
+        self._owns_session, self._session = session is None, session or new_session()
+        self.subscriber = Subscriber(identity, machines, hold, chance, clock(), kept)
+        self.requests, self.failures = 0, 0
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 before the first."""
+        return self.subscriber.holdings.version
+
+    def entries(self) -> list[Entry]:
+        """All that is in force."""
+        return list(self.subscriber.holdings.by_key.values())
+
+    def age(self) -> float:
+        """Seconds since what is in force was known to be the newest, inf if it never was."""
+        return self.subscriber.age(self._clock())
+
+    async def run(self) -> None:
+        """Follow the scope; ends only by cancellation."""
+        while True:
+            step = self.subscriber.step(self._clock())
+            if isinstance(step, Ask):
+                await self._carry(step)
+            elif isinstance(step, Update):
+                self._offer(step)
+            else:
+                await asyncio.sleep(max(0.0, self.subscriber.wake_at - self._clock()))
+
+    async def close(self) -> None:
+        """Let go of the session, unless others share it."""
+        if self._owns_session:
+            await self._session.close()
+
+    def _offer(self, update: Update) -> None:
+        rejection = self._check(update.entries)
+        if rejection is None:
+            self._apply(update.entries, update.removed, update.version)
+            self.subscriber.commit(self._clock())
+        else:
+            self.subscriber.reject(rejection.key, rejection.reason, self._clock())
+
+    async def _carry(self, ask: Ask) -> None:
+        self.requests += 1
+        try:
+            async with asyncio.timeout(ask.timeout):
+                answer = await self._post(ask)
+        except (_NoAnswer, BadMessage, aiohttp.ClientError, OSError, TimeoutError, ValueError) as problem:
+            self.failures += 1
+            self.subscriber.failed(ask.number, self._clock())
+            self._tell(f"{ask.machine.name}: {problem or type(problem).__name__}")
+        else:
+            what = self.subscriber.heard(ask.number, answer, self._clock())
+            self._tell(f"{ask.machine.name}: {_said(answer)}" if what in LEAD_ON else "")
+
+    async def _post(self, ask: Ask) -> Answer:
+        url, body = f"http://{ask.machine.address}{PATH}", messages.encode(ask.request)
+        async with self._session.post(url, data=body, skip_auto_headers=SPARED_HEADERS) as response:
+            answer = bytearray()
+            async for chunk in response.content.iter_any():
+                answer += chunk
+                if len(answer) > MAX_MESSAGE_BYTES:
+                    raise _NoAnswer(f"an answer of more than {MAX_MESSAGE_BYTES} bytes")
+            if response.status != 200:
+                reason = bytes(answer[:MAX_REASON_BYTES]).decode(errors="replace").strip()
+                raise _NoAnswer(f"status {response.status}: {reason}")
+            return messages.decode_answer(bytes(answer))
+
+    def _tell(self, why: str) -> None:
+        if self._trouble is not None and (why or self._troubled):
+            self._trouble(why)
+        self._troubled = bool(why)
+
+
+def _said(answer: Answer) -> str:
+    if isinstance(answer, messages.Unavailable):
+        return answer.reason
+    return f"its {type(answer).__name__} does not go with what was asked, or it is behind"
+
+
+def new_session() -> aiohttp.ClientSession:
+    """A session that any number of clients can share: no bound on connections, no cookies."""
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_SECONDS)
+    return aiohttp.ClientSession(connector=connector, cookie_jar=aiohttp.DummyCookieJar())
--- a/ryestack/control/messages.py
+++ b/ryestack/control/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+PATH = "/control"  # a request is the body of a POST to it, its answer the body of a 200
 MAX_MESSAGE_BYTES = 1024 * 1024  # of any message: a snapshot comes in pieces far smaller than this
 MAX_BATCH_BYTES = 64 * 1024  # of entries in one Delta or Piece, unless a single entry is larger
 MAX_NAME_LENGTH = 128
--- a/ryestack/control/subscriber.py
+++ b/ryestack/control/subscriber.py
@@ -7,12 +7,9 @@
 """
 
 from collections.abc import Sequence
-from enum import Enum
 from math import inf
 from random import Random
 
-import msgspec
-
 from .holdings import Holdings, Kept, Update
 from .messages import (
     MAX_NAME_LENGTH,
@@ -27,6 +24,7 @@
 )
 from .order import Failover, Machine, machine_order
 from .staging import MAX_STAGED_BYTES, BadAnswer, Staging, TooLarge
+from .subscription import TABLE, Ask, Identity, Input, State
 
 ANSWER_SECONDS = 2.0  # for an answer, beside what the poll may be held
 LEAST_HOLD = 0.8  # part of the time that a poll is held that is not left to chance
@@ -34,61 +32,6 @@
 OVERSIZE_REST_SECONDS = 60.0  # before a scope that was too large is looked at again
 
 
-class State(Enum):
-    """What the subscriber waits for."""
-
-    WAITING = "waiting"  # for a time
-    ASKING = "asking"  # for an answer
-    READY = "ready"  # for a version to be applied or rejected
-
-
-class Input(Enum):
-    """What can come."""
-
-    DUE = "due"
-    CURRENT = "current"  # all that is held, or rejected, is confirmed
-    CHANGED = "changed"  # a version is complete
-    MORE = "more"  # part of one came
-    BEHIND = "behind"  # the machine has less than is held or gathered
-    FAILED = "failed"
-    OVERSIZE = "oversize"
-    COMMITTED = "committed"
-    REJECTED = "rejected"
-
-
-# (state, input) -> (next state, effect: a method of the subscriber)
-TABLE = {
-    (State.WAITING, Input.DUE): (State.ASKING, "_ask"),
-    (State.ASKING, Input.CURRENT): (State.WAITING, "_confirm"),
-    (State.ASKING, Input.CHANGED): (State.READY, "_offer"),
-    (State.ASKING, Input.MORE): (State.WAITING, "_go_on"),
-    (State.ASKING, Input.BEHIND): (State.WAITING, "_fail_over"),
-    (State.ASKING, Input.FAILED): (State.WAITING, "_fail_over"),
-    (State.ASKING, Input.OVERSIZE): (State.WAITING, "_give_up"),
-    (State.READY, Input.COMMITTED): (State.WAITING, "_take"),
-    (State.READY, Input.REJECTED): (State.WAITING, "_keep"),
-}
-
-
-class Identity(msgspec.Struct, frozen=True):
-    """Who a relay is to the control machines; session: grows with each start."""
-
-    cluster: str
-    relay: str
-    session: int
-    region: str
-    zone: str
-
-
-class Ask(msgspec.Struct, frozen=True):
-    """Send the request to the machine; timeout: seconds for the whole answer."""
-
-    number: int
-    machine: Machine
-    request: Poll | Fetch
-    timeout: float
-
-
 class Subscriber:
     """wake_at: when `step` has something new if no answer comes; sure_at: when a machine last confirmed that
     what is in force is the newest, -inf if none has; rejected: the version that is refused now."""
@@ -123,10 +66,14 @@
             return self._out
         return self._update
 
-    def heard(self, number: int, answer: Answer, now: float) -> None:
-        """The answer to the request of that number; one to any other request changes nothing."""
-        if self.state is State.ASKING and number == self._out.number:
-            self._happen(self._read(answer), now)
+    def heard(self, number: int, answer: Answer, now: float) -> Input | None:
+        """The answer to the request of that number, and what was made of it; one to any other request
+        changes nothing."""
+        if self.state is not State.ASKING or number != self._out.number:
+            return None
+        what = self._read(answer)
+        self._happen(what, now)
+        return what
 
     def failed(self, number: int, now: float) -> None:
         """The request of that number got no answer, or none that can be read."""
@@ -166,7 +113,7 @@
             if isinstance(answer, Scope) and answer.shards and set(answer.shards) != staging.shards:
                 staging.retarget(answer.shards)
                 return Input.MORE
-            if isinstance(answer, TooOld):
+            if isinstance(answer, TooOld) and staging.shards:
                 staging.refetch()
                 return Input.MORE
             if isinstance(answer, Delta):
--- a/tests/control_net.py
+++ b/tests/control_net.py
@@ -12,7 +12,8 @@
 from ryestack.control.messages import CONTROL_SHARD, SHARED_SHARD, Entry
 from ryestack.control.order import Machine
 from ryestack.control.publisher import Publisher, Refused
-from ryestack.control.subscriber import Ask, Identity, Subscriber
+from ryestack.control.subscriber import Subscriber
+from ryestack.control.subscription import Ask, Identity
 
 SHARDS_PER_REGION, REGIONS, HOLD = 3, ("eu", "us"), 5.0
 BAD = b'"bad"'  # a value that a relay rejects
--- a/tests/test_control_distribution.py
+++ b/tests/test_control_distribution.py
@@ -11,7 +11,8 @@
 from ryestack.control import publisher
 from ryestack.control.catalogue import Catalogue
 from ryestack.control.staging import Staging
-from ryestack.control.subscriber import Input, Subscriber
+from ryestack.control.subscriber import Subscriber
+from ryestack.control.subscription import Input
 
 from .control_net import BAD, SETTING, SHARDS_PER_REGION, Net, destination, place
 
--- /dev/null
+++ b/tests/test_control_subscriber.py
@@ -0,0 +1,111 @@
+"""A relay's subscription, step by step: answers that must not be applied, and which machine is asked next."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from ryestack.control import messages
+from ryestack.control.holdings import Kept
+from ryestack.control.messages import Entry
+from ryestack.control.order import Failover, Machine, machine_order
+from ryestack.control.subscriber import Subscriber
+from ryestack.control.subscription import Ask, Identity, State
+
+
+def subscriber(kept=None, limit=1000):
+    machines = [Machine(f"m{number}", f"m{number}:1") for number in range(3)]
+    return Subscriber(Identity("c", "r0", 1, "eu", "a"), machines, 5.0, random.Random(1), 0.0, kept, limit)
+
+
+def asked(subscriber, now):
+    """The next request; whatever rests before it is waited for."""
+    step = subscriber.step(max(now, subscriber.wake_at))
+    assert isinstance(step, Ask)
+    return step
+
+
+def entry(number, version, value=b"1", shard="eu/1"):
+    return Entry(f"destination/{number}", version, shard, value)
+
+
+def test_a_delta_cut_in_two_is_not_finished_by_a_machine_that_lies_behind_the_first():
+    """Entry 7, of version 3, changed again at 8: the first machine tells it with the rest, the second, at 5,
+    never. What it is asked from 4 on would leave entry 7 at version 2."""
+    s = subscriber(Kept(2, ["*", "eu/1"], [entry(7, 2), entry(8, 2)]))
+    s.heard(asked(s, 1.0).number, messages.Delta(2, 4, [entry(8, 4, b"4")], 8, more=True), 1.0)
+    assert asked(s, 1.0).request.version == 4
+    s.heard(s._out.number, messages.Delta(4, 5, [], 5), 1.0)
+    assert s.state is State.WAITING and s.holdings.version == 2
+    s.heard(asked(s, 9.0).number, messages.Delta(5, 8, [entry(7, 8, b"8")], 8), 9.0)
+    update = s.step(9.0)
+    assert (update.version, [e.version for e in update.entries], update.removed) == (8, [4, 8], [])
+
+
+def test_what_is_fetched_anew_from_a_machine_that_lies_behind_is_not_applied():
+    s = subscriber(Kept(6, ["*"], [entry(7, 6, b"6", "*")]))
+    s.heard(asked(s, 1.0).number, messages.TooOld(6), 1.0)
+    s.heard(asked(s, 1.0).number, messages.Piece("*", 4, [entry(7, 3, b"3", "*")], True), 1.0)
+    s.heard(asked(s, 1.0).number, messages.Delta(4, 5, [], 5), 1.0)
+    assert s.state is State.WAITING and s.holdings.by_key["destination/7"].version == 6
+    s.heard(asked(s, 9.0).number, messages.Delta(5, 7, [entry(7, 6, b"6", "*")], 7), 9.0)
+    assert (s.step(9.0).entries, s.step(9.0).removed) == ([], [])
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        messages.Delta(1, 3, [], 3),
+        messages.Delta(2, 1, [], 1),
+        messages.Delta(2, 3, [], 4),
+        messages.Delta(2, 2, [], 4, more=True),
+        messages.Delta(2, 3, [entry(7, 2)], 3),
+        messages.Delta(2, 3, [entry(7, 4)], 3),
+        messages.Piece("*", 9, [], True),
+    ],
+)
+def test_an_answer_that_does_not_go_with_the_request_changes_nothing(answer):
+    s = subscriber(Kept(2, ["*", "eu/1"], [entry(7, 2)]))
+    s.heard(asked(s, 1.0).number, answer, 1.0)
+    assert s.state is State.WAITING and s.wake_at > 1.0 and not s._staging.differs()
+    assert asked(s, 9.0).request.version == 2
+
+
+def test_a_scope_past_the_bound_is_refused_with_its_key_and_what_is_held_stays():
+    s = subscriber(Kept(2, ["*", "eu/1"], [entry(7, 2)]), limit=1000)
+    s.heard(asked(s, 1.0).number, messages.Delta(2, 3, [entry(9, 3, b"x" * 2000)], 3), 1.0)
+    assert s.rejected.key == "destination/9" and "1000 bytes" in s.rejected.reason
+    assert s.holdings.version == 2 and s.wake_at > 20.0 and s._staging.bytes == 0
+    assert asked(s, 1.0).request.rejected == s.rejected
+
+
+def test_the_relays_of_a_lost_machine_part_to_all_others_over_a_time():
+    """Those of the machine's region go to the others there first."""
+    machines = [Machine(f"m{number}", f"m{number}:1", "eu" if number < 6 else "us") for number in range(12)]
+    following, rests = Counter(), []
+    for number in range(2000):
+        order = machine_order(f"r{number}", "eu", machines)
+        assert {machine.region for machine in order[:6]} == {"eu"}
+        if order[0].name == "m0":
+            following[order[1].name] += 1
+            failover = Failover(order, random.Random(number))
+            rests.append(failover.failed(0.0))
+            assert failover.machine == order[1]
+    assert 200 < len(rests) < 480 and max(following.values()) < 0.35 * len(rests) and len(following) == 5
+    early = sum(rest < 0.4 for rest in rests)
+    assert 0.25 * len(rests) < early < 0.45 * len(rests) and max(rests) <= 1.0
+
+
+def test_a_relay_goes_back_to_its_first_machine_and_stays_where_it_is_while_that_is_lost():
+    order = [Machine(f"m{number}", f"m{number}:1") for number in range(4)]
+    failover = Failover(order, random.Random(1))
+    failover.failed(0.0)
+    failover.failed(1.0)
+    failover.answered()
+    assert failover.choose(20.0).name == "m2" and failover.choose(95.0).name == "m0"
+    failover.failed(97.0)  # still lost: back at once, not through all between
+    assert failover.machine.name == "m2"
+    failover.answered()
+    assert failover.choose(200.0).name == "m0"
+    failover.answered()
+    assert failover.choose(1000.0).name == "m0"
