Decisions: a change of the list no longer walks all routes and destinations

A ListUpdate, whatever it changed, touched every destination, looked at every route for drains that are over and at every destination for one that is done with; an event at a full hold looked for the most crowded destination among all; a circuit's change looked for its destination's number among all, for the log. Found by profile and by reading. The module keeps at hand the destinations where something waits, the routes that drain and the destinations without a route; a destination knows its number and, for ties, its place in the order of coming. A drain learnt from the life before is entered there too.

--- a/ryestack/brain/outcomes.py
+++ b/ryestack/brain/outcomes.py
@@ -43,9 +43,7 @@
         ntf.refused = o.result is Result.FULL and o.left < route.pacer.USED_UP
         self.step(ntf, "ended" if o.ended or o.result is Result.DELIVERED else "came to nothing")
 
-    def on_wait(
-        self, e
-    ):  # by an answer's head, then by its outcome: what is left of it may come late, or never
+    def on_wait(self, e):  # by an answer's head, then by its outcome: the rest may come late, or never
         route, span = self.routes.get(e.endpoint), e.wait + 0.002  # a wait is told in whole milliseconds
         if route and e.wait > 0.0:
             for each in [route] if route.dest.kind.apart else route.dest.order:
--- a/ryestack/brain/pacer.py
+++ b/ryestack/brain/pacer.py
@@ -10,15 +10,12 @@
     # Where refused calls use a limit up, a fleet must come under it: what is left tells whether it does.
     LEAST, MOST, LESS, MORE, USED_UP, AMPLE, AGE = 0.5, 3.0, 0.7, 1.2, 0.2, 0.5, 0.5  # seconds a share is new
     OWN = 30.0  # seconds, half-life: parts are lasting; over 5 s one delivery of a thin one shows as many
-    BURST = 1.0  # seconds of our part that may go at once: a clump's beginning
+    BURST, KEEP = 1.0, 60.0  # seconds: of our part that may go at once; that a drained route is remembered
     BACK, EASE = 0.5, 0.925  # seconds a token lacking, twice that a refusal; eased so, balance is at 1 in 10
     THIN = 4.0  # calls in the time that an idle connection stays open: fewer lie at one route, by chance
     OUT_AFTER = 3.0  # seconds without a delivery: it may come back cold; a limit's refusals are shorter
-    COLD_PART = 0.7  # of rule 4's budget: the rest is for chance and for relays with more than their part
-    KEEP = 60.0  # seconds that a drained route's outage is remembered
-    COLD_ITEM = 0.05  # what a further item of a call weighs at a cold destination
-    UNTOLD = 5.0  # calls a second, of all relays, where none are told: few destinations take less
-    ROUGH = 1.5  # a rough rate may be half too high: the budget counts on the worst
+    COLD_PART, COLD_ITEM = 0.7, 0.05  # of rule 4's budget, the rest is for chance; weight of a further item
+    UNTOLD, ROUGH = 5.0, 1.5  # calls a second of all relays, where none are told; a rough rate is so far off
 
     def __init__(self, settings, dest, chance, now, rate):
         self.dest, self.random, self.taken, self.at, self.stepped = dest, chance, Flow(self.OWN), now, now
@@ -38,9 +35,8 @@
 
     def part(self, now):  # the even one, or what it took of ours, which sums to no more; not what is asked
         even = self.told / self.relays
-        if self.cold is None:
+        if self.cold is None:  # else routes of one fate share a bucket: a call takes from all of theirs
             return max(even / self.dest.sharing(), self.taken.rate(now))
-        # Cold, routes that share a fate share one bucket: a call takes from all of theirs.
         ours = [self] if self.dest.kind.apart else {r.pacer: 0 for r in self.dest.order}
         return max(even, min(self.told, sum(p.taken.rate(now) for p in ours)))
 
--- a/ryestack/brain/rounds.py
+++ b/ryestack/brain/rounds.py
@@ -8,7 +8,7 @@
 from .. import interface as it
 from .measures import Habit, Times
 from .outcomes import Outcomes
-from .routes import Call, Dest
+from .routes import Call
 from .walk import AGAIN, ONCE, Ntf
 
 
@@ -23,7 +23,7 @@
         self.name(settings)
         self.times = Times()  # of all destinations
         self.times.add(self.USUAL)
-        self.dests = defaultdict(lambda: Dest(self.times, self.random, self.now))
+        self.dests, self.waiting, self.bare, self.draining = {}, {}, {}, {}  # all; some parked; no route
         self.routes, self.held, self.out, self.late, self.keys = {}, {}, {}, {}, {}
         self.slots, self.heap, self.seq, self.woken, self.asking = settings.slots, [], 0, inf, self.ASK
         self.acts, self.touched, self.travel, self.idle, self.leaves, self.sure = [], {}, {}, {}, inf, inf
@@ -121,8 +121,7 @@
         self.travel.pop(e.endpoint, None)  # nothing of ours can join it
 
     def start(self, ntf, route, push):
-        call = self.joins(route, ntf)
-        times = route.dest.times.quantile(0.9)
+        call, times = self.joins(route, ntf), route.dest.times.quantile(0.9)
         alone = route.dest.kind.apart or route.pacer.cold is None
         for pacer in [route.pacer] if alone else route.dest.bound(route):
             pacer.took(call is None, self.now)
@@ -138,7 +137,7 @@
     def push(self, ntf, route):
         self.start(ntf, route, ntf.pushes)
         ntf.out, ntf.pushes = ntf.out + 1, ntf.pushes + 1
-        ntf.dest.parked.pop(ntf.id, None)
+        self.unpark(ntf)
         ntf.dest.credit -= ntf.refused
         self.step(ntf, "pushed")
         left, times = ntf.due - self.EARLY - self.now, self.TIMEOUT * route.dest.times.quantile(0.9)
--- a/ryestack/brain/routes.py
+++ b/ryestack/brain/routes.py
@@ -4,7 +4,7 @@
 from math import inf
 
 from .. import interface as it
-from .measures import Habit, Tally, Times
+from .measures import Tally, Times
 from .pacer import Pacer
 
 # A route: (states, input, next state, effect); what is not listed changes nothing.
@@ -42,10 +42,10 @@
     CREDIT, CREDIT_MOST = 0.5, 3.0  # pushes after a refusal for one asked: with more a limit stays used up
     STEP, RISE = 16, 1.1  # deliveries, times: a spell of slowness is over before the usual pace has followed
 
-    def __init__(self, times, chance, now):
-        self.kind, self.order, self.parked, self.tally, self.calls = None, [], {}, Tally(), 0
-        self.times, self.wake, self.hungry, self.usual, self.seen = Times(times), inf, 0.0, inf, 0
-        self.credit, self.credit_at, self.habit = chance.random(), now, Habit()
+    def __init__(self, brain, number):
+        self.number, self.kind, self.order, self.parked, self.tally = number, None, [], {}, Tally()
+        self.times, self.wake, self.hungry, self.usual, self.seen = Times(brain.times), inf, 0.0, inf, 0
+        self.calls, self.born, self.credit, self.credit_at = 0, brain.seq, brain.random.random(), brain.now
 
     def expected(self):
         return self.times.quantile(0.5)
@@ -73,8 +73,7 @@
 
 
 class Circuits:
-    REST = 5.0  # the design's circuit
-    REST_SHORT = 1.5  # where a trial costs little: the answer, or the failed connection, came at once
+    REST, REST_SHORT = 5.0, 1.5  # the design's circuit; where a trial costs little: its end came at once
     ASK, ASK_LONGEST, NEAR = 1.0, 3.5, 0.5  # seconds that askings spread over: at first, later, of an agent
     TOLD = 6.0  # seconds, the platform's clock: what a registry that is asked hid for so long counts as told
 
@@ -91,23 +90,33 @@
             self.asking = min(self.ASK_LONGEST, self.asking * 2.0) if asks else self.NEAR
             self.sure = min(self.sure, update.sure_at) if asks else inf
             return self.at(self.now + self.asking * self.random.uniform(0.5, 1.0), Circuits.ask, None)
-        self.asking, self.sure, self.touched = self.ASK, inf, {id(d): d for d in self.dests.values()}
+        self.asking, self.sure = self.ASK, inf
+        self.touched = {id(dest): dest for _, dest in sorted(self.waiting.items())}
         listed = {e.id: e for e in update.endpoints}
-        for e in listed.values():
-            route = self.routes.get(e.id) or self.add_route(e)
-            self.turn(route, "ready" if e.listed is it.Listed.READY else "drain")
-        for route in [r for r in self.routes.values() if update.whole and r.id not in listed]:
-            self.turn(route, "drain")
-        for route in [r for r in self.routes.values() if r.state == "draining" and self.now >= r.needed()]:
-            route.dest.order.remove(self.routes.pop(route.id))
-        for name in [n for n, d in self.dests.items() if not (d.order or d.parked or d.calls)]:
-            del self.dests[name]
+        ready = {e.id for e in listed.values() if e.listed is it.Listed.READY}
+        turned = [self.routes.get(e.id) or self.add_route(e) for e in listed.values()]
+        turned += [r for r in self.routes.values() if r.id not in listed] if update.whole else []
+        for route in turned:
+            self.turn(route, "ready" if route.id in ready else "drain")
+        self.draining = {r.id: r for r in [*self.draining.values(), *turned] if r.state == "draining"}
+        for route in [r for r in self.draining.values() if self.now >= r.needed()]:
+            del self.routes[route.id], self.draining[route.id]
+            route.dest.order.remove(route)
+            self.bare.update({} if route.dest.order else {route.dest.number: route.dest})
+        for number in [n for n, d in self.bare.items() if not (d.parked or d.calls)]:
+            del self.dests[number], self.bare[number]
 
     def ask(self, _):
         self.acts.append(it.AskForList())
 
+    def add_dest(self, number):
+        self.seq += 1  # in the order of their coming
+        dest = self.dests[number] = self.bare[number] = Dest(self, number)
+        return dest
+
     def add_route(self, e):
-        dest = self.dests[e.destination]
+        dest = self.dests.get(e.destination) or self.add_dest(e.destination)
+        self.bare.pop(e.destination, None)
         dest.kind = dest.kind or self.kinds.get(e.kind) or it.Kind(e.kind)
         dest.habit = self.habits[dest.kind.name]
         one = dest.order[0].pacer if dest.order and dest.kind.batch > 1 and not dest.kind.apart else None
--- a/ryestack/brain/walk.py
+++ b/ryestack/brain/walk.py
@@ -23,8 +23,7 @@
     def __init__(self, n, dest, topic, benefit, most):
         self.id, self.due, self.dest, self.topic, self.benefit = n.id, n.due, dest, topic, benefit
         self.key, self.state, self.out = n.key if topic.keep_order else "", "parked", 0
-        self.pushes, self.maybe_at = n.pushes, n.maybe_at  # its history, where a relay before us took it
-        self.most = n.most or most  # pushes that it may have in all
+        self.pushes, self.maybe_at, self.most = n.pushes, n.maybe_at, n.most or most  # so far; at most in all
         self.hops, self.past, self.rest_until = 0, "", 0.0  # the walk starts past the route named
         self.maybe_zone, self.refused = "", False  # of its first that may have run; the last met a limit
 
@@ -43,10 +42,9 @@
         if ntf.state != "parked" or ntf.out or self.now + self.EARLY >= ntf.due or ntf.pushes >= ntf.most:
             return False  # rule 1, and no second copies
         stale = self.now >= max(self.sure, route.good_at) + self.TOLD  # neither the list nor a delivery says
-        if route.state == "draining" or stale or self.now < route.pacer.wait_until:
-            return False  # rules 3 and 6
-        if self.now + ntf.dest.expected() >= self.leaves:
-            return False  # rule 2: a restart cuts it off, and it may have run
+        cut = self.now + ntf.dest.expected() >= self.leaves  # by a restart, and it may have run
+        if route.state == "draining" or stale or self.now < route.pacer.wait_until or cut:
+            return False  # rules 3, 6 and 2
         if ntf.key:  # rule 5: the first of its key, after the rest
             turns, rest = self.keys[ntf.key]
             if next(iter(turns)) != ntf.id or (self.now < rest and not ntf.pushes):
@@ -59,8 +57,7 @@
 
 
 class Walk(Guard):
-    WALK_REST = 0.6  # before a walk begins anew: a few calls end there, and no objective is that short
-    HOPS = 2  # in one walk: one to start in the design; two reach the third route of the usual two or three
+    WALK_REST, HOPS = 0.6, 2  # seconds before a walk begins anew: a few calls end there; hops in one walk
     SHARE_SPAN, EARLY = 5.0, 0.05  # seconds of quota that a customer may run ahead; that we count late
     DOOR, LATE, PRICE = 0.95, 0.3, 0.3  # of our hold; an end before the last LATE of a time costs PRICE of it
 
@@ -70,8 +67,8 @@
             getattr(self, effect)(ntf)
 
     def on_notification(self, n):
-        topic, dest = n.terms or self.topics[n.topic_type], self.dests[n.destination]
-        benefit = topic.benefit
+        topic = n.terms or self.topics[n.topic_type]
+        dest, benefit = self.dests.get(n.destination) or self.add_dest(n.destination), topic.benefit
         if n.customer in self.quota:
             row = self.quota[n.customer]
             row[1], row[2] = max(0.0, row[1] - row[0] * (self.now - row[2])), self.now
@@ -85,13 +82,13 @@
             self.keys.setdefault(ntf.key, [{}, 0.0])[0][ntf.id] = ntf  # those in turn, rest until
         self.again(ntf)
         if ntf.state == "parked" and len(self.held) > self.set.max_open * self.DOOR:  # else none makes room
-            most = max(self.dests.values(), key=lambda d: len(d.parked)).parked.values()
+            most = max(self.waiting.values(), key=lambda d: (len(d.parked), -d.born)).parked.values()
             self.step(min(most, key=lambda n: self.loses(n, n is ntf)), "given up")
 
     def park(self, ntf):
         if not ntf.dest.parked:
             ntf.dest.hungry = ntf.due - ntf.topic.ttl
-        ntf.dest.parked[ntf.id] = ntf
+        ntf.dest.parked[ntf.id], self.waiting[ntf.dest.born] = ntf, ntf.dest
         ends = min(ntf.due - ntf.dest.expected(), self.now + self.begin_in(ntf))  # or its window does
         self.at(ends, lambda self, ntf: self.step(ntf, "given up"), ntf)
         self.touch(ntf.dest)
@@ -99,6 +96,10 @@
             ntf.hops, ntf.past, ntf.rest_until = 0, "", self.now + self.WALK_REST  # the walk begins anew
             self.at(ntf.rest_until, Walk.touch, ntf.dest)
 
+    def unpark(self, ntf):
+        if ntf.dest.parked.pop(ntf.id, None) and not ntf.dest.parked:
+            del self.waiting[ntf.dest.born]
+
     def again(self, ntf):
         zones = {r.zone for r in ntf.dest.order if r.state != "draining"} or {ntf.maybe_zone}
         stuck = ntf.maybe_at < inf and not any(self.repeats(ntf, zone) for zone in zones)
@@ -116,7 +117,7 @@
 
     def forget(self, ntf):
         self.held.pop(ntf.id, None)
-        ntf.dest.parked.pop(ntf.id, None)
+        self.unpark(ntf)
         self.next_turn(ntf)
 
     def next_turn(self, ntf):
@@ -133,7 +134,7 @@
             del self.keys[key]
 
     def on_turn(self, e):  # one that is handed over to us later takes its turn's place
-        dest, topic = Dest(self.times, self.random, 0.0), it.TopicType("", AGAIN, 0.0, 0.0, keep_order=True)
+        dest, topic = Dest(self, 0), it.TopicType("", AGAIN, 0.0, 0.0, keep_order=True)
         theirs = Ntf(it.Notification(e.id, inf, 0, "", key=e.key), dest, topic, 0.0, 1)
         row = self.keys.setdefault(e.key, [{}, 0.0])
         row[0].setdefault(e.id, theirs)
@@ -144,8 +145,7 @@
 
     def loses(self, ntf, new):  # its end costs what it may win, and a price early in its time, once taken
         early = not new and ntf.due - self.now > ntf.topic.ttl * self.LATE
-        price = self.PRICE * ntf.benefit / ntf.dest.expected()
-        return self.rank(ntf)[0] + (price if early else 0.0), -ntf.due
+        return self.rank(ntf)[0] + early * self.PRICE * ntf.benefit / ntf.dest.expected(), -ntf.due
 
     def rank(self, ntf):  # benefit to be won by a push now for a slot's second; the older first among equals
         topic, took = ntf.topic, ntf.dest.expected()
--- a/ryestack/lifecycle/learnt.py
+++ b/ryestack/lifecycle/learnt.py
@@ -36,6 +36,8 @@
             drains = route.state == "draining"
             _learn(_of_route(route), parts)
             route.state = "draining" if drains else route.state
+            if route.state == "draining":
+                brain.draining[name] = route
             if route.state == "open":
                 brain.at(route.until, Brain.route_due, route)
     for number, parts in learnt.get("dests", {}).items():
--- a/ryestack/lifecycle/watched.py
+++ b/ryestack/lifecycle/watched.py
@@ -39,5 +39,4 @@
         super().turn(route, heard, span)
         if route.state != before and route.state in TOLD:
             why = {"why": BY.get(heard, heard)} if route.state == "open" else {}
-            number = next((n for n, dest in self.dests.items() if dest is route.dest), None)
-            event(TOLD[route.state], route=route.id, destination=number, **why)
+            event(TOLD[route.state], route=route.id, destination=route.dest.number, **why)
