What an upgrade and what replication needs stand in packages of their own

lifecycle/ had nine modules whose names told nothing to a newcomer (kin, beside, lives, learnt, inherited, asked, facts, line, guarded). lifecycle/upgrade/ now has channel, siblings, handover and succession, with predecessor and successor for elder and heir; lifecycle/replication/ has replicated, unreplicated, takeover, record_codec, incarnations and peering; admin, recovery, learned_state and state_saver stay beside the phases.

No behaviour changes: file names in a relay's folder (line, lives, learnt), messages between two processes and events of the log are as they were, so that a process of before and one of now upgrade each other.

--- a/ryestack/lifecycle/asked.py
+++ b/ryestack/lifecycle/admin.py
@@ -8,7 +8,7 @@
 TEXT = "text/plain; charset=utf-8"
 
 
-class Asked:
+class Admin:
     """The part of a relay that answers staff."""
 
     async def ready(self) -> tuple[int, str, str]:
--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -55,7 +55,7 @@
     front = Clients(settings, terms, members, clock, owner.hand_in, owner.withdraw, most, at)
     peering = None
     if operator.peers.cluster:
-        from .peering import Peering  # most relays have none
+        from .replication.peering import Peering  # most relays have none
 
         peering = Peering(operator.peers, config.name, owner, config.state, config.seed)
     return Parts(ledger, owner, platform, directory, owner.courier, owner.ends, [front], terms, peering)
--- a/ryestack/lifecycle/learnt.py
+++ b/ryestack/lifecycle/learned_state.py
@@ -19,7 +19,7 @@
 }
 
 
-def told(brain: Brain) -> dict:
+def export(brain: Brain) -> dict:
     return {
         "routes": {r.id: [_facts(part) for part in _of_route(r)] for r in brain.routes.values()},
         "dests": {str(n): [_facts(part) for part in _of_dest(d)] for n, d in brain.dests.items()},
@@ -29,7 +29,7 @@
     }
 
 
-def take(brain: Brain, learnt: dict) -> None:
+def restore(brain: Brain, learnt: dict) -> None:
     """Into a module that knows the list already; what it does not know is passed over."""
     for name, parts in learnt.get("routes", {}).items():
         if route := brain.routes.get(name):
@@ -47,7 +47,7 @@
     _learn([brain.times], [learnt.get("times", {})])
 
 
-def careful(brain: Brain) -> None:
+def assume_cold(brain: Brain) -> None:
     """Nothing could be told: every partner may be one that is just back from an outage."""
     for route in brain.routes.values():
         route.pacer.cold = brain.now
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -15,24 +15,24 @@
 from ..ports import Courier, Directory, Ends, HandIn, Item, Verdict
 from ..store.ledger import Ledger
 from ..store.owed import Owed, rules_of
-from .alone import Alone
-from .inherited import Inherited, Paused
-from .kin import TOLD, Afar, Kin
+from .recovery import Paused, Recovery
+from .replication.unreplicated import Unreplicated
+from .upgrade.siblings import RemoteEvent, Siblings
 from .watched import Watched
 
 
-class Owner(Inherited):
+class Owner(Recovery):
     def __init__(self, settings: it.Settings, seed: int, ledger: Ledger, clock, wall: float):
         super().__init__()
         self.settings, self.ledger, self.clock = settings, ledger, clock
         self.wall = wall  # added to the clock, it gives the wall's time
         self.brain = Watched(settings, seed)
-        self.brain.told_turn = partial(self.tell, "turn")
+        self.brain.told_turn = partial(self.tell_siblings, "turn")
         self.queue, self.filled = [], asyncio.Event()
         self.courier: Courier = None  # these three are set once they can be built, before the first round
         self.ends: Ends = None
         self.directory: Directory = None
-        self.guarded = Alone()
+        self.replication = Unreplicated()
         self.emptied = False  # drained by staff: nothing new is taken
         self.counts = Counter()
         self.ended: Counter[tuple[str, str]] = Counter()  # by topic type and how it ended
@@ -63,7 +63,7 @@
         """Nothing is owed of it any more."""
         if owed := self.ledger.owed.get(name):
             self.ledger.over(name)
-            self.guarded.over(owed)
+            self.replication.over(owed)
 
     def pause(self, names: set[str]) -> None:
         """They stay owed, but may not be acted on: out of the module, and what is out is closed."""
@@ -113,7 +113,7 @@
         name = message.ntf.id
         if name in self.ledger.owed or name in self.fresh:
             message.verdict.set_result((Verdict.UNREADABLE, 0.0))
-        elif (away := self.guarded.turned_away()) is not None:
+        elif (away := self.replication.turned_away()) is not None:
             self.turn_away(message, away)
         elif self.full(message):
             self.turn_away(message)
@@ -130,10 +130,10 @@
         return len(self.ledger.owed) + len(self.fresh)
 
     def held_by_all(self) -> int:
-        return self.held() + sum(self.theirs.values())
+        return self.held() + sum(self.held_by.values())
 
     def before_outcome(self, o: it.Outcome):
-        self.tell("ended", o.id, o.push, o.endpoint, o.result.value, *(getattr(o, name) for name in TOLD))
+        self.tell_ended(o)
         self.counts[o.result.value] += 1
         if detailed():
             facts = {name: round(getattr(o, name), 3) for name in ("elapsed", "wait", "limit", "left")}
@@ -145,7 +145,7 @@
         else:
             self.ledger.outcome(o.id, o.push, o.result in NEVER_RAN)
             if o.id in self.ledger.owed:
-                self.guarded.ended(self.ledger.owed[o.id], o.push, o.result in NEVER_RAN)
+                self.replication.ended(self.ledger.owed[o.id], o.push, o.result in NEVER_RAN)
         return o
 
     def before_withdrawn(self, event: it.Withdrawn):
@@ -173,7 +173,7 @@
             if away > 0.0:
                 notice["after_ms"] = round(away * 1000.0)
             self.ledger.owe_notice(action.id, notice)
-            self.guarded.told(self.ledger.owed[action.id], notice, self.ends.add)
+            self.replication.told(self.ledger.owed[action.id], notice, self.ends.add)
 
     def take(self, message: HandIn) -> None:
         n = message.ntf
@@ -185,7 +185,7 @@
             self.counts["taken"] += 1
             self.told_taken(owed)
             self.ledger.owed[n.id].heard = message.heard
-            self.guarded.took(owed, message)
+            self.replication.took(owed, message)
         else:
             self.turn_away(message)
             self.put([it.Withdrawn(n.id)])
@@ -212,7 +212,7 @@
                 owed.pushes += 1  # as the module counts
                 unsent.append(it.Outcome(p.id, number, p.endpoint, Result.NOT_SENT))
                 continue
-            if (may := self.guarded.begin(p, owed)) is None:
+            if (may := self.replication.begin(p, owed)) is None:
                 unsent.append(it.Outcome(p.id, number, p.endpoint, Result.NOT_SENT))
                 continue
             self.counts["pushes"] += 1
@@ -222,8 +222,7 @@
             for i in items if detailed() else ():
                 dest = self.ledger.owed[i.id].dest
                 event("push.began", id=i.id, push=i.push, route=endpoint, destination=dest)
-            if self.kin:
-                self.tell("began", endpoint, [(i.id, i.push, self.ledger.owed[i.id].topic) for i in items])
+            self.tell_began(endpoint, items)
         if unsent:
             self.put(unsent)
 
@@ -236,8 +235,8 @@
     BEFORE = {
         HandIn: before_hand_in,
         it.Outcome: before_outcome,
-        it.WaitTold: Kin.before_wait,
-        Afar: Kin.before_afar,
+        it.WaitTold: Siblings.before_wait,
+        RemoteEvent: Siblings.before_remote_event,
         it.Withdrawn: before_withdrawn,
         Paused: before_paused,
     }
--- a/ryestack/lifecycle/inherited.py
+++ b/ryestack/lifecycle/recovery.py
@@ -5,8 +5,8 @@
 from .. import interface as it
 from ..observe.log import event
 from ..store.owed import Owed, terms_of
-from . import learnt
-from .kin import Kin
+from . import learned_state
+from .upgrade.siblings import Siblings
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,7 +16,7 @@
     id: str
 
 
-class Inherited(Kin):
+class Recovery(Siblings):
     def recover(self, known: list[it.ListUpdate], told: dict | None = None, beside: bool = False) -> None:
         """Hand what the lives before still owe to the module, with its history; it decides.
 
@@ -25,13 +25,13 @@
         self.round(list(known))
         try:
             if told is not None:
-                learnt.take(self.brain, told)
+                learned_state.restore(self.brain, told)
         except (TypeError, ValueError, KeyError, AttributeError) as problem:
             event("line.broken", why=f"what it has learnt makes no sense: {problem!r}")
             told = None
         if told is None and beside:
-            learnt.careful(self.brain)
-        self.adopt(self.guarded.inherited(list(self.ledger.owed.values())))
+            learned_state.assume_cold(self.brain)
+        self.adopt(self.replication.inherited(list(self.ledger.owed.values())))
         self.round(self.take_queue())
 
     def adopt(self, left: list[Owed]) -> None:
@@ -41,7 +41,7 @@
             if not o.notice and not terms and o.topic not in topics:
                 self.ledger.owe_notice(o.id, {"state": "failed"})
             if o.notice:
-                self.guarded.told(o, o.notice, self.ends.add)
+                self.replication.told(o, o.notice, self.ends.add)
             else:
                 maybe = o.first_maybe() - self.wall
                 due = o.due - self.wall
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -11,34 +11,35 @@
 from .. import interface as it
 from ..observe.log import event, flush
 from ..wire.staff import Staff
-from .asked import Asked
+from .admin import Admin
 from .assembly import assemble
-from .beside import Beside
 from .config import BadConfig, Config, load
-from .line import PATIENCE, Line, Post, hail
 from .phases import ACCEPT, LOOK, PHASES, READY, SHORT
-from .remembering import Remembering
-from .succession import Succession
+from .state_saver import StateSaver
+from .upgrade.channel import PATIENCE, Channel, ChannelListener, connect
+from .upgrade.handover import Handover
+from .upgrade.succession import Succession
 
 LAST = 0.2  # for notices that are owed when calls are wound up
 WORD = 0.3  # for the word of a process after us that it serves, where a stop comes first
 
 
-class Relay(Asked, Beside, Remembering):
+class Relay(Admin, Handover, StateSaver):
     def __init__(self, config: Config):
         self.config, self.phase = config, "starting"
         loop = asyncio.get_running_loop()
         self.clock, wall = loop.time, time.time() - loop.time()
-        self.line = hail(config.state)
-        self.succession, self.post = Succession(), Post(config.state, self.hailed)
+        self.channel = connect(config.state)
+        self.succession = Succession()
+        self.channel_listener = ChannelListener(config.state, self.successor_connected)
         self.parts = assemble(config, self.clock, wall)
         self.ledger, self.owner = self.parts.ledger, self.parts.owner
         self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
         self.reread_asked = asyncio.Semaphore(0)
         self.loads = Counter()
         self.staff, self.sending_away = None, None
-        self.kin_asked, self.served = asyncio.Event(), asyncio.Event()
-        self.lines: set[Line] = set()
+        self.adoption_asked, self.successor_serves = asyncio.Event(), asyncio.Event()
+        self.channels: set[Channel] = set()
         self.following: set[asyncio.Task] = set()
 
     async def happen(self, what: str) -> None:
@@ -56,8 +57,9 @@
         await self.happen("recovered")
         await self.until(self.stop_asked.wait())
         self.stop_at = self.clock()
-        if self.succession.heir == "starting":  # its word that it serves may be on its way
-            await self.until(asyncio.wait([asyncio.ensure_future(self.served.wait())], timeout=WORD))
+        if self.succession.successor == "starting":  # its word that it serves may be on its way
+            serves = asyncio.ensure_future(self.successor_serves.wait())
+            await self.until(asyncio.wait([serves], timeout=WORD))
         if self.succession.relieved():
             await self.happen("relieved")
         else:
@@ -84,30 +86,30 @@
         return any(front.busy or (leaving and front.connections()) for front in self.parts.fronts)
 
     async def recover(self) -> None:
-        learnt, out = await self.elder_tells() if self.line else (None, [])
+        learnt, out = await self.predecessor_state() if self.channel else (None, [])
         self.ledger.recover()
         beside = bool(self.ledger.journal.beside())
-        if learnt is None and not beside and not self.line:
-            learnt = self.remembered()
-        if beside or self.line:
-            self.succession.elder_is("found")
+        if learnt is None and not beside and not self.channel:
+            learnt = self.saved_state()
+        if beside or self.channel:
+            self.succession.predecessor_is("found")
             self.share()
         if self.parts.peering:
-            self.parts.peering.begin(sole=not beside and not self.line)
+            self.parts.peering.begin(sole=not beside and not self.channel)
         try:
             for endpoint, items in out:
-                self.owner.hear(self.line, ["began", endpoint, items])
+                self.owner.hear(self.channel, ["began", endpoint, items])
         except (TypeError, ValueError, KeyError) as problem:
             event("line.broken", why=f"the calls that it has out make no sense: {problem!r}")
         known = [self.parts.directory.known(), *await self.parts.directory.fresh()]
         self.owner.recover(known, learnt, beside)
 
-    async def elder_tells(self) -> tuple[dict | None, list]:
-        await self.line.open()
+    async def predecessor_state(self) -> tuple[dict | None, list]:
+        await self.channel.open()
         try:
             async with asyncio.timeout(PATIENCE):
-                if (word := await self.line.word()) and word[0] == "learnt" and len(word) == 3:
-                    return word[1], word[2]
+                if (message := await self.channel.receive()) and message[0] == "learnt" and len(message) == 3:
+                    return message[1], message[2]
         except TimeoutError:
             event("line.broken", why="the process before us did not tell what it has learnt")
         return None, []
@@ -119,7 +121,7 @@
             parts.ends.run(),
             parts.directory.run(self.owner.put),
             self.summaries(),
-            self.remembers(),
+            self.save_regularly(),
             self.rereads(),
             self.adopts(),
         ]
@@ -127,14 +129,14 @@
             lasting.append(parts.peering.run())
         self.tasks = [asyncio.ensure_future(each) for each in lasting]
         for front in parts.fronts:
-            door = self.line.door if self.line else None
-            beside = self.succession.elder != "none"
+            door = self.channel.listening_socket if self.channel else None
+            beside = self.succession.predecessor != "none"
             event("front.open", protocol=front.protocol, address=await front.open(door, beside))
-        if self.line:
-            self.line.say("serves")
-            self.follow(self.line, self.succession.elder_is)
-        self.post.open()
-        self.kin_asked.set()
+        if self.channel:
+            self.channel.send("serves")
+            self.follow(self.channel, self.succession.predecessor_is)
+        self.channel_listener.open()
+        self.adoption_asked.set()
         if self.config.ops:
             calls = {
                 ("GET", "/-/ready"): self.ready,
@@ -168,7 +170,7 @@
             await asyncio.sleep(LOOK)
 
     async def end(self) -> None:
-        self.remember()
+        self.save_state()
         self.summary()
 
     async def close(self) -> None:
@@ -177,11 +179,11 @@
             task.cancel()
         if self.staff:
             await self.staff.close()
-        self.post.close()
+        self.channel_listener.close()
         for task in self.following:
             task.cancel()
-        for line in self.lines:
-            line.close()
+        for channel in self.channels:
+            channel.close()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.parts.courier.close()
         await self.parts.platform.close()
--- a/ryestack/lifecycle/lives.py
+++ b/ryestack/lifecycle/replication/incarnations.py
@@ -10,7 +10,7 @@
 NAME = "lives"
 
 
-class Lives:
+class Incarnations:
     """before: lives that may have left work; life: this one's number. sole: no other process of it runs."""
 
     def __init__(self, folder: str, sole: bool):
--- a/ryestack/lifecycle/peering.py
+++ b/ryestack/lifecycle/replication/peering.py
@@ -4,14 +4,14 @@
 import random
 from contextlib import suppress
 
-from ..operator.schema import Peers
-from ..peers.node import Node, Terms
-from ..peers.roster import TWIN
-from ..peers.wire import Door, Post
-from .config import BadConfig
-from .guarded import Guarded
-from .lives import Lives
-from .phases import LOOK
+from ...operator.schema import Peers
+from ...peers.node import Node, Terms
+from ...peers.roster import TWIN
+from ...peers.wire import Door, Post
+from ..config import BadConfig
+from ..phases import LOOK
+from .incarnations import Incarnations
+from .replicated import ReplicatedWork
 
 PATIENCE = 3  # leases: one whose folder was lost is refused for one, until its name has been silent so long
 
@@ -24,23 +24,23 @@
         self.name = peers.name or name
         addresses = {relay.name: relay.address for relay in peers.relays}
         host, _, port = addresses[self.name].rpartition(":")
-        self.door = Door((host, int(port)), lambda letter: self.guarded.hear(letter))
-        self.post = Post(addresses, lambda letter: self.guarded.answered(letter), self.refused)
+        self.door = Door((host, int(port)), lambda letter: self.replication.hear(letter))
+        self.post = Post(addresses, lambda letter: self.replication.answered(letter), self.refused)
         self.twin = asyncio.get_running_loop().create_future()
-        self.guarded: Guarded = None
+        self.replication: ReplicatedWork = None
 
     def begin(self, sole: bool) -> None:
         """The journal is read: from here on the owner asks its guards. sole: no other process shares the
         folder."""
         if sole:
             self.bind()
-        lives = Lives(self.folder, sole)
+        lives = Incarnations(self.folder, sole)
         zones = {relay.name: relay.zone for relay in self.peers.relays}
         terms = Terms(self.peers.cluster, self.name, zones, self.peers.guards, self.peers.lease)
         chance = random.Random(f"{self.seed}:{self.name}")
         node = Node(terms, lives.life, lives.sole, chance, self.owner.clock())
-        self.guarded = Guarded(self.owner, node, self.send, self.peers.alone, lives)
-        self.owner.guarded = self.guarded
+        self.replication = ReplicatedWork(self.owner, node, self.send, self.peers.alone, lives)
+        self.owner.replication = self.replication
         self.began = self.owner.clock()
 
     def send(self, to: str, letter) -> None:
@@ -50,8 +50,8 @@
 
     def refused(self, why: str) -> None:
         """A name belongs to one relay: who comes later, and can't prove that the other is over, ends."""
-        late = self.guarded.now() > self.began + PATIENCE * self.peers.lease
-        if why == TWIN and late and not self.guarded.acted and not self.twin.done():
+        late = self.replication.now() > self.began + PATIENCE * self.peers.lease
+        if why == TWIN and late and not self.replication.acted and not self.twin.done():
             self.twin.set_result(why)
 
     def bind(self) -> None:
@@ -61,18 +61,18 @@
             raise BadConfig(f"peers.relays: {self.name}: {self.door.at}: {problem.strerror}") from None
 
     async def succeed(self) -> None:
-        """In an upgrade the elder has the address until its end; then nothing of it can act any more."""
+        """The predecessor of an upgrade has the address until its end; nothing of it can act after that."""
         while self.door.sock is None:
             with suppress(OSError):
                 self.door.bind()
             await asyncio.sleep(LOOK)
-        self.guarded.node.sole, self.began = True, self.owner.clock()
+        self.replication.node.sole, self.began = True, self.owner.clock()
 
     async def run(self) -> None:
         if self.door.sock is None:
             await self.succeed()
         await self.door.open()
-        running = asyncio.ensure_future(self.guarded.run())
+        running = asyncio.ensure_future(self.replication.run())
         try:
             await asyncio.wait([running, self.twin], return_when=asyncio.FIRST_COMPLETED)
             if self.twin.done():
--- a/ryestack/lifecycle/facts.py
+++ b/ryestack/lifecycle/replication/record_codec.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from ..peers.words import Record
-from ..store.owed import Owed
+from ...peers.words import Record
+from ...store.owed import Owed
 
 _write, _read = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder().decode
 
@@ -51,7 +51,7 @@
     return Record(name, b"", True, due)
 
 
-def owed(records: list[Record]) -> Owed | None:
+def decode(records: list[Record]) -> Owed | None:
     """None where the facts make no sense: they are another's words."""
     made, out = None, {}
     try:
--- a/ryestack/lifecycle/guarded.py
+++ b/ryestack/lifecycle/replication/replicated.py
@@ -11,13 +11,13 @@
 from functools import partial
 from math import inf
 
-from ..interface import Effect
-from ..observe.log import event
-from ..peers.node import Node
-from ..peers.promises import TICK, WAIT, cover, decided
-from ..peers.seat import Seat
-from ..ports import Verdict
-from . import facts
+from ...interface import Effect
+from ...observe.log import event
+from ...peers.node import Node
+from ...peers.promises import TICK, WAIT, cover, decided
+from ...peers.seat import Seat
+from ...ports import Verdict
+from . import record_codec
 from .takeover import TakeOver
 
 
@@ -32,7 +32,7 @@
     done: object
 
 
-class Guarded(TakeOver):
+class ReplicatedWork(TakeOver):
     def __init__(self, owner, node: Node, send, alone: str, lives):
         """send(peer, letter); alone: `serve` or `refuse`; lives: what is kept of our lives in the folder."""
         self.owner, self.node, self.send, self.alone, self.lives = owner, node, send, alone, lives
@@ -52,7 +52,7 @@
     async def run(self) -> None:
         # With several lives before it is not known whose each is: one in two seats would have two holders.
         ours = list(self.stray.values()) if len(self.lives.before) == 1 else []
-        journal = [record for owed in ours for record in facts.all_of(owed)]
+        journal = [record for owed in ours for record in record_codec.all_of(owed)]
         for life in self.lives.before:
             self.node.claim((self.node.terms.me, life), self.now(), journal)
         while True:
@@ -123,7 +123,7 @@
             self.owner.ledger.alone(owed.id)
             return self.verdict(message, Verdict.TAKEN)
         self.seat_of[owed.id] = seat
-        self.wait(seat, self.write(seat, [facts.taken(owed)]), partial(self.covers, owed, message))
+        self.wait(seat, self.write(seat, [record_codec.taken(owed)]), partial(self.covers, owed, message))
 
     def covers(self, owed, message, covered: bool) -> None:
         done = decided("hand-in", cover(covered), self.alone)
@@ -146,7 +146,7 @@
             return None
         number = owed.pushes - 1
         until = self.now() + self.owner.wall + push.timeout
-        at = self.write(seat, [facts.pushed(owed, number, owed.open.get(number, 0.0), until)])
+        at = self.write(seat, [record_codec.pushed(owed, number, owed.open.get(number, 0.0), until)])
         if owed.effect(self.owner.settings) is Effect.REPEATABLE:
             return min(push.begin, left), None
         cleared = asyncio.get_running_loop().create_future()
@@ -159,12 +159,12 @@
 
     def ended(self, owed, push: int, never_ran: bool) -> None:
         if seat := self.seat_of.get(owed.id):
-            self.write(seat, [facts.ended(owed, push, never_ran)])
+            self.write(seat, [record_codec.ended(owed, push, never_ran)])
 
     def over(self, owed) -> None:
         if seat := self.seat_of.pop(owed.id, None):
             if self.acts(seat):
-                self.write(seat, [facts.over(owed.id, owed.due)])
+                self.write(seat, [record_codec.over(owed.id, owed.due)])
             else:
                 self.missed[owed.id] = owed.due
 
@@ -172,7 +172,7 @@
         seat = self.seat_of.get(owed.id)
         if seat is None:
             return tell(owed.id, notice)
-        at = self.write(seat, [facts.noticed(owed, notice)])
+        at = self.write(seat, [record_codec.noticed(owed, notice)])
         self.wait(seat, at, partial(self.tell, owed.id, notice, tell), inf)
 
     def tell(self, name: str, notice: dict, tell, covered: bool) -> None:
--- a/ryestack/lifecycle/takeover.py
+++ b/ryestack/lifecycle/replication/takeover.py
@@ -5,23 +5,23 @@
 
 import asyncio
 
-from ..observe.log import event
-from ..peers.seat import Seat
-from . import facts
+from ...observe.log import event
+from ...peers.seat import Seat
+from . import record_codec
 
 EARLY = 0.05  # seconds before its time is up that one which still waits is given up
 
 
 class TakeOver:
-    """The part of `Guarded` that follows who holds a seat."""
+    """The part of `ReplicatedWork` that follows who holds a seat."""
 
     def on_acts(self, seat: Seat) -> None:
         """Ours from here on: what is there joins what we know of it, and all of it goes to the module."""
         ledger, begun = self.owner.ledger, []
-        for owed in filter(None, map(facts.owed, list(seat.kept.items.values()))):
+        for owed in filter(None, map(record_codec.decode, list(seat.kept.items.values()))):
             known = self.stray.pop(owed.id, None) or ledger.owed.get(owed.id)
             if owed.id in self.missed:
-                self.write(seat, [facts.over(owed.id, self.missed.pop(owed.id))])
+                self.write(seat, [record_codec.over(owed.id, self.missed.pop(owed.id))])
                 continue
             if owed.id in self.seat_of and owed.id not in self.paused:
                 continue  # in the module already
@@ -48,8 +48,8 @@
         if seat.name[0] == self.node.terms.me:
             self.regained.add(seat.name[1])
         if self.stray and self.regained >= set(self.lives.before):
-            guarded = {name for each in self.node.seats.values() for name in each.kept.items}
-            left += [name for name in self.stray if name not in guarded]
+            replicated = {name for each in self.node.seats.values() for name in each.kept.items}
+            left += [name for name in self.stray if name not in replicated]
         owed = [self.owner.ledger.owed[name] for name in left if name in self.owner.ledger.owed]
         if owed:
             self.counts["went on"] += len(owed)
@@ -72,7 +72,7 @@
             else:
                 self.owner.ledger.alone(each.id)
         if covered:
-            self.write(seat, [record for each in owed for record in facts.all_of(each)])
+            self.write(seat, [record for each in owed for record in record_codec.all_of(each)])
         self.owner.adopt([each for each in owed if each.busy <= wall])
         for each in (o for o in owed if o.busy > wall):
             loop = asyncio.get_running_loop()  # never two pushes out: its keeper may merely stand still
--- a/ryestack/lifecycle/alone.py
+++ b/ryestack/lifecycle/replication/unreplicated.py
@@ -1,9 +1,9 @@
 """What the owner asks of whoever guards its work, where nobody does: all is allowed, at once."""
 
-from ..ports import Verdict
+from ...ports import Verdict
 
 
-class Alone:
+class Unreplicated:
     def turned_away(self) -> float | None:
         """Seconds after which to come again, where nothing may be taken now; else None."""
         return None
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -7,7 +7,7 @@
 
 from ryestack import interface as it
 from ryestack.interface import Result
-from ryestack.lifecycle import learnt
+from ryestack.lifecycle import learned_state
 from ryestack.lifecycle.watched import Watched
 from ryestack.store import files
 from ryestack.store.inspect import inspect
@@ -94,37 +94,38 @@
 
 
 class Told(unittest.TestCase):
-    def heir(self, elder, **more):
+    def successor(self, predecessor, **more):
         made = brain(**more)
-        learnt.take(made, json.loads(json.dumps(learnt.told(elder))))
+        learned_state.restore(made, json.loads(json.dumps(learned_state.export(predecessor))))
         return made
 
     def test_waits_circuits_and_outages_go_on(self):
-        elder = brain(routes=("a", "b", "c"))
-        elder.round(1.0, [take(f"n{i}") for i in range(4)])
-        elder.round(1.1, [end(f"n{i}", "a", Result.ERROR) for i in range(3)])
-        elder.round(1.2, [end("n3", "a", Result.FULL, wait=9.0)])
-        heir = self.heir(elder, routes=("a", "b", "c", "d"))
+        predecessor = brain(routes=("a", "b", "c"))
+        predecessor.round(1.0, [take(f"n{i}") for i in range(4)])
+        predecessor.round(1.1, [end(f"n{i}", "a", Result.ERROR) for i in range(3)])
+        predecessor.round(1.2, [end("n3", "a", Result.FULL, wait=9.0)])
+        successor = self.successor(predecessor, routes=("a", "b", "c", "d"))
         for name in "abc":
-            mine, theirs = heir.routes[name], elder.routes[name]
+            mine, theirs = successor.routes[name], predecessor.routes[name]
             self.assertEqual((mine.state, mine.until), (theirs.state, theirs.until))
             for name in ("wait_until", "cold", "tokens"):
                 self.assertEqual(getattr(mine.pacer, name), getattr(theirs.pacer, name))
-        self.assertEqual(pushes(heir.round(2.0, [take("m")])), [("m", "d")])
-        heir.round(10.3, [it.Woken()])
-        self.assertNotEqual(heir.routes["a"].state, "open")
+        self.assertEqual(pushes(successor.round(2.0, [take("m")])), [("m", "d")])
+        successor.round(10.3, [it.Woken()])
+        self.assertNotEqual(successor.routes["a"].state, "open")
 
     def test_what_was_never_heard_of_is_passed_over(self):
-        heir = brain()
-        learnt.take(heir, {"routes": {"z": [{}, {}, {}, {}]}, "dests": {"9": [{}, {}, {}]}, "new": 1})
-        learnt.take(heir, {"routes": {"a": [{"odd": 1}, {"row": 2}, {}, {}]}})
-        self.assertEqual(heir.routes["a"].tally.row, 2)
+        successor = brain()
+        unknown = {"routes": {"z": [{}, {}, {}, {}]}, "dests": {"9": [{}, {}, {}]}, "new": 1}
+        learned_state.restore(successor, unknown)
+        learned_state.restore(successor, {"routes": {"a": [{"odd": 1}, {"row": 2}, {}, {}]}})
+        self.assertEqual(successor.routes["a"].tally.row, 2)
 
     def test_told_nothing_every_partner_may_be_cold(self):
-        heir, other = brain(), brain()
-        heir.round(1.0, [])
-        learnt.careful(heir)
-        self.assertLess(heir.routes["a"].pacer.rate(1.0), other.routes["a"].pacer.rate(1.0))
+        successor, other = brain(), brain()
+        successor.round(1.0, [])
+        learned_state.assume_cold(successor)
+        self.assertLess(successor.routes["a"].pacer.rate(1.0), other.routes["a"].pacer.rate(1.0))
 
 
 class Overheard(unittest.TestCase):
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -1,4 +1,4 @@
-"""Two processes of one relay: the table of succession, the line between them, crashes."""
+"""Two processes of one relay: the table of succession, the channel between them, crashes."""
 
 import asyncio
 import os
@@ -9,9 +9,9 @@
 from pathlib import Path
 from unittest.mock import Mock, patch
 
-from ryestack.lifecycle.line import LONGEST, Line, Post, answer, hail
 from ryestack.lifecycle.relay import PHASES, Relay
-from ryestack.lifecycle.succession import ELDER, HEIR, Succession
+from ryestack.lifecycle.upgrade.channel import LONGEST_PATH, Channel, ChannelListener, connect, hand_over
+from ryestack.lifecycle.upgrade.succession import PREDECESSOR, SUCCESSOR, Succession
 from ryestack.store import files
 from ryestack.store.journal import Journal
 from ryestack.store.ledger import Ledger
@@ -23,32 +23,35 @@
 class Table(unittest.TestCase):
     def test_an_heir_that_never_serves_or_dies_leaves_us_as_before(self):
         s = Succession()
-        s.heir_is("hailed")
+        s.successor_is("connected")
         self.assertEqual((s.processes(), s.relieved()), (2, False))
-        s.heir_is("gone")
-        s.heir_is("serves")  # a word of the one that is gone
+        s.successor_is("gone")
+        s.successor_is("serves")  # a word of the one that is gone
         self.assertEqual((s.processes(), s.relieved()), (1, False))
 
     def test_all_pairs_lead_to_a_state_that_is_told_and_one_that_is_gone_counts_no_more(self):
-        for table, whats in ((ELDER, ("found", "gone")), (HEIR, ("hailed", "serves", "gone"))):
+        for table, whats in ((PREDECESSOR, ("found", "gone")), (SUCCESSOR, ("connected", "serves", "gone"))):
             states = {"none", *table.values(), *(state for state, _ in table)}
             for state in states - {"none"}:
                 self.assertEqual(table[state, "gone"], "none")
             for state in states:
                 for what in whats:
                     s = Succession()
-                    (relation, tell) = ("elder", s.elder_is) if table is ELDER else ("heir", s.heir_is)
+                    relation, tell = "successor", s.successor_is
+                    if table is PREDECESSOR:
+                        relation, tell = "predecessor", s.predecessor_is
                     setattr(s, relation, state)
                     tell(what)
                     self.assertIn(getattr(s, relation), states)
-                    self.assertEqual(s.relieved(), s.heir == "serving")
+                    self.assertEqual(s.relieved(), s.successor == "serving")
 
     def test_three_in_a_row(self):
         s = Succession()
-        for relation, what in ((s.elder_is, "found"), (s.heir_is, "hailed"), (s.heir_is, "serves")):
-            relation(what)
+        s.predecessor_is("found")
+        s.successor_is("connected")
+        s.successor_is("serves")
         self.assertEqual((s.processes(), s.relieved()), (3, True))
-        s.elder_is("gone")
+        s.predecessor_is("gone")
         self.assertEqual((s.processes(), s.relieved()), (2, True))
 
     def test_relieved_it_ends_what_it_owes_from_any_state_of_serving(self):
@@ -63,13 +66,15 @@
         async def fault(*_):
             raise RuntimeError("of our own")
 
-        relay, heir, line = Mock(), Succession(), Mock()
-        heir.heir_is("hailed")
-        relay.configure_mock(converse=fault, lines={line}, phase="leaving", kin_asked=asyncio.Event())
-        await Relay.listen(relay, line, heir.heir_is)
-        self.assertEqual((heir.heir, relay.lines, relay.kin_asked.is_set()), ("none", set(), True))
+        relay, successor, channel = Mock(), Succession(), Mock()
+        successor.successor_is("connected")
+        relay.configure_mock(converse=fault, channels={channel}, phase="leaving")
+        relay.adoption_asked = asyncio.Event()
+        await Relay.listen(relay, channel, successor.successor_is)
+        self.assertEqual((successor.successor, relay.channels), ("none", set()))
+        self.assertTrue(relay.adoption_asked.is_set())
         relay.share.assert_called_once_with()
-        relay.owner.gone.assert_called_once_with(line)
+        relay.owner.gone.assert_called_once_with(channel)
 
     async def test_where_such_sockets_are_refused_there_is_no_line_and_nothing_else(self):
         real = socket.socket
@@ -80,52 +85,52 @@
             return real(family, *more, **names)
 
         with patch.object(socket, "socket", refused), patch.object(files.fcntl, "flock", side_effect=OSError):
-            post = Post(self.folder, None)
-            post.open()
-            self.assertIsNone(post.sock)
+            listener = ChannelListener(self.folder, None)
+            listener.open()
+            self.assertIsNone(listener.sock)
             Path(self.folder, "line").touch()
-            self.assertIsNone(hail(self.folder))
+            self.assertIsNone(connect(self.folder))
             kept = Ledger(Journal(self.folder, 100_000))
             kept.recover()
             self.assertTrue(kept.take(owed("n")))
             kept.journal.close()
 
     async def test_a_folder_with_a_long_name_and_a_caller_that_goes(self):
-        folder = f"{self.folder}/{'x' * LONGEST}"
+        folder = f"{self.folder}/{'x' * LONGEST_PATH}"
         os.mkdir(folder)
-        self.assertIsNone(hail(folder))
+        self.assertIsNone(connect(folder))
         got = asyncio.Queue()
-        post = Post(folder, got.put_nowait)
-        post.open()
-        elder_side = asyncio.ensure_future(got.get())
-        calling = asyncio.ensure_future(asyncio.to_thread(hail, folder))
-        line = answer(await elder_side, None)
-        heir = await calling
-        await line.open()
-        await heir.open()
-        heir.say("serves")
-        self.assertEqual(await line.word(), ["serves"])
-        heir.writer.write(b'["half')
-        heir.close()
-        self.assertIsNone(await line.word())
-        line.close()
+        listener = ChannelListener(folder, got.put_nowait)
+        listener.open()
+        predecessor_side = asyncio.ensure_future(got.get())
+        calling = asyncio.ensure_future(asyncio.to_thread(connect, folder))
+        channel = hand_over(await predecessor_side, None)
+        successor = await calling
+        await channel.open()
+        await successor.open()
+        successor.send("serves")
+        self.assertEqual(await channel.receive(), ["serves"])
+        successor.writer.write(b'["half')
+        successor.close()
+        self.assertIsNone(await channel.receive())
+        channel.close()
         for nonsense in (b"{}\n", b"[]\n", b"\xff\n", b"[" * 100_000 + b"\n"):
             ours, theirs = socket.socketpair()
-            odd = Line(ours)
+            odd = Channel(ours)
             await odd.open()
             theirs.sendall(nonsense)
-            self.assertIsNone(await odd.word(), nonsense[:9])
+            self.assertIsNone(await odd.receive(), nonsense[:9])
             odd.close()
             theirs.close()
         ours, stands_still = socket.socketpair()
-        full = Line(ours)
+        full = Channel(ours)
         await full.open()
         for _ in range(400):
-            full.say("x" * 10_000)
+            full.send("x" * 10_000)
         self.assertTrue(full.writer.is_closing())
         stands_still.close()
-        post.close()
-        self.assertIsNone(hail(folder))  # what a dead process left is no process
+        listener.close()
+        self.assertIsNone(connect(folder))  # what a dead process left is no process
 
 
 class Killed(BaseException):
--- a/tests/test_peers_config.py
+++ b/tests/test_peers_config.py
@@ -12,7 +12,7 @@
 
 from ryestack.lab.peers import Cluster
 from ryestack.lab.trial import TrialFailed
-from ryestack.lifecycle.lives import Lives
+from ryestack.lifecycle.replication.incarnations import Incarnations
 from ryestack.operator.schema import Peer, Peers, peers_rules
 from ryestack.peers import words
 from ryestack.peers.node import LIVES, Node, Refused, Terms
@@ -95,14 +95,14 @@
 
 
 def test_a_new_life_waits_for_room_on_the_disk_and_a_finished_one_is_asked_after_again(tmp_path):
-    lives = Lives(str(tmp_path), True)
+    lives = Incarnations(str(tmp_path), True)
     first = lives.life
     assert lives.next(first + 1) and lives.before == [first]
     lives.path = tmp_path / "none" / "lives"  # nothing can be written there
     assert not lives.next(first + 2) and (lives.life, lives.before) == (first + 1, [first])
     lives.done({first})
     assert lives.before == [first]
-    again = Lives(str(tmp_path), True)
+    again = Incarnations(str(tmp_path), True)
     assert again.before == [first, first + 1] and again.life > first + 1 and again.sole
 
 
--- a/tests/test_peers_takeover.py
+++ b/tests/test_peers_takeover.py
@@ -5,8 +5,8 @@
 from types import SimpleNamespace
 
 from ryestack import interface as it
-from ryestack.lifecycle import facts
-from ryestack.lifecycle.guarded import Guarded
+from ryestack.lifecycle.replication import record_codec
+from ryestack.lifecycle.replication.replicated import ReplicatedWork
 from ryestack.peers.node import Node, Terms
 from ryestack.peers.seat import Seat
 from ryestack.store.ledger import Ledger
@@ -15,27 +15,27 @@
 from .helpers import settings
 
 
-def guarded(clock):
+def replicated(clock):
     adopted, ledger = [], Ledger(None)
     owner = SimpleNamespace(clock=clock, wall=1000.0, ledger=ledger, settings=settings())
     owner.adopt, owner.pause = lambda owed: adopted.extend(o.id for o in owed), lambda names: None
     node = Node(Terms("c", "r0", {"r0": "a"}, 0, 1.0), 1, True, random.Random(1), clock())
     lives = SimpleNamespace(before=[], done=lambda finished: None)
-    return Guarded(owner, node, lambda *_: None, "serve", lives), adopted
+    return ReplicatedWork(owner, node, lambda *_: None, "serve", lives), adopted
 
 
 def test_one_whose_push_may_be_out_waits_until_its_keeper_would_have_given_it_up():
     async def play():
         loop = asyncio.get_running_loop()
-        g, adopted = guarded(loop.time)
+        g, adopted = replicated(loop.time)
         wall = loop.time() + 1000.0
         seat = Seat(("r9", 1), ("r0",), "r0", 1.0, random.Random(1), 0.0)
         seat.state, seat.acting = "holding", True
         for name, until in (("out", wall + 0.3), ("over", wall - 1.0), ("ended", wall + 9.0)):
             owed = Owed(name, wall + 20.0, 7, "again", "", "", "", b"x")
-            seat.kept.apply([facts.taken(owed), facts.pushed(owed, 0, wall - 2.0, until)])
+            seat.kept.apply([record_codec.taken(owed), record_codec.pushed(owed, 0, wall - 2.0, until)])
         ended = Owed("ended", wall + 20.0, 7, "again", "", "", "", b"x")
-        seat.kept.apply([facts.ended(ended, 0, True)])
+        seat.kept.apply([record_codec.ended(ended, 0, True)])
         g.on_acts(seat)
         at_once = list(adopted)
         assert g.owner.ledger.owed["out"].open and g.owner.ledger.owed["out"].pushes == 1
@@ -51,12 +51,12 @@
 def test_a_seat_that_is_lost_meanwhile_resumes_nothing():
     async def play():
         loop = asyncio.get_running_loop()
-        g, adopted = guarded(loop.time)
+        g, adopted = replicated(loop.time)
         wall = loop.time() + 1000.0
         seat = Seat(("r9", 1), ("r0",), "r0", 1.0, random.Random(1), 0.0)
         seat.state, seat.acting = "holding", True
         owed = Owed("out", wall + 20.0, 7, "again", "", "", "", b"x")
-        seat.kept.apply([facts.taken(owed), facts.pushed(owed, 0, wall, wall + 0.1)])
+        seat.kept.apply([record_codec.taken(owed), record_codec.pushed(owed, 0, wall, wall + 0.1)])
         g.on_acts(seat)
         g.on_lost(seat)
         await asyncio.sleep(0.2)
--- a/tests/test_remembered.py
+++ b/tests/test_remembered.py
@@ -4,7 +4,7 @@
 
 from ryestack.brain import Brain
 from ryestack.interface import Result
-from ryestack.lifecycle import learnt
+from ryestack.lifecycle import learned_state
 from ryestack.store import remembered
 
 from .helpers import brain, end, pushes, settings, take
@@ -18,9 +18,9 @@
             b.round(1.5 + n, [end(name, route, Result.FULL, limit=50.0, left=0.0)])
     b.dests[7].habit.counts = True
     b.routes["a"].pacer.taken.add(9.0)
-    remembered.save(str(tmp_path), learnt.told(b), "s", 10.0, 1010.0)
+    remembered.save(str(tmp_path), learned_state.export(b), "s", 10.0, 1010.0)
     again = brain(routes=("a",), rate=50.0, relays=40)
-    learnt.take(again, remembered.load(str(tmp_path), "s", 12.0, 1012.0))
+    learned_state.restore(again, remembered.load(str(tmp_path), "s", 12.0, 1012.0))
     assert again.dests[7].habit.counts
     assert again.routes["a"].pacer.taken.rate(12.0) == b.routes["a"].pacer.taken.rate(12.0) > 0.0
 
@@ -30,7 +30,7 @@
     [(12.0, 1012.0, True), (9.0, 1009.0, False), (90.0, 1090.0, False), (3.0, 1012.0, False)],
 )
 def test_of_another_clock_or_long_ago_it_is_nothing(tmp_path, clock, wall, known):
-    remembered.save(str(tmp_path), learnt.told(Brain(settings(), 1)), "s", 10.0, 1010.0)
+    remembered.save(str(tmp_path), learned_state.export(Brain(settings(), 1)), "s", 10.0, 1010.0)
     assert (remembered.load(str(tmp_path), "s", clock, wall) is not None) == known
     assert remembered.load(str(tmp_path), "other settings", clock, wall) is None
 
@@ -44,7 +44,7 @@
 
 
 def test_a_damaged_file_is_nothing_though_it_reads_well(tmp_path):
-    remembered.save(str(tmp_path), learnt.told(Brain(settings(), 1)), "s", 10.0, 1010.0)
+    remembered.save(str(tmp_path), learned_state.export(Brain(settings(), 1)), "s", 10.0, 1010.0)
     good = (tmp_path / remembered.NAME).read_bytes()
     assert remembered.load(str(tmp_path), "s", 12.0, 1012.0) is not None
     (tmp_path / remembered.NAME).write_bytes(good.replace(b'"bins":[', b'"bins":["x",', 1))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,7 +9,7 @@
 import unittest
 
 from ryestack.lab.trial import free_port
-from ryestack.lifecycle.line import Post, answer
+from ryestack.lifecycle.upgrade.channel import ChannelListener, hand_over
 from ryestack.wire.server import REFUSED, TAKEN
 
 from .helpers import http
@@ -101,18 +101,18 @@
         self.process.kill()
         await self.process.wait()
         for word in (b'["learnt"]\n', b'["learnt",7,7]\n', b'["learnt",{"routes":7},[["a",[[1]]],4]]\n'):
-            def hailed(conn, word=word):
-                line = answer(conn, None)
-                line.conn.sendall(word)
-                self.addCleanup(line.conn.close)
+            def connected(conn, word=word):
+                channel = hand_over(conn, None)
+                channel.conn.sendall(word)
+                self.addCleanup(channel.conn.close)
 
-            post = Post(self.folder, hailed)
-            post.open()
+            listener = ChannelListener(self.folder, connected)
+            listener.open()
             self.process = await self.run_it(f"{self.folder}/config.json")
             self.assertEqual(await self.ask("POST", "/api"), TAKEN)
             self.process.kill()
             await self.process.wait()
-            post.close()
+            listener.close()
 
     async def test_one_that_cannot_start_changes_nothing(self):
         path = f"{self.folder}/config.json"
