--- a/tests/test_list_change.py
+++ b/tests/test_list_change.py
@@ -7,7 +7,7 @@
 from ryestack import interface as it
 from ryestack.brain import Brain
 from ryestack.interface import Listed, Result
-from ryestack.lifecycle import learnt
+from ryestack.lifecycle import learned_state
 from ryestack.lifecycle.watched import Watched
 
 from .helpers import settings
@@ -71,10 +71,10 @@
     assert walks() == 0
 
 
-def test_a_drain_learnt_from_the_life_before_ends_like_any_other():
+def test_a_drain_restored_from_the_life_before_ends_like_any_other():
     made = module()
-    told = learnt.told(module())["routes"]["7-a"]
-    learnt.take(made, {"routes": {"7-a": [{**told[0], "state": "draining"}, *told[1:]]}})
+    told = learned_state.export(module())["routes"]["7-a"]
+    learned_state.restore(made, {"routes": {"7-a": [{**told[0], "state": "draining"}, *told[1:]]}})
     assert list(made.draining) == ["7-a"]
     made.round(100.0, [it.ListUpdate((endpoint(9),))])
     assert "7-a" not in made.routes
