--- a/tests/test_control_voters.py
+++ b/tests/test_control_voters.py
@@ -1,4 +1,4 @@
-"""What voters of the change log do in single cases: elections, refusals, snapshots, and messages of any bytes."""
+"""What voters of the change log do in single cases: elections, refusals, snapshots, messages of any bytes."""
 
 import random
 from contextlib import suppress
