--- /dev/null
+++ b/ryestack/control/frames.py
@@ -0,0 +1,82 @@
+"""Frames of the change log's files: a mark, the length, a checksum and the bytes. Pure.
+
+What is stored together is one frame, so that a write which a power loss tore is the last frame of its file.
+"""
+
+import struct
+import zlib
+from collections.abc import Iterator
+from typing import BinaryIO
+
+MARK = b"\xf1RYE"
+HEAD = struct.Struct("<4sII")  # mark, length in bytes, checksum of the length and the bytes
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+SEARCH_BYTES = 1024 * 1024
+
+
+class DamagedFrame(Exception):
+    """No frame can be read at `offset`, in bytes from the start of the file."""
+
+    def __init__(self, offset: int, reason: str):
+        super().__init__(f"{reason} at byte {offset}")
+        self.offset = offset
+
+
+def frame(data: bytes) -> bytes:
+    """The data as a frame."""
+    if len(data) > MAX_FRAME_BYTES:
+        raise ValueError(f"a frame of {len(data)} bytes, {MAX_FRAME_BYTES} at most")
+    return HEAD.pack(MARK, len(data), _checksum(data)) + data
+
+
+def read_frames(file: BinaryIO) -> Iterator[bytes]:
+    """The frames of a file, to its end. Raises DamagedFrame where one is not whole."""
+    offset = 0
+    while head := file.read(HEAD.size):
+        data = _read_data(file, head, offset)
+        yield data
+        offset += HEAD.size + len(data)
+
+
+def holds_frame(file: BinaryIO, after: int) -> bool:
+    """Whether a whole frame begins somewhere from there on: what is before it was damaged, not torn."""
+    offset, carried = after, b""
+    file.seek(after)
+    while chunk := file.read(SEARCH_BYTES):
+        text, start = carried + chunk, offset - len(carried)
+        index = text.find(MARK)
+        while index >= 0:
+            if _is_whole(file, start + index):
+                return True
+            index = text.find(MARK, index + 1)
+        offset += len(chunk)
+        carried = text[-(len(MARK) - 1) :]
+        file.seek(offset)
+    return False
+
+
+def _is_whole(file: BinaryIO, offset: int) -> bool:
+    file.seek(offset)
+    try:
+        _read_data(file, file.read(HEAD.size), offset)
+    except DamagedFrame:
+        return False
+    return True
+
+
+def _read_data(file: BinaryIO, head: bytes, offset: int) -> bytes:
+    if len(head) < HEAD.size:
+        raise DamagedFrame(offset, "the file ends within a frame's head")
+    mark, length, checksum = HEAD.unpack(head)
+    if mark != MARK or length > MAX_FRAME_BYTES:
+        raise DamagedFrame(offset, "there is no frame")
+    data = file.read(length)
+    if len(data) < length:
+        raise DamagedFrame(offset, "the file ends within a frame")
+    if _checksum(data) != checksum:
+        raise DamagedFrame(offset, "the checksum does not match")
+    return data
+
+
+def _checksum(data: bytes) -> int:
+    return zlib.crc32(data, zlib.crc32(len(data).to_bytes(4, "little")))
