--- a/ryestack/lab/hollow_messages.py
+++ b/ryestack/lab/hollow_messages.py
@@ -31,15 +31,17 @@
 
 
 class Start(msgspec.Struct, frozen=True, tag="start"):
-    """Starts those of the named relays that do not run; none named: all."""
+    """Starts those of the named relays that do not run, spread over some seconds; none named: all."""
 
     names: list[str] = []
+    over: float = 0.0
 
 
 class Stop(msgspec.Struct, frozen=True, tag="stop"):
-    """Stops relays at once, as a kill does; none named: all."""
+    """Stops relays at once, as a kill does; none named: all. keep: their state folders outlast it."""
 
     names: list[str] = []
+    keep: bool = True
 
 
 class Watch(msgspec.Struct, frozen=True, tag="watch"):
@@ -62,12 +64,16 @@
 class Report(msgspec.Struct, frozen=True):
     """How a host stands.
 
-    running: relays; lowest: version in force at all of them; entries: that they hold together; cpu: seconds
-    of the process; memory: bytes at its most.
+    running: relays; broken: such whose client ended by itself; lowest: version in force at all of them;
+    entries: that they hold together; requests, failures: of clients since their starts; cpu: seconds of the
+    process; memory: bytes at its most.
     """
 
     running: int
+    broken: int
     lowest: int
     entries: int
+    requests: int
+    failures: int
     cpu: float
     memory: int
--- a/ryestack/lab/scale_links.py
+++ b/ryestack/lab/scale_links.py
@@ -4,12 +4,15 @@
 regions, and before every machine for the relays whose traffic is measured.
 """
 
+import asyncio
+import time
 from dataclasses import dataclass, field
 
 from ..standins.links import Link
 from .scale_plan import Machine, Place
 
-STRAIGHT = "straight"
+ENDS_WITHIN = 2.0  # seconds for connections that were ended
+LOOK = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,5 +74,11 @@
         return Traffic(sum(link.carried for link in mine), sum(link.reads for link in mine))
 
     async def close(self) -> None:
+        """Ends all connections, lets those who serve them end, then closes the links."""
+        for link in self.links.values():
+            link.turn("refuse")
+        until = time.monotonic() + ENDS_WITHIN
+        while time.monotonic() < until and any(link.tasks for link in self.links.values()):
+            await asyncio.sleep(LOOK)
         for link in self.links.values():
             await link.close()
--- a/ryestack/lab/scale_operations.py
+++ b/ryestack/lab/scale_operations.py
@@ -62,8 +62,9 @@
 
     # -- hollow relays ----------------------------------------------------------------------------------
 
-    async def stop_hollow(self, names: list[str]) -> None:
-        await self._tell_hosts(names, hollow.Stop)
+    async def stop_hollow(self, names: list[str], keep: bool) -> None:
+        """keep: their next lives find what these had in force."""
+        await self._tell_hosts(names, lambda mine: hollow.Stop(mine, keep))
 
     async def start_hollow(self, names: list[str]) -> None:
         await self._tell_hosts(names, hollow.Start)
--- a/ryestack/lab/scale_stories.py
+++ b/ryestack/lab/scale_stories.py
@@ -33,10 +33,11 @@
 
 
 async def tenth_restarted(fleet) -> None:
-    """Hollow ones without a state folder, so that they fetch their whole scope; real ones with theirs."""
+    """Half of the hollow ones have lost their state folder and fetch their whole scope anew."""
     hollow = fleet.random.sample(fleet.hollow_names, round(RESTARTED_PART * len(fleet.hollow_names)))
     real = fleet.random.sample(fleet.real_names, round(RESTARTED_PART * len(fleet.real_names)))
-    await fleet.stop_hollow(hollow)
+    await fleet.stop_hollow(hollow[::2], keep=True)
+    await fleet.stop_hollow(hollow[1::2], keep=False)
     await fleet.start_hollow(hollow)
     await fleet.kill_children(real)
     await fleet.start_children(real)
@@ -91,7 +92,7 @@
     machines = [m.place.name for m in fleet.fleet.plan.machines if m.place.zone == zone]
     hollow = [name for name in fleet.hollow_names if fleet.places[name].zone == zone]
     real = [name for name in fleet.real_names if fleet.places[name].zone == zone]
-    await asyncio.gather(fleet.kill_children(machines + real), fleet.stop_hollow(hollow))
+    await asyncio.gather(fleet.kill_children(machines + real), fleet.stop_hollow(hollow, keep=True))
     await asyncio.sleep(fleet.lengths.fault)
     await asyncio.gather(fleet.start_children(machines + real), fleet.start_hollow(hollow))
 
