--- a/ryestack/lab/hollow.py
+++ b/ryestack/lab/hollow.py
@@ -21,7 +21,7 @@
 from ..control.holdings import Kept
 from ..control.messages import Entry, Rejection
 from ..control.order import Machine
-from ..control.subscriber import Identity
+from ..control.subscription import Identity
 from .hollow_messages import Close, Command, HollowPlace, Report, Specification, Start, Stop, Watch
 from .scale_book import BookWriter, digest, value_digest
 from .scale_judge import Kind
