--- a/ryestack/wire/client_connection.py
+++ b/ryestack/wire/client_connection.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from .sockets import unread
+from .sockets import unread, waited
 
 IDLE = 2.2  # seconds: a connection with no open request may end after 2, and a bad client must hear within 3
 QUIET_FOR = 0.3  # seconds that one which is let go has said nothing
@@ -59,7 +59,7 @@
 
     def __init__(self, manager, *, loop, **more):
         super().__init__(manager, loop=loop, **more)
-        self.since = self.heard_at = loop.time()
+        self.since = self.heard_at = self.came_at = loop.time()  # came_at: when its last bytes got here
         self.spoilt, self.ending, self.whole = False, None, None  # whole: the transport itself
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -85,6 +85,7 @@
         if self.spoilt:
             return
         self.heard_at = self._loop.time()
+        self.came_at = self.heard_at - waited(self.whole)
         super().data_received(data)
         if self._messages and not hasattr(self._messages[-1][0], "headers"):  # the parser's own error
             self.spoilt = True
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -14,6 +14,7 @@
 from ..ports import HandIn, Verdict
 from . import forms
 from .client_connection import IDLE, QUIET, ClientConnection, ConnectionServer, Full
+from .lateness import Lateness
 
 EBB = 0.1  # seconds between looks at whom to let go
 UNREAD = 2 * 1024 * 1024  # bytes of bodies not yet whole, over all connections
@@ -50,7 +51,7 @@
             0,
             0,
         )
-        self.listener, self.at, self.ebbing = None, at, None
+        self.listener, self.at, self.ebbing, self.lateness = None, at, None, Lateness()
         # Reading on after an error would take in what its client still has to send: up to 60 MB.
         self.server = ConnectionServer(
             self.handle,
@@ -169,7 +170,7 @@
                         return self.answer(TOO_LARGE, f"{forms.MOST_BODY} bytes at most", last=True)
                     if self.unread > UNREAD:
                         return self.answer(REFUSED, "too much at once", last=True)
-            ntf, key = self.read(request.headers, self.clock())
+            ntf, key = self.read(request.headers, request.protocol.came_at)
         except forms.BadForm as bad:
             return self.answer(MALFORMED, str(bad))
         except TimeoutError:
@@ -205,7 +206,9 @@
             return False
         return True
 
-    def read(self, headers, now: float) -> tuple[it.Notification, str]:
+    def read(self, headers, came_at: float) -> tuple[it.Notification, str]:
+        """came_at: when its last byte got here, from which its time runs, however late it is read."""
+        now = self.clock()
         name = forms.token(headers.get("X-Request-Id", ""), "X-Request-Id")
         topic, most = self.terms.of(headers.get("X-Class", ""), now)
         if topic is None:
@@ -213,7 +216,9 @@
         customer = headers.get("X-Tenant", "")
         if self.customers and customer not in self.customers:
             raise forms.BadForm("X-Tenant names no customer")
-        due = now + forms.seconds(headers.get("X-Deadline", ""))
+        span = forms.seconds(headers.get("X-Deadline", ""))
+        self.lateness.note(now, now - came_at)
+        due = came_at + span - self.lateness.reserve(now, span)
         dest = forms.destination(headers.get("X-Envelope", ""))
         if not self.members.has(dest):
             raise forms.BadForm(f"no destination {dest}")
--- /dev/null
+++ b/tests/test_lateness.py
@@ -0,0 +1,70 @@
+"""A message's time runs from its last byte at its client, however late a busy process reads it."""
+
+import asyncio
+import socket
+import time
+
+from ryestack.lifecycle.terms import Terms
+from ryestack.ports import Verdict
+from ryestack.wire.lateness import HALF_LIFE, MOST, PART, Lateness
+from ryestack.wire.server import Clients
+
+from .helpers import members, settings
+from .test_wire import RAW
+
+SPAN, BUSY, STEP = 0.5, 0.3, 0.05  # seconds: a time; that nothing is read; between two clocks
+WHOLE = RAW % 1 + b"x"
+
+
+def test_the_worst_wait_of_late_is_left_at_the_end():
+    late = Lateness()
+    late.note(10.0, 0.2)
+    late.note(10.1, 0.01)
+    assert 0.18 < late.reserve(10.1, 100.0) < 0.2
+    assert abs(late.reserve(10.0 + HALF_LIFE, 100.0) - 0.1) < 0.001
+    late.note(11.0, 9.0)
+    assert (late.reserve(11.0, 100.0), late.reserve(11.0, 1.0)) == (MOST, PART)
+
+
+def busy_while_it_comes(*parts):
+    """What a loop takes on that stands still while the bytes come; when they were sent; its lateness."""
+    got = []
+
+    def take(message):
+        got.append(message.ntf)
+        message.verdict.set_result((Verdict.TAKEN, 0.0))
+
+    async def run():
+        clock = asyncio.get_running_loop().time
+        clients = Clients(settings(), Terms(settings()), members(), clock, take, got.append, 50)
+        await clients.listen("127.0.0.1", 0)
+        clients.ready = True
+        sock = socket.create_connection(clients.listener.sockets[0].getsockname()[:2], timeout=2.0)
+        while not clients.server.connections:
+            await asyncio.sleep(0)
+        for part in parts:
+            sock.send(part)
+            sent_at = clock()
+            time.sleep(BUSY)  # the loop stands still, as under load: the bytes are in the kernel meanwhile
+            await asyncio.sleep(0.02)
+        async with asyncio.timeout(3.0):
+            while not got:
+                await asyncio.sleep(0.001)
+        late = clients.lateness.worst
+        sock.close()
+        clients.stop_listening()
+        await clients.server.shutdown(0.1)
+        return sent_at, late
+
+    return got, *asyncio.run(run())
+
+
+def test_the_time_of_a_request_that_waited_unread_runs_from_its_coming():
+    [ntf], sent_at, late = busy_while_it_comes(WHOLE)
+    assert abs(ntf.due - (sent_at + SPAN - SPAN * PART)) < STEP
+    assert BUSY - STEP < late < BUSY + 2 * STEP
+
+
+def test_the_time_of_one_in_pieces_runs_from_the_last():
+    [ntf], sent_at, _ = busy_while_it_comes(WHOLE[:40], WHOLE[40:-1], WHOLE[-1:])
+    assert abs(ntf.due - (sent_at + SPAN - SPAN * PART)) < STEP
