--- a/ryestack/wire/endpoint_connection.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -202,7 +202,10 @@
         super().feed_data(data, size)
 
     def body(self, data: bytes) -> None:
-        """left: bytes still to come, or -1 where only the parser or the connection's end tells."""
+        """left: bytes still to come, or -1 where only the parser or the connection's end tells.
+
+        An answer that ends before our last byte is gone says that the call never ran: it must not go out.
+        """
         more = b""
         if self.left >= 0:
             data, more = data[: self.left], data[self.left :]
@@ -211,7 +214,7 @@
             super().data_received(data)
         if self.left == 0 or (self.left < 0 and self._payload is not None and self._payload.is_eof()):
             self.call, self.idle_since = None, self._loop.time()
-        if more:
+        if more or (self.call is None and self.whole.get_write_buffer_size()):
             self.spoilt()
 
     def spoilt(self) -> None:
