--- a/ryestack/lab/hunt.py
+++ b/ryestack/lab/hunt.py
@@ -9,7 +9,7 @@
 
 from .policies import CEILING
 from .runner import bare, copy_of, play, rules_broken
-from .scenario import Fault_, Scenario
+from .scenario import Scenario, TimelineFault
 from .sim import faults
 from .sim.chance import Chance
 
@@ -95,11 +95,11 @@
     return made
 
 
-def _with(rows: list[Fault_], i: int, row: Fault_) -> list[Fault_]:
+def _with(rows: list[TimelineFault], i: int, row: TimelineFault) -> list[TimelineFault]:
     return [*rows[:i], row, *rows[i + 1 :]]
 
 
-def _end(fault: Fault_) -> float:
+def _end(fault: TimelineFault) -> float:
     at, span = (v[-1] if isinstance(v, list) else v for v in (fault.at, fault.span))
     return at + span
 
--- a/ryestack/lab/policies/best.py
+++ b/ryestack/lab/policies/best.py
@@ -37,14 +37,14 @@
 
     def choose(self, held: Held, routes: list[str]) -> str | None:
         found = [r for r in routes if self.runs(held, r)]
-        return min(found, key=lambda r: self.way.get(r, 0) / self.world.routes[r].slots, default=None)
+        return min(found, key=lambda r: self.way.get(r, 0) / self.world.layout.routes[r].slots, default=None)
 
     def runs(self, held: Held, name: str) -> bool:
-        route, now = self.world.routes[name], self.world.clock.now
+        route, now = self.world.layout.routes[name], self.world.clock.now
         unit, way = route.unit, self.way.get(name, 0)
         if any(t.kind not in ("slow", "tail") for t in unit.troubles) or route.shown != "up":
             return False
-        if self.world.cuts and self.world.cut(self.relay, route):
+        if self.world.network.cuts and self.world.network.cut(self.relay, route):
             return False
         if way >= max(route.slots + 1.0, route.slots * (1.0 + QUEUED)):
             return False
--- a/ryestack/lab/runner.py
+++ b/ryestack/lab/runner.py
@@ -129,10 +129,10 @@
         "scenario": day.name,
         "policy": policy,
         "seed": seed,
-        **world.accounts.score(world.counts),
+        **world.accounts.score(world.measured.counts),
         "handed": many,
         "delivered": len(waits),
-        **world.counts,
+        **world.measured.counts,
         "late_again": world.judge.late_again,
         "rules": {str(rule): count for rule, count in world.judge.counts.items()},
         "broken": [f"rule {b.rule} at {b.at:.3f}, {b.id}: {b.what}" for b in world.judge.broken[:20]],
@@ -140,12 +140,12 @@
         **{f"p{p * 100:g}": q for p, q in zip(PARTS, quantiles, strict=True)},
         "wall": {"seconds": wall, "inside": inside},
     }
-    series = {name: values for name, values in world.series.items()}
+    series = {name: values for name, values in world.measured.series.items()}
     heat = np.divide(
-        world.heat_done,
-        world.heat_asked,
-        where=world.heat_asked > 0,
-        out=np.full(world.heat_asked.shape, np.nan),
+        world.measured.heat_done,
+        world.measured.heat_asked,
+        where=world.measured.heat_asked > 0,
+        out=np.full(world.measured.heat_asked.shape, np.nan),
     )
     return Day(summary, series, heat, waits, world.plan, list(world.judge.lines))
 
--- a/ryestack/lab/scenario.py
+++ b/ryestack/lab/scenario/model.py
@@ -1,18 +1,13 @@
-"""A scenario: fleet, destinations, traffic, network, directory, faults. TOML, checked as the operator file
-is.
+"""What a scenario says, as structs: each key with its bounds and its description.
 
 A number that may be drawn is a value or a range [least, most]; each seed draws its own.
 """
 
-import tomllib
 from typing import Annotated, Literal
 
 import msgspec
-import tomli_w
 from msgspec import Meta
 
-from ..operator.checks import Fault, check, keys_of, line_of
-
 UNIT_FAULTS = (
     "vanish", "refuse", "hang", "shut", "reset-before", "error", "lost", "reset-after", "slow", "tail",
 )  # fmt: skip
@@ -201,7 +196,7 @@
     waste: Annotated[float, _of("price: runs that served nobody, a notification", ge=0.0, le=10.0)] = 0.0
 
 
-class Fault_(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename={"span": "for"}):
+class TimelineFault(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename={"span": "for"}):
     """One fault on the timeline."""
 
     kind: Annotated[Literal[FAULTS], _of("what goes wrong")]
@@ -246,120 +241,5 @@
     directory: Directory = Directory()
     rules: Rules = Rules()
     goal: Goal = Goal()
-    fault: list[Fault_] = []
+    fault: list[TimelineFault] = []
     random: Random = Random()
-
-
-class BadScenario(Exception):
-    """A scenario that cannot be used; the text has a line a fault."""
-
-
-def faults_of(table: dict) -> list[tuple[str, str]]:
-    """(dotted key, what is wrong) for each fault, of values first, then of what they say together."""
-    found = check(Scenario, table, list(keys_of(Scenario)))
-    if found:
-        return found
-    day = msgspec.convert(table, Scenario)
-    for key in ("group", "topic", "customer"):
-        names = [row.name for row in getattr(day, key)]
-        found += [
-            (f"{key}[{i}].name", f"{n} is there twice") for i, n in enumerate(names) if names.index(n) != i
-        ]
-        found += [] if names else [(key, "must hold one at least")]
-    for where, row in _rows(day, ""):
-        for field in msgspec.structs.fields(row):
-            value = getattr(row, field.name)
-            if _is_range(field.type):
-                found += _range(f"{where}{field.encode_name}", value)
-    groups, topics = {g.name for g in day.group}, {t.name for t in day.topic}
-    many = sum(g.count for g in day.group)
-    for i, fault in enumerate(day.fault):
-        if fault.group and fault.group not in groups:
-            found.append((f"fault[{i}].group", f"there is no group {fault.group}"))
-        if fault.topic and fault.topic not in topics:
-            found.append((f"fault[{i}].topic", f"there is no topic type {fault.topic}"))
-        if any(not 0 <= d < many for d in fault.destinations):
-            found.append((f"fault[{i}].destinations", f"must be from 0 to {many - 1}"))
-    for i, group in enumerate(day.group):
-        if group.service.shape == "empirical" and not (
-            group.service.values and min(group.service.values) > 0.0
-        ):
-            found.append((f"group[{i}].service.values", "must hold times above 0 where shape is empirical"))
-    least, most = day.random.faults
-    if not 0 <= least <= most or (most and not day.random.kinds):
-        found.append(
-            ("random.faults", f"found [{least}, {most}], must be least and most, of the kinds named")
-        )
-    return found
-
-
-def _is_range(kind) -> bool:
-    return "float | list[float]" in str(kind)
-
-
-def _rows(value, where: str):
-    if isinstance(value, msgspec.Struct):
-        yield where, value
-        for field in msgspec.structs.fields(value):
-            yield from _rows(getattr(value, field.name), f"{where}{field.encode_name}.")
-    elif isinstance(value, list):
-        for i, row in enumerate(value):
-            yield from _rows(row, f"{where.rstrip('.')}[{i}].")
-
-
-def _range(key: str, value) -> list[tuple[str, str]]:
-    low, high = (value[0], value[-1]) if isinstance(value, list) and len(value) == 2 else (value, value)
-    if isinstance(low, list) or not 0.0 <= low <= high < 1e9:
-        return [(key, f"found {value}, must be a number from 0, or [least, most]")]
-    return []
-
-
-def read(path: str) -> Scenario:
-    """The scenario in a file; raises BadScenario with all its faults."""
-    table, text = read_table(path)
-    return of(table, path, text)
-
-
-def read_table(path: str) -> tuple[dict, str]:
-    try:
-        with open(path, "rb") as file:
-            text = file.read().decode()
-        return tomllib.loads(text), text
-    except OSError as problem:
-        raise BadScenario(f"{path}: {problem.strerror}") from None
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError, RecursionError) as problem:
-        raise BadScenario(f"{path}: is no TOML: {problem}") from None
-
-
-def of(table: dict, path: str = "scenario", text: str = "") -> Scenario:
-    faults = [Fault(path, line_of(text, key) if text else 0, key, why) for key, why in faults_of(table)]
-    if faults:
-        raise BadScenario("\n".join(map(str, faults)))
-    return msgspec.convert(table, Scenario)
-
-
-def table_of(day: Scenario) -> dict:
-    return msgspec.to_builtins(day)
-
-
-def write(day: Scenario, path: str) -> None:
-    with open(path, "wb") as file:
-        tomli_w.dump(table_of(day), file)
-
-
-def with_key(table: dict, dotted: str, value) -> dict:
-    """A copy of a table with one dotted key set; rows of lists are named by number, as group.0.headroom."""
-    copy = msgspec.json.decode(msgspec.json.encode(table))
-    *path, last = dotted.split(".")
-    place = copy
-    for part in path:
-        if isinstance(place, list):
-            if not part.isdigit() or int(part) >= len(place):
-                raise BadScenario(f"{dotted}: there is no row {part}")
-            place = place[int(part)]
-        else:
-            place = place.setdefault(part, {})
-    if not isinstance(place, dict):
-        raise BadScenario(f"{dotted}: is no key")
-    place[last] = value
-    return copy
--- a/ryestack/lab/sim/faults.py
+++ b/ryestack/lab/sim/faults.py
@@ -4,7 +4,7 @@
 
 import numpy as np
 
-from ..scenario import UNIT_FAULTS, Fault_, Scenario
+from ..scenario import UNIT_FAULTS, Scenario, TimelineFault
 from .chance import Chance
 
 # What a drawn fault is like: kind -> (seconds it lasts, part of the traffic or of the relays, size).
@@ -44,7 +44,7 @@
     size: float
     calls: float
     down: float
-    fault: Fault_
+    fault: TimelineFault
     destinations: list[int] = field(default_factory=list)
     relays: list[int] = field(default_factory=list)
 
@@ -84,10 +84,10 @@
     return sorted(found, key=lambda s: s.at)
 
 
-def _drawn(day: Scenario, gen: np.random.Generator) -> Fault_:
+def _drawn(day: Scenario, gen: np.random.Generator) -> TimelineFault:
     kind = day.random.kinds[int(gen.integers(len(day.random.kinds)))]
     spans, parts, sizes = DRAWN[kind]
-    return Fault_(
+    return TimelineFault(
         kind=kind,
         at=float(gen.uniform(0.1, 0.6) * day.seconds),
         span=float(min(gen.uniform(*spans), day.seconds * 0.5)),
@@ -102,7 +102,7 @@
     )
 
 
-def _strike(day, fault: Fault_, part: float, shares, groups, buildings, gen) -> list[int]:
+def _strike(day, fault: TimelineFault, part: float, shares, groups, buildings, gen) -> list[int]:
     """Destinations that get about that part of the traffic; one at least."""
     order = gen.permutation(len(shares))
     if fault.group:
--- a/ryestack/lab/sim/relays.py
+++ b/ryestack/lab/sim/relays.py
@@ -58,7 +58,7 @@
         events = [it.ListUpdate(tuple(self.list.values()), whole=True)]
         for hand in recovered:
             hand.maybe_at, hand.open = hand.first_maybe(), {}
-            events.append(self.world.notification(hand))
+            events.append(self.world.clients.notification(hand))
         self.do(events, self.think(events), {})
 
     def die(self) -> list[Hand]:
@@ -99,10 +99,10 @@
             kind = type(event)
             if kind is Hand:
                 if len(self.held) + len(fresh) >= most:
-                    self.world.turned_away(event)
+                    self.world.clients.turned_away(event)
                     continue
                 fresh[event.id] = event
-                heard.append(self.world.notification(event))
+                heard.append(self.world.clients.notification(event))
             else:
                 if kind is it.Outcome:
                     self.before_outcome(event, now)
@@ -118,7 +118,7 @@
     def before_outcome(self, o: it.Outcome, now: float) -> None:
         """The history, as the ledger has it, and what the judge must know of the relay's knowledge."""
         hand, judge = self.held.get(o.id), self.world.judge
-        unit = self.world.routes[o.endpoint].unit
+        unit = self.world.layout.routes[o.endpoint].unit
         if o.wait > 0.0:
             judge.wait(self, unit, now + o.wait)
         if o.result is not Result.DELIVERED and o.result is not Result.NOT_SENT and unit.out:
@@ -129,7 +129,6 @@
         if o.result is Result.DELIVERED or o.ended:
             del self.held[o.id]
             judge.ended(hand, "delivered", now)
-            self.world.over(hand)
         elif o.result not in NEVER_RAN:
             hand.maybe_at = min(hand.maybe_at, sent)
             if o.result in MAY_STILL_RUN:
@@ -147,10 +146,11 @@
             elif kind is it.Cancel:
                 cancels.append(action)
             elif kind is it.HangUp:
-                world.hang_up(self, action.endpoint)
+                world.network.close_idle(self, action.endpoint)
             elif kind not in (it.AskForList, it.CallOff):
                 ends.append(action)
-        cost = world.cpu_round + world.cpu_event * (len(heard) + len(pushes))
+        fleet = world.day.fleet
+        cost = fleet.cpu_round + fleet.cpu_event * (len(heard) + len(pushes))
         self.free_at = now + max(cost, self.settings.quantum)
         gone = set()
         for action in ends:
@@ -162,7 +162,7 @@
         for hand in fresh.values():
             hand.relay = self
             self.held[hand.id] = hand
-            world.taken(hand)
+            world.clients.taken(hand)
         for action in cancels:
             self.give_up(action.id, action.push, Result.CANCELLED)
         if pushes:
@@ -173,7 +173,7 @@
     def end(self, hand: Hand, action, now: float) -> None:
         throttled = type(action) is it.Throttle
         self.world.judge.ended(hand, "throttled" if throttled else "expired", now)
-        self.world.given_up(hand, throttled, action.come_back if throttled else 0.0)
+        self.world.clients.given_up(hand, throttled, action.come_back if throttled else 0.0)
 
     def push(self, pushes: list[it.Push], gone: set, now: float, cost: float) -> None:
         """Those of one round to one endpoint travel together, as many as it takes."""
@@ -192,8 +192,8 @@
                 continue
             calls.setdefault(p.endpoint, []).append((hand, number, p.timeout))
         for endpoint, items in calls.items():
-            route = self.world.routes.get(endpoint)
-            most = self.world.batches[endpoint]
+            route = self.world.layout.routes.get(endpoint)
+            most = self.world.layout.batches[endpoint]
             for at in range(0, len(items), most):
                 self.start_call(route, items[at : at + most], now, cost)
 
@@ -206,7 +206,7 @@
         for hand, number, _ in items:
             hand.open[number] = now
             self.world.judge.pushed(hand, number, route, now)
-        call = self.world.send(self, route, [(hand, number) for hand, number, _ in items], now, cost)
+        call = self.world.network.send(self, route, [(hand, number) for hand, number, _ in items], now, cost)
         out, at = self.out, self.world.clock.at
         for hand, number, timeout in items:
             out[hand.id, number] = call
@@ -234,7 +234,7 @@
         call.open -= 1
         if not call.open:
             self.slots += 1
-            self.world.let_go(call)
+            self.world.network.let_go(call)
 
     def answered(self, call, result: Result, wait: float, limit: float) -> None:
         """Word on a call has come back."""
--- /dev/null
+++ b/tests/test_emulator_rules.py
@@ -0,0 +1,159 @@
+"""The emulator's judge and the policies to compare with."""
+
+import unittest
+from types import SimpleNamespace
+
+from ryestack import interface as it
+from ryestack.interface import Result
+from ryestack.lab import scenario as sc
+from ryestack.lab.judge import Judge
+from ryestack.lab.policies.textbook import RandomRoute, RoundRobin, TokenBucket
+from ryestack.lab.runner import policy_of
+from ryestack.lab.sim.relays import Hand
+
+from .emulated import TOPICS, unit
+from .helpers import settings, take
+
+
+class Rules(unittest.TestCase):
+    """Each rule is broken once, on purpose."""
+
+    def setUp(self):
+        self.judge = Judge(TOPICS, sc.Rules())
+        self.relay = SimpleNamespace(number=0, up=True, ready_at=0.0, forgot=lambda hand: False)
+        self.route = SimpleNamespace(id="s", unit=SimpleNamespace(name="d"))
+
+    def hand(self, name="1.0", topic=0, due=20.0, order=""):
+        made = Hand(name, 1, topic, due, order)
+        made.relay = self.relay
+        self.judge.taken(made, 0.0)
+        return made
+
+    def broke(self, *rules):
+        self.assertEqual([k for k, n in self.judge.counts.items() if n], list(rules), self.judge.broken)
+
+    def test_one_end_in_time_and_nothing_after(self):
+        j = self.judge
+        for spoil in (
+            lambda h: (j.ended(h, "delivered", 1.0), j.ended(h, "expired", 2.0)),
+            lambda h: (j.ended(h, "throttled", 1.0), j.pushed(h, 0, self.route, 2.0)),
+            lambda h: j.pushed(h, 0, self.route, 20.1),
+            lambda h: j.ended(h, "expired", 20.1),
+            lambda h: j.overdue(h, 20.06),
+        ):
+            j.counts[1] = 0
+            spoil(self.hand())
+            self.assertEqual(j.counts[1], 1)
+        self.broke(1)
+
+    def test_a_restarted_relay_has_a_moment_and_one_without_its_folder_no_duty(self):
+        hand = self.hand()
+        self.relay.ready_at = 19.5
+        self.assertGreater(self.judge.overdue(hand, 20.06), 20.9)
+        self.relay.forgot = lambda hand: True
+        self.assertIsNone(self.judge.overdue(hand, 21.1))
+        self.broke()
+
+    def test_effects_twice_and_false_words(self):
+        j = self.judge
+        once, merge, again = self.hand(topic=2), self.hand(topic=1), self.hand(topic=0)
+        for hand in (once, merge, again):
+            j.ran(hand, self.route, 1.0)
+        j.pushed(merge, 1, self.route, 6.9)
+        j.ran(again, self.route, 9.0)
+        self.broke()
+        j.pushed(merge, 2, self.route, 7.2)
+        self.assertEqual(j.counts[2], 1)
+        j.ended(once, "throttled", 2.0)
+        self.assertEqual(j.counts[2], 2)
+        j.ran(once, self.route, 3.0)
+        self.assertEqual(j.counts[2], 4)  # it ran twice, and after it was called harmless
+
+    def test_drains_waits_and_turns(self):
+        j, hand = self.judge, self.hand()
+        j.listed(self.relay, "s", False, 1.0)
+        j.pushed(hand, 0, self.route, 2.9)
+        self.broke()
+        j.pushed(hand, 1, self.route, 3.2)
+        self.broke(3)
+        j.listed(self.relay, "s", True, 3.3)
+        j.wait(self.relay, self.route.unit, 5.0)
+        j.pushed(hand, 2, self.route, 4.9)
+        self.broke(3, 6)
+        j.restarted(self.relay)
+        j.pushed(hand, 3, self.route, 4.95)
+        self.broke(3, 6)
+        first, second = self.hand("2.0", order="k"), self.hand("3.0", order="k")
+        j.pushed(second, 0, self.route, 6.0)
+        self.broke(3, 5, 6)
+        j.counts[5] = 0
+        j.may_still_run(first, 6.0)
+        j.ended(first, "expired", 6.1)
+        j.pushed(second, 1, self.route, 6.5)
+        self.assertEqual(j.counts[5], 1)  # its key rests
+        j.pushed(second, 2, self.route, 7.1)
+        self.assertEqual(j.counts[5], 1)
+
+    def test_pushed_over_counts_only_where_two_thirds_had_seen_it_fail(self):
+        u = unit()
+        u.witnesses = {"a"}
+        self.judge.fell(u, [(0.0, "a", 1.0), (0.1, "b", 1.0)], 0.2)
+        self.broke()
+        self.judge.fell(u, [(0.0, "a", 2.0), (0.1, "b", 1.0)], 0.2)
+        self.broke(4)
+
+    def test_a_life_is_traced(self):
+        self.judge.trace = {"1.0"}
+        hand = self.hand()
+        self.hand("2.0")
+        self.judge.pushed(hand, 0, self.route, 1.0)
+        told = [line.split(": ")[1] for line in self.judge.lines]
+        self.assertEqual(told, ["taken by relay 0, due 20.000", "push 0 to s"])
+
+
+class Policies(unittest.TestCase):
+    def of(self, kind):
+        made = kind(settings(), 1)
+        rows = tuple(it.Endpoint(r, "z", "shared", 7, rate=50.0) for r in "ab")
+        made.round(0.0, [it.ListUpdate(rows, whole=True)])
+        return made
+
+    def pushes(self, acts):
+        return [(a.id, a.endpoint) for a in acts if isinstance(a, it.Push)]
+
+    def test_what_may_not_run_again_ends_and_what_may_goes_on(self):
+        made = self.of(RandomRoute)
+        first = self.pushes(made.round(1.0, [take("n", "once"), take("m")]))
+        self.assertEqual({name for name, _ in first}, {"n", "m"})
+        broken = [it.Outcome(name, 0, route, Result.BROKEN) for name, route in first]
+        acts = made.round(1.1, broken)
+        self.assertEqual([type(a) for a in acts if getattr(a, "id", "") == "n"], [it.Expire])
+        self.assertEqual([name for name, _ in self.pushes(acts)], ["m"])
+
+    def test_waits_are_heeded_and_routes_taken_in_turn(self):
+        made = self.of(RoundRobin)
+        acts = made.round(1.0, [take("n"), take("m")])
+        self.assertEqual([route for _, route in self.pushes(acts)], ["a", "b"])
+        made.round(1.1, [it.Outcome("n", 0, "a", Result.FULL, wait=2.0)])
+        self.assertEqual(self.pushes(made.round(2.0, [take("o")])), [])
+        self.assertTrue(self.pushes(made.round(3.5, [])))
+
+    def test_a_retry_budget_runs_out(self):
+        made, pushed = self.of(TokenBucket), 0
+        for i in range(40):
+            acts = made.round(1.0 + i, [take(f"n{i}", due=90.0)])
+            for name, route in self.pushes(acts):
+                pushed += 1
+                number = made.held[name].pushes - 1
+                made.round(1.01 + i, [it.Outcome(name, number, route, Result.ERROR)])
+        self.assertLess(pushed, 40 + 16)
+
+    def test_a_revision_of_the_module_is_a_policy_and_an_unknown_one_is_told(self):
+        with self.assertRaisesRegex(sc.BadScenario, "there is none"):
+            policy_of("rystack")
+        with self.assertRaises(sc.BadScenario):
+            policy_of("ryestack@no-such-revision")
+
+
+if __name__ == "__main__":
+    unittest.main()
