Ports by the names of the field: Listener, Dispatcher, NoticeSink

Front, Courier and Ends told nobody what they are. Their methods follow (close_idle for hang_up, cancel_unsent for call_off, descriptor for door, replaced for relieved), and so do the effects of the phases' table. The operator file's [ends], the events front.open and ends.*, and the module's own actions HangUp and CallOff keep their names. No behaviour changes; the tests follow the names only.

--- a/ryestack/lifecycle/admin.py
+++ b/ryestack/lifecycle/admin.py
@@ -18,7 +18,7 @@
         parts, owner = self.parts, self.owner
         listed = parts.directory.members.listed()
         values = {
-            "upstream_tries_total": parts.courier.written,
+            "upstream_tries_total": parts.dispatcher.written,
             "in_progress": owner.in_progress(),
             "known_endpoints": len(listed),
             "skipped_endpoints": len(owner.brain.avoided(listed)),
@@ -36,8 +36,8 @@
         return 200, TEXT, f"{self.phase}\n"
 
     async def send_away(self) -> None:
-        for front in self.parts.fronts:
-            front.leave()
+        for listener in self.parts.listeners:
+            listener.leave()
         loop = asyncio.get_running_loop()
         self.sending_away = loop.call_later(ACCEPT, lambda: loop.create_task(self.sent_away()))
 
@@ -47,11 +47,11 @@
 
     async def end_idle(self) -> None:
         self.owner.emptied = True
-        for front in self.parts.fronts:
-            front.empty()
+        for listener in self.parts.listeners:
+            listener.empty()
 
     async def resume(self) -> None:
         self.sending_away.cancel()
         self.owner.emptied = False
-        for front in self.parts.fronts:
-            front.resume()
+        for listener in self.parts.listeners:
+            listener.resume()
--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..ports import Courier, Directory, Ends, Front
+from ..ports import Directory, Dispatcher, Listener, NoticeSink
 from ..store import remembered
 from ..store.journal import Journal
 from ..store.ledger import Ledger
@@ -17,7 +17,7 @@
 from .terms import Terms
 
 OWN_SOCKETS = 32  # for the journal, the watch, notices, the log, what opens while others close
-CLIENTS_PART = 0.28  # of all: the front opens a third at most, and no more while idle ones fill that
+CLIENTS_PART = 0.28  # of all: the listener opens a third at most, and no more while idle ones fill that
 FEWEST = 8  # connections a side, however few descriptors there are
 DIRECTORIES = {"catalog": Catalog, "fixed": Fixed}
 
@@ -28,9 +28,9 @@
     owner: Owner
     platform: Platform
     directory: Directory
-    courier: Courier
-    ends: Ends
-    fronts: list[Front]
+    dispatcher: Dispatcher
+    notices: NoticeSink
+    listeners: list[Listener]
     terms: Terms
     peering: object = None  # where an operator file has peers
 
@@ -45,17 +45,27 @@
     most = max(FEWEST, int(config.sockets * CLIENTS_PART))
     left = max(FEWEST, config.sockets - most - OWN_SOCKETS)
     members = directory.members
-    owner.courier = Calls(settings, members, clock, owner.put, left)
+    owner.dispatcher = Calls(settings, members, clock, owner.put, left)
     if operator.ends.sink == "file":
-        owner.ends = FileEnds(operator.ends.path, owner.told_platform)
+        owner.notices = FileEnds(operator.ends.path, owner.told_platform)
     else:
-        owner.ends = Notices(platform, owner.told_platform)
+        owner.notices = Notices(platform, owner.told_platform)
     at = (config.host, config.port)
     terms = Terms(settings)
-    front = Clients(settings, terms, members, clock, owner.hand_in, owner.withdraw, most, at)
+    listener = Clients(settings, terms, members, clock, owner.hand_in, owner.withdraw, most, at)
     peering = None
     if operator.peers.cluster:
         from .replication.peering import Peering  # most relays have none
 
         peering = Peering(operator.peers, config.name, owner, config.state, config.seed)
-    return Parts(ledger, owner, platform, directory, owner.courier, owner.ends, [front], terms, peering)
+    return Parts(
+        ledger,
+        owner,
+        platform,
+        directory,
+        owner.dispatcher,
+        owner.notices,
+        [listener],
+        terms,
+        peering,
+    )
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -12,7 +12,7 @@
 from ..brain import NEVER_RAN
 from ..interface import Result
 from ..observe.log import detailed, event
-from ..ports import Courier, Directory, Ends, HandIn, Item, Verdict
+from ..ports import Directory, Dispatcher, HandIn, Item, NoticeSink, Verdict
 from ..store.ledger import Ledger
 from ..store.owed import Owed, rules_of
 from .recovery import Paused, Recovery
@@ -29,8 +29,9 @@
         self.brain = Watched(settings, seed)
         self.brain.told_turn = partial(self.tell_siblings, "turn")
         self.queue, self.filled = [], asyncio.Event()
-        self.courier: Courier = None  # these three are set once they can be built, before the first round
-        self.ends: Ends = None
+        # These three are set once they can be built, before the first round.
+        self.dispatcher: Dispatcher = None
+        self.notices: NoticeSink = None
         self.directory: Directory = None
         self.replication = Unreplicated()
         self.emptied = False  # drained by staff: nothing new is taken
@@ -70,7 +71,7 @@
         out = [(name, push) for name, push in self.brain.out if name in names]
         self.put([Paused(name) for name in names])
         for name, push in out:
-            self.courier.cancel(name, push)
+            self.dispatcher.cancel(name, push)
 
     async def run(self) -> None:
         while True:
@@ -96,14 +97,14 @@
         for message in self.fresh.values():
             self.take(message)
         for action in asked[it.Cancel]:
-            self.courier.cancel(action.id, action.push)
+            self.dispatcher.cancel(action.id, action.push)
         for action in asked[it.CallOff]:
-            self.courier.call_off(action.endpoint)
+            self.dispatcher.cancel_unsent(action.endpoint)
         self.push(asked[it.Push])
         for action in asked[it.HangUp]:
-            self.courier.hang_up(action.endpoint)
+            self.dispatcher.close_idle(action.endpoint)
         if any(isinstance(h, it.ListUpdate) for h in heard):
-            self.courier.forget()
+            self.dispatcher.forget()
         for _ in asked[it.AskForList]:
             self.directory.ask()
         for action in asked[it.Wake]:
@@ -173,7 +174,7 @@
             if away > 0.0:
                 notice["after_ms"] = round(away * 1000.0)
             self.ledger.owe_notice(action.id, notice)
-            self.replication.told(self.ledger.owed[action.id], notice, self.ends.add)
+            self.replication.told(self.ledger.owed[action.id], notice, self.notices.add)
 
     def take(self, message: HandIn) -> None:
         n = message.ntf
@@ -218,7 +219,7 @@
             self.counts["pushes"] += 1
             calls[p.endpoint].append(Item(p.id, number, p.timeout, owed.key, owed.body, owed.heard, *may))
         for endpoint, items in calls.items():
-            self.courier.start(endpoint, items)
+            self.dispatcher.start(endpoint, items)
             for i in items if detailed() else ():
                 dest = self.ledger.owed[i.id].dest
                 event("push.began", id=i.id, push=i.push, route=endpoint, destination=dest)
--- a/ryestack/lifecycle/recovery.py
+++ b/ryestack/lifecycle/recovery.py
@@ -41,7 +41,7 @@
             if not o.notice and not terms and o.topic not in topics:
                 self.ledger.owe_notice(o.id, {"state": "failed"})
             if o.notice:
-                self.replication.told(o, o.notice, self.ends.add)
+                self.replication.told(o, o.notice, self.notices.add)
             else:
                 maybe = o.first_maybe() - self.wall
                 due = o.due - self.wall
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -83,7 +83,7 @@
     def busy(self) -> bool:
         """Requests under way; on the way out connections too: an exit resets what is on its way."""
         leaving = self.phase not in READY
-        return any(front.busy or (leaving and front.connections()) for front in self.parts.fronts)
+        return any(listener.busy or (leaving and listener.connections()) for listener in self.parts.listeners)
 
     async def recover(self) -> None:
         learnt, out = await self.predecessor_state() if self.channel else (None, [])
@@ -114,11 +114,11 @@
             event("line.broken", why="the process before us did not tell what it has learnt")
         return None, []
 
-    async def open_door(self) -> None:
+    async def open_listeners(self) -> None:
         parts = self.parts
         lasting = [
             self.owner.run(),
-            parts.ends.run(),
+            parts.notices.run(),
             parts.directory.run(self.owner.put),
             self.summaries(),
             self.save_regularly(),
@@ -128,10 +128,11 @@
         if parts.peering:
             lasting.append(parts.peering.run())
         self.tasks = [asyncio.ensure_future(each) for each in lasting]
-        for front in parts.fronts:
-            door = self.channel.listening_socket if self.channel else None
+        for listener in parts.listeners:
+            handed_over = self.channel.listening_socket if self.channel else None
             beside = self.succession.predecessor != "none"
-            event("front.open", protocol=front.protocol, address=await front.open(door, beside))
+            address = await listener.open(handed_over, beside)
+            event("front.open", protocol=listener.protocol, address=address)
         if self.channel:
             self.channel.send("serves")
             self.follow(self.channel, self.succession.predecessor_is)
@@ -149,24 +150,24 @@
 
     # -- the end ----------------------------------------------------------------------------------
 
-    async def say_so(self) -> None:
-        for front in self.parts.fronts:
-            front.leave()
+    async def announce_stop(self) -> None:
+        for listener in self.parts.listeners:
+            listener.leave()
         self.owner.put([it.Leaving(self.stop_at + SHORT)])
 
-    async def shut_door(self) -> None:
-        for front in self.parts.fronts:
-            front.shut()
+    async def close_listeners(self) -> None:
+        for listener in self.parts.listeners:
+            listener.shut()
 
     async def wind_up(self) -> None:
         # A push decided from here on would never be made, and the next life would read that it may have run.
         self.owner.put([it.Leaving(self.clock())])
         self.owner.round(self.owner.take_queue())
-        await self.parts.courier.close()
+        await self.parts.dispatcher.close()
         if self.owner.queue:
             self.owner.round(self.owner.take_queue())
         until = min(self.clock(), self.stop_at + SHORT) + LAST  # a turn that comes late takes from it
-        while self.clock() < until and (self.parts.ends.waiting() or self.busy()):
+        while self.clock() < until and (self.parts.notices.waiting() or self.busy()):
             await asyncio.sleep(LOOK)
 
     async def end(self) -> None:
@@ -185,7 +186,7 @@
         for channel in self.channels:
             channel.close()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self.parts.courier.close()
+        await self.parts.dispatcher.close()
         await self.parts.platform.close()
         if self.parts.peering:
             await self.parts.peering.close()
@@ -211,7 +212,7 @@
         if told.settings != self.config.settings:
             self.parts.terms.change(told.settings, self.clock())
             self.owner.retune(told.settings)
-            for part in (self.parts.courier, *self.parts.fronts):
+            for part in (self.parts.dispatcher, *self.parts.listeners):
                 part.retune(told.settings)
             event("settings.changed", topics=",".join(t.name for t in told.settings.topic_types))
         now_held = {"discovery": told.discovery, "settings": told.settings, "told": told.told}
@@ -232,8 +233,8 @@
             "relay.summary",
             counts=dict(self.owner.counts),
             owed=len(self.ledger.owed),
-            out=self.parts.courier.out(),
-            clients=sum(front.connections() for front in self.parts.fronts),
+            out=self.parts.dispatcher.out(),
+            clients=sum(listener.connections() for listener in self.parts.listeners),
             journal=self.ledger.journal.size,
             cpu=round(used.ru_utime + used.ru_stime, 2),
             memory=used.ru_maxrss // 1024,
--- a/ryestack/lifecycle/upgrade/handover.py
+++ b/ryestack/lifecycle/upgrade/handover.py
@@ -16,12 +16,12 @@
 
     def share(self) -> None:
         processes = self.succession.processes()
-        for part in (self.ledger.journal, self.parts.courier, *self.parts.fronts):
+        for part in (self.ledger.journal, self.parts.dispatcher, *self.parts.listeners):
             part.share(processes)
 
     def successor_connected(self, conn) -> None:
         """A process that is to take over from us has started."""
-        channel = hand_over(conn, self.parts.fronts[0].door()) if self.phase in READY else None
+        channel = hand_over(conn, self.parts.listeners[0].descriptor()) if self.phase in READY else None
         if channel is None:
             conn.close()
             return
@@ -92,7 +92,7 @@
                 self.succession.predecessor_is("gone")
                 self.share()
 
-    async def hand_door(self) -> None:
-        for front in self.parts.fronts:
-            front.relieved()
+    async def hand_over_listeners(self) -> None:
+        for listener in self.parts.listeners:
+            listener.replaced()
         self.owner.put([it.Leaving(self.stop_at + SHORT)])
--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -138,7 +138,7 @@
         "a notification is taken, or goes on by its history after a start",
     ),
     ("ntf.ended", "DEBUG", "id how after", "a notification that is not delivered got its final answer"),
-    ("push.began", "DEBUG", "id push route destination", "a push was handed to the courier"),
+    ("push.began", "DEBUG", "id push route destination", "a push was handed to the dispatcher"),
     (
         "push.ended",
         "DEBUG",
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -1,8 +1,8 @@
 """What the owner of the decisions expects of the outside, free of any protocol.
 
-A Front hands notifications in and is told verdicts; a Courier starts and cancels calls and tells how they
-ended; a Directory tells list updates; an Ends sink takes the final answers that are owed. `lifecycle/` puts
-together the ones that the configuration names; no adapter knows another.
+A Listener hands notifications in and is told verdicts; a Dispatcher starts and cancels calls and tells how
+they ended; a Directory tells list updates; a NoticeSink takes the final answers that are owed. `lifecycle/`
+puts together the ones that the configuration names; no adapter knows another.
 """
 
 from __future__ import annotations
@@ -65,21 +65,21 @@
 Tell = Callable[[Iterable[object]], None]  # puts events into the owner's queue, in one round together
 
 
-class Front(Protocol):
+class Listener(Protocol):
     """Takes notifications from clients of one protocol; it calls `hand_in(HandIn)` and `withdraw(id)`."""
 
     busy: int  # requests under way
 
-    async def open(self, door=None, beside: bool = False) -> str:
+    async def open(self, listening_socket=None, beside: bool = False) -> str:
         """Listen; returns the address. From here on it serves.
 
-        door: the listening socket of the process before us, if it handed one over; beside: it lives.
+        listening_socket: that of the process before us, if it handed one over; beside: it lives.
         """
 
-    def door(self) -> int | None:
+    def descriptor(self) -> int | None:
         """The descriptor that clients come to, to hand over."""
 
-    def relieved(self) -> None:
+    def replaced(self) -> None:
         """Another process serves here from now on: take no more, and let go of those there are."""
 
     def share(self, processes: int) -> None:
@@ -103,17 +103,17 @@
     def connections(self) -> int: ...
 
 
-class Courier(Protocol):
+class Dispatcher(Protocol):
     """Carries pushes to endpoints and tells one Outcome for each."""
 
     def start(self, endpoint: str, items: list[Item]) -> None: ...
 
     def cancel(self, name: str, push: int) -> None: ...
 
-    def call_off(self, endpoint: str) -> None:
+    def cancel_unsent(self, endpoint: str) -> None:
         """End calls to that endpoint that have not begun, as not sent: their connection may come up late."""
 
-    def hang_up(self, endpoint: str) -> None:
+    def close_idle(self, endpoint: str) -> None:
         """Close what stands idle to that endpoint; calls that are out go on."""
 
     def forget(self) -> None:
@@ -150,7 +150,7 @@
         """The decisions want it asked now, after what failed."""
 
 
-class Ends(Protocol):
+class NoticeSink(Protocol):
     """Takes final answers that are owed, and tells the ids that have arrived."""
 
     def add(self, name: str, notice: dict) -> None:
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -88,12 +88,12 @@
         """What stays open to endpoints that are gone ends here; calls that are out go on."""
         self.end_idle(self.members.leave())
 
-    def call_off(self, endpoint: str) -> None:
+    def cancel_unsent(self, endpoint: str) -> None:
         for progress in self.begun.values():
             if progress.endpoint == endpoint:
                 self.not_begun(progress)
 
-    def hang_up(self, endpoint: str) -> None:
+    def close_idle(self, endpoint: str) -> None:
         self.end_idle({endpoint})
 
     def end_idle(self, endpoints: set[str]) -> None:
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -62,8 +62,8 @@
             logger=QUIET,
         )
 
-    async def open(self, door: socket.socket | None = None, beside: bool = False) -> str:
-        await self.listen(*self.at, door, beside)
+    async def open(self, listening_socket: socket.socket | None = None, beside: bool = False) -> str:
+        await self.listen(*self.at, listening_socket, beside)
         self.ready = True
         host, port = self.listener.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
@@ -82,7 +82,7 @@
             connection.end_if_quiet()
         self.ebbing = asyncio.get_running_loop().call_later(EBB, self.empty)
 
-    def relieved(self) -> None:
+    def replaced(self) -> None:
         self.listener.close()
         self.ready = True  # of the relay, which the other process is now, drained or not
         self.empty()
@@ -103,17 +103,17 @@
     def connections(self) -> int:
         return len(self.server.connections)
 
-    def door(self) -> int | None:
+    def descriptor(self) -> int | None:
         return self.listener.sockets[0].fileno() if self.listener and self.listener.sockets else None
 
-    async def listen(self, host: str, port: int, door=None, beside: bool = False) -> None:
-        """door: the socket of the process before us: one queue of connections, of which no close resets any.
+    async def listen(self, host: str, port: int, listening_socket=None, beside: bool = False) -> None:
+        """listening_socket: of the process before us: one queue of connections, of which no close resets any.
 
         Without it, beside another process, the address is shared; else it must be free, as ever.
         """
-        if door is None and not beside:
+        if listening_socket is None and not beside:
             socket.create_server((host, port), backlog=1).close()
-        sock = door or socket.create_server((host, port), backlog=BACKLOG, reuse_port=True)
+        sock = listening_socket or socket.create_server((host, port), backlog=BACKLOG, reuse_port=True)
         sock.setblocking(False)
         self.listener = await asyncio.get_running_loop().create_server(self.accept, sock=sock, backlog=BATCH)
         sock.listen(BACKLOG)  # the library knows one figure for both
--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -96,7 +96,7 @@
 
         def chosen(connection, **params):
             real(connection, **params)
-            self.calls.call_off("a")
+            self.calls.cancel_unsent("a")
 
         with mock.patch.object(EndpointConnection, "set_response_params", chosen):
             self.calls.start("a", [item("next", 1)])
@@ -150,7 +150,7 @@
         heard = self.loop.create_future()
         self.calls.start("a", [item(heard=heard)])
         await asyncio.sleep(0)
-        self.calls.call_off("a")
+        self.calls.cancel_unsent("a")
         self.assertEqual((await self.next()).result, Result.NOT_SENT)
         self.calls.start("a", [item(push=1, heard=heard)])
         await asyncio.sleep(0)
@@ -167,7 +167,7 @@
         o = await self.next()
         self.assertEqual((o.result, self.calls.begun, self.calls.running), (Result.NOT_SENT, {}, {}))
         self.calls.start("a", [item(push=1)])
-        self.calls.call_off("a")
+        self.calls.cancel_unsent("a")
         self.assertEqual((await self.next()).result, Result.NOT_SENT)
         self.calls.start("a", [item(push=2)])
         await self.calls.close()
@@ -193,7 +193,7 @@
     async def test_a_call_whose_last_byte_waits_with_us_is_called_back_and_never_goes_out(self):
         body = b"b" * 32 * 1024 * 1024  # more than both systems hold
         for end, out in (
-            (lambda: self.calls.call_off("a"), {}),
+            (lambda: self.calls.cancel_unsent("a"), {}),
             (lambda: None, {"begin": 0.3}),
         ):
             self.calls.start("a", [item(body=body, **out)])
--- a/tests/test_first_word.py
+++ b/tests/test_first_word.py
@@ -30,7 +30,7 @@
         relay.ledger.journal.close()
         relay.ledger.owed.clear()
         began, started = relay.clock(), []
-        relay.owner.courier = mock.Mock(start=lambda at, items: started.extend(i.id for i in items))
+        relay.owner.dispatcher = mock.Mock(start=lambda at, items: started.extend(i.id for i in items))
         await relay.recover()
         took = relay.clock() - began
         await relay.close()
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -150,9 +150,9 @@
             limits = {"cores": 1.0, "memory_mb": 64, "sockets": sockets, "disk_mb": 3}
             path = config(self.folder, "127.0.0.1:1", limits=limits)
             relay = Relay(load({"LB_CONFIG": path, "LB_STATE": self.folder}))
-            [front], courier = relay.parts.fronts, relay.parts.courier
-            self.assertLess(front.most, 0.9 * sockets / 3)
-            self.assertLess(front.most + courier.most, sockets - 20)
+            [listener], dispatcher = relay.parts.listeners, relay.parts.dispatcher
+            self.assertLess(listener.most, 0.9 * sockets / 3)
+            self.assertLess(listener.most + dispatcher.most, sockets - 20)
             await relay.close()
 
 
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -56,7 +56,7 @@
 
     def test_relieved_it_ends_what_it_owes_from_any_state_of_serving(self):
         for phase in ("serving", "emptying", "empty"):
-            self.assertEqual(PHASES[phase, "relieved"], ("draining", "hand_door"))
+            self.assertEqual(PHASES[phase, "relieved"], ("draining", "hand_over_listeners"))
 
 
 class Lines(Folder, unittest.IsolatedAsyncioTestCase):
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -23,9 +23,10 @@
         made = Owner(settings(**more), 1, ledger, lambda: self.now, 1000.0)
         made.brain.round(0.0, [self.listed] if not ledger.owed else [])
         self.sent, self.told, self.last = [], [], made
-        made.courier = SimpleNamespace(forget=lambda: None, hang_up=lambda _: None, call_off=lambda _: None)
-        made.courier.start = lambda _, items: self.sent.extend((i.id, i.push) for i in items)
-        made.ends = SimpleNamespace(add=lambda name, notice: self.told.append((name, notice)))
+        made.dispatcher = SimpleNamespace(forget=lambda: None)
+        made.dispatcher.close_idle = made.dispatcher.cancel_unsent = lambda _: None
+        made.dispatcher.start = lambda _, items: self.sent.extend((i.id, i.push) for i in items)
+        made.notices = SimpleNamespace(add=lambda name, notice: self.told.append((name, notice)))
         return made
 
     def setUp(self):
--- a/tests/test_winding_up.py
+++ b/tests/test_winding_up.py
@@ -14,7 +14,7 @@
 from .helpers import Folder, config, take
 
 
-class Courier:
+class Dispatcher:
     """Holds each push until it is closed; then its outcomes come, as those of calls that are cut off do."""
 
     def __init__(self, tell):
@@ -22,7 +22,7 @@
 
     def start(self, endpoint, items):
         if self.closed:
-            raise AssertionError("a push is started on a courier that is closed")
+            raise AssertionError("a push is started on a dispatcher that is closed")
         self.started += [(endpoint, item) for item in items]
 
     async def close(self):
@@ -35,7 +35,7 @@
     def forget(self):
         pass
 
-    call_off = hang_up = lambda self, endpoint: None
+    cancel_unsent = close_idle = lambda self, endpoint: None
 
 
 class WindingUp(Folder, unittest.IsolatedAsyncioTestCase):
@@ -45,14 +45,14 @@
             path = config(self.folder, "127.0.0.1:1")
             relay = Relay(load({"LB_CONFIG": path, "LB_STATE": self.folder}))
             owner, loop = relay.owner, asyncio.get_running_loop()
-            owner.courier = relay.parts.courier = Courier(owner.put)
+            owner.dispatcher = relay.parts.dispatcher = Dispatcher(owner.put)
             relay.ledger.recover()
             owner.recover([relay.parts.directory.known()])
             for name in ("n", "m"):
                 owner.brain.slots = 1 if name == "n" else 0  # the second waits for the slot of the first
                 told = loop.create_future(), loop.create_future()
                 owner.round([HandIn(take(name, due=loop.time() + 9.0), "k", b"x", *told)])
-            self.assertEqual([item.id for _, item in owner.courier.started], ["n"])
+            self.assertEqual([item.id for _, item in owner.dispatcher.started], ["n"])
             task = asyncio.ensure_future(owner.run()) if own_task else None
             await relay.wind_up()
             if task:
