Peers: listener, client, envelopes and messages for door, post, letters and words

The socket side of replication is peers/transport.py with PeerListener and PeerClient, the codec is peers/messages.py with encode and decode. A relay of before and one of now understand each other: the structs keep their tags, fields and order, and an envelope's message stays under the key `word`. Who may say that a life is over is a function of its own.

--- a/benchmarks/peers_at_size.py
+++ b/benchmarks/peers_at_size.py
@@ -1,9 +1,9 @@
-"""Guarded relays at size, in simulated time: the pure core of each, a network that loses and delays words.
+"""Guarded relays at size, in simulated time: the pure core of each, a network that loses and delays messages.
 
     python benchmarks/peers_at_size.py [--plot docs/studies/peers-at-size.png]
 
 Each of 10, 100 and 1,000 relays takes a notification a second and ends it two seconds later. At eight
-seconds a third is killed at once with its folders. Told: when its work went on at a guard, words and bytes
+seconds a third is killed at once with its folders. Told: when its work went on at a guard, messages and bytes
 a notification, take-overs of a relay that lived, two that acted at once, covered ones (lost) that nobody
 has though one of the group lives, (gone) whose whole group was killed. All simulated: no socket, no clock
 of the machine.
@@ -20,9 +20,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from ryestack.peers import words  # noqa: E402
+from ryestack.peers import messages  # noqa: E402
+from ryestack.peers.messages import Record  # noqa: E402
 from ryestack.peers.node import Node, Refused, Terms  # noqa: E402
-from ryestack.peers.words import Record  # noqa: E402
 
 LEASE, TICK, KILLED, UNTIL, LASTS = 3.0, 0.1, 8.0, 24.0, 2.0
 BODY = b"x" * 200
@@ -38,7 +38,7 @@
             n: Node(Terms("c", n, zones, 2, LEASE), 1, False, random.Random(f"{seed}{n}"), -2 * LEASE)
             for n in self.names
         }
-        self.dead, self.words, self.bytes, self.taken = set(), 0, 0, 0
+        self.dead, self.messages, self.bytes, self.taken = set(), 0, 0, 0
         self.owed: dict[str, dict[str, float]] = {n: {} for n in self.names}  # covered ones, by keeper
         self.waits: dict[str, list] = {n: [] for n in self.names}
         self.after: list[float] = []  # seconds from the kill until a seat with work acts again
@@ -97,19 +97,19 @@
         to, body, asked = who
         if to in self.dead:
             return
-        letter, node = words.read(body), self.nodes[to]
+        envelope, node = messages.decode(body), self.nodes[to]
         try:
             if asked:
-                self.send(letter.sender, node.hear(letter, self.now), False, to)
+                self.send(envelope.sender, node.hear(envelope, self.now), False, to)
             else:
-                node.answered(letter, self.now)
+                node.answered(envelope, self.now)
         except Refused:
             pass
         self.drain(to)
 
-    def send(self, to, letter, asked, sender):
-        body = words.write(letter)
-        self.words, self.bytes = self.words + 1, self.bytes + len(body)
+    def send(self, to, envelope, asked, sender):
+        body = messages.encode(envelope)
+        self.messages, self.bytes = self.messages + 1, self.bytes + len(body)
         ways = {self.zones[to], self.zones[sender]}
         apart = self.cut and KILLED <= self.now < KILLED + 2 * LEASE and "a" in ways and len(ways) > 1
         if not apart and self.random.random() >= self.loss:
@@ -147,7 +147,7 @@
         "p50 s",
         "p99 s",
         "seats",
-        "words/ntf",
+        "messages/ntf",
         "bytes/ntf",
         "bytes/relay/s",
     )
@@ -160,7 +160,7 @@
         p50, p99 = np.quantile(fleet.after, (0.5, 0.99)) if fleet.after else (inf, inf)
         rows.append((count, loss, cut, fleet.after))
         told = (count, loss, "yes" if cut else "no", f"{p50:.2f}", f"{p99:.2f}", len(fleet.after))
-        costs = (fleet.words / fleet.taken, fleet.bytes / fleet.taken, fleet.bytes / count / UNTIL)
+        costs = (fleet.messages / fleet.taken, fleet.bytes / fleet.taken, fleet.bytes / count / UNTIL)
         found = (fleet.false, fleet.twice, fleet.lost, fleet.gone)
         print("  ".join(map(str, [*told, *(f"{c:.1f}" for c in costs), *found])), flush=True)
     if chosen.plot:
--- a/ryestack/lifecycle/replication/peering.py
+++ b/ryestack/lifecycle/replication/peering.py
@@ -7,7 +7,7 @@
 from ...operator.schema import Peers
 from ...peers.node import Node, Terms
 from ...peers.roster import TWIN
-from ...peers.wire import Door, Post
+from ...peers.transport import PeerClient, PeerListener
 from ..config import BadConfig
 from ..phases import LOOK
 from .incarnations import Incarnations
@@ -24,8 +24,10 @@
         self.name = peers.name or name
         addresses = {relay.name: relay.address for relay in peers.relays}
         host, _, port = addresses[self.name].rpartition(":")
-        self.door = Door((host, int(port)), lambda letter: self.replication.hear(letter))
-        self.post = Post(addresses, lambda letter: self.replication.answered(letter), self.refused)
+        self.listener = PeerListener((host, int(port)), lambda envelope: self.replication.hear(envelope))
+        self.client = PeerClient(
+            addresses, lambda envelope: self.replication.answered(envelope), self.refused
+        )
         self.twin = asyncio.get_running_loop().create_future()
         self.replication: ReplicatedWork = None
 
@@ -43,10 +45,10 @@
         self.owner.replication = self.replication
         self.began = self.owner.clock()
 
-    def send(self, to: str, letter) -> None:
+    def send(self, to: str, envelope) -> None:
         """Nothing before the address is ours: until then another process speaks for this name."""
-        if self.door.sock is not None:
-            self.post.send(to, letter)
+        if self.listener.sock is not None:
+            self.client.send(to, envelope)
 
     def refused(self, why: str) -> None:
         """A name belongs to one relay: who comes later, and can't prove that the other is over, ends."""
@@ -56,22 +58,22 @@
 
     def bind(self) -> None:
         try:
-            self.door.bind()
+            self.listener.bind()
         except OSError as problem:
-            raise BadConfig(f"peers.relays: {self.name}: {self.door.at}: {problem.strerror}") from None
+            raise BadConfig(f"peers.relays: {self.name}: {self.listener.at}: {problem.strerror}") from None
 
     async def succeed(self) -> None:
         """The predecessor of an upgrade has the address until its end; nothing of it can act after that."""
-        while self.door.sock is None:
+        while self.listener.sock is None:
             with suppress(OSError):
-                self.door.bind()
+                self.listener.bind()
             await asyncio.sleep(LOOK)
         self.replication.node.sole, self.began = True, self.owner.clock()
 
     async def run(self) -> None:
-        if self.door.sock is None:
+        if self.listener.sock is None:
             await self.succeed()
-        await self.door.open()
+        await self.listener.open()
         running = asyncio.ensure_future(self.replication.run())
         try:
             await asyncio.wait([running, self.twin], return_when=asyncio.FIRST_COMPLETED)
@@ -82,5 +84,5 @@
             running.cancel()
 
     async def close(self) -> None:
-        await self.door.close()
-        await self.post.close()
+        await self.listener.close()
+        await self.client.close()
--- a/ryestack/lifecycle/replication/record_codec.py
+++ b/ryestack/lifecycle/replication/record_codec.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ...peers.words import Record
+from ...peers.messages import Record
 from ...store.owed import Owed
 
 _write, _read = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder().decode
@@ -52,7 +52,7 @@
 
 
 def decode(records: list[Record]) -> Owed | None:
-    """None where the facts make no sense: they are another's words."""
+    """None where the facts make no sense: they are another's messages."""
     made, out = None, {}
     try:
         for record in records:
--- a/ryestack/lifecycle/replication/replicated.py
+++ b/ryestack/lifecycle/replication/replicated.py
@@ -34,7 +34,7 @@
 
 class ReplicatedWork(TakeOver):
     def __init__(self, owner, node: Node, send, alone: str, lives):
-        """send(peer, letter); alone: `serve` or `refuse`; lives: what is kept of our lives in the folder."""
+        """send(peer, envelope); alone: `serve` or `refuse`; lives: what the folder has of our lives."""
         self.owner, self.node, self.send, self.alone, self.lives = owner, node, send, alone, lives
         self.seat_of: dict[str, Seat] = {}
         self.stray: dict[str, object] = {}  # of lives before: not to be acted on before their seat is ours
@@ -75,14 +75,14 @@
             each.done(False)
         self.flush()
 
-    def hear(self, letter):
+    def hear(self, envelope):
         try:
-            return self.node.hear(letter, self.now())
+            return self.node.hear(envelope, self.now())
         finally:
             self.flush()
 
-    def answered(self, letter) -> None:
-        self.node.answered(letter, self.now())
+    def answered(self, envelope) -> None:
+        self.node.answered(envelope, self.now())
         self.flush()
 
     def flush(self) -> None:
@@ -91,12 +91,12 @@
             try:
                 for kind, *rest in effects:
                     getattr(self, f"on_{kind}")(*rest)
-            except Exception as problem:  # a letter's task would end by it unseen
+            except Exception as problem:  # an envelope's task would end by it unseen
                 self.fault = problem
                 raise
 
-    def on_send(self, to: str, letter) -> None:
-        self.send(to, letter)
+    def on_send(self, to: str, envelope) -> None:
+        self.send(to, envelope)
 
     def on_peer(self, name: str, state: str) -> None:
         event("peer.changed", peer=name, state=state)
--- a/ryestack/peers/kept.py
+++ b/ryestack/peers/kept.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from math import inf
 
-from .words import Record
+from .messages import Record
 
 
 @dataclass
@@ -13,7 +13,7 @@
     has: int = -1  # position it has of this epoch, -1 if nothing yet
     granted: float = -inf  # when we asked for the youngest grant it gave, by our clock
     sent: float = -inf
-    waits: bool = False  # a word to it is out
+    waits: bool = False  # a message to it is out
 
 
 class Kept:
--- a/ryestack/peers/words.py
+++ b/ryestack/peers/messages.py
@@ -1,16 +1,18 @@
-"""What relays say to each other, and how it is written. Any bytes give a word or BadWord.
+"""What relays say to each other, and how it is written. Any bytes give a message or BadMessage.
 
-Times in words are seconds of the clock of whoever wrote them; only the writer compares them with anything.
+Times in messages are seconds of the clock of whoever wrote them; only the writer compares them with anything.
 """
 
 import msgspec
 
-MOST = 16 * 1024 * 1024  # bytes of a word: all that one relay owes fits its journal's allowance, and so here
+LONGEST = (
+    16 * 1024 * 1024
+)  # bytes of a message: all that one relay owes fits its journal's allowance, and so here
 SeatName = tuple[str, int]  # a keeper's name and its life
 
 
-class BadWord(Exception):
-    """Bytes that are no word, or one that is not for us."""
+class BadMessage(Exception):
+    """Bytes that are no message, or one that is not for us."""
 
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
@@ -70,11 +72,11 @@
     knows: bool = False
 
 
-Word = Append | Appended | Vote | Voted
+Message = Append | Appended | Vote | Voted
 
 
-class Letter(msgspec.Struct, frozen=True):
-    """A word with whose it is: cluster, sender and its life, receiver, and a number that grows.
+class Envelope(msgspec.Struct, frozen=True):
+    """A message with whose it is: cluster, sender and its life, receiver, and a number that grows.
 
     sole: the sender's folder proves that no earlier life of it runs.
     """
@@ -84,20 +86,20 @@
     life: int
     to: str
     number: int
-    word: Word
+    message: Message = msgspec.field(name="word")
     sole: bool = False
 
 
-_read, _write = msgspec.msgpack.Decoder(Letter), msgspec.msgpack.Encoder()
+_read, _write = msgspec.msgpack.Decoder(Envelope), msgspec.msgpack.Encoder()
 
 
-def write(letter: Letter) -> bytes:
-    return _write.encode(letter)
+def encode(envelope: Envelope) -> bytes:
+    return _write.encode(envelope)
 
 
-def read(body: bytes) -> Letter:
-    """Raises BadWord for anything that is no letter."""
+def decode(body: bytes) -> Envelope:
+    """Raises BadMessage for anything that is no envelope."""
     try:
         return _read.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, OverflowError) as problem:
-        raise BadWord(str(problem)) from None
+        raise BadMessage(str(problem)) from None
--- a/ryestack/peers/node.py
+++ b/ryestack/peers/node.py
@@ -1,12 +1,12 @@
-"""One relay among its peers: its own seat, those it guards, who is there. Pure: letters and ticks in,
+"""One relay among its peers: its own seat, those it guards, who is there. Pure: envelopes and ticks in,
 effects out."""
 
 from dataclasses import dataclass
 
 from .groups import group
+from .messages import Append, Appended, Envelope, Record, SeatName, Vote, Voted
 from .roster import Roster
 from .seat import DRIFT, Seat
-from .words import Append, Appended, Letter, Record, SeatName, Vote, Voted
 
 FORGETS = 1.0  # seconds between looks at whose time is up among what is over: it is looked through whole
 LIVES = 64  # of one relay that are remembered at once: more is a fault of its, or no relay of ours
@@ -25,7 +25,7 @@
 
 
 class Refused(Exception):
-    """A letter that changes nothing; the text says why."""
+    """An envelope that changes nothing; the text says why."""
 
 
 class Node:
@@ -51,50 +51,49 @@
 
     # -- inputs ---------------------------------------------------------------------------------------
 
-    def hear(self, letter: Letter, now: float) -> Letter:
-        """A word that was asked, and its answer; raises Refused."""
-        word = letter.word
+    def hear(self, envelope: Envelope, now: float) -> Envelope:
+        """Answers a request; raises Refused."""
+        message = envelope.message
         try:
-            self.admit(letter, now)
-            if letter.word.seat[0] not in self.terms.zones:
+            self.admit(envelope, now)
+            if envelope.message.seat[0] not in self.terms.zones:
                 raise Refused("a seat of no relay here")
-            lives = [known for known in self.seats if known[0] == word.seat[0]]
-            if word.seat not in self.seats and len(lives) >= LIVES:
+            lives = [known for known in self.seats if known[0] == message.seat[0]]
+            if message.seat not in self.seats and len(lives) >= LIVES:
                 raise Refused("too many lives of that relay")
-            if isinstance(word, Append) and word.epoch > 0 and word.base >= 0:
-                seat = self.seat(word.seat)
-                answer = seat.on_append(now, letter.sender, word)
-            elif isinstance(word, Vote) and word.epoch > 0:
-                seat = self.seat(word.seat)
-                released = word.released and letter.sender == word.seat[0] and letter.life > word.seat[1]
-                answer = seat.on_vote(now, Vote(word.seat, word.epoch, released))
+            if isinstance(message, Append) and message.epoch > 0 and message.base >= 0:
+                seat = self.seat(message.seat)
+                answer = seat.on_append(now, envelope.sender, message)
+            elif isinstance(message, Vote) and message.epoch > 0:
+                seat = self.seat(message.seat)
+                answer = seat.on_vote(now, Vote(message.seat, message.epoch, _released(envelope)))
             else:
                 raise Refused("an answer to nothing")
         except Refused:
             self.refused += 1
             raise
         self.gather(seat)
-        return self.letter(letter.sender, answer)
+        return self.envelope(envelope.sender, answer)
 
-    def admit(self, letter: Letter, now: float) -> None:
-        if letter.cluster != self.terms.cluster:
+    def admit(self, envelope: Envelope, now: float) -> None:
+        if envelope.cluster != self.terms.cluster:
             raise Refused("of another cluster")
-        if letter.to != self.terms.me:
+        if envelope.to != self.terms.me:
             raise Refused("for another relay")
-        if why := self.roster.admit(letter.sender, letter.life, letter.number, letter.sole, now):
+        if why := self.roster.admit(envelope.sender, envelope.life, envelope.number, envelope.sole, now):
             raise Refused(why)
 
-    def answered(self, letter: Letter, now: float) -> None:
+    def answered(self, envelope: Envelope, now: float) -> None:
         """An answer to one of ours; one that makes no sense changes nothing."""
-        word, seat = letter.word, self.seats.get(tuple(letter.word.seat))
-        if letter.cluster != self.terms.cluster or seat is None or letter.sender not in seat.others:
+        message, seat = envelope.message, self.seats.get(tuple(envelope.message.seat))
+        if envelope.cluster != self.terms.cluster or seat is None or envelope.sender not in seat.others:
             self.refused += 1
             return
-        self.roster.spoke(letter.sender, now)
-        if isinstance(word, Appended):
-            seat.on_appended(now, letter.sender, word)
-        elif isinstance(word, Voted):
-            seat.on_voted(now, letter.sender, word)
+        self.roster.spoke(envelope.sender, now)
+        if isinstance(message, Appended):
+            seat.on_appended(now, envelope.sender, message)
+        elif isinstance(message, Voted):
+            seat.on_voted(now, envelope.sender, message)
         self.gather(seat)
 
     def tick(self, now: float, wall: float = 0.0) -> None:
@@ -138,10 +137,16 @@
         told, seat.effects = seat.effects, []
         for kind, *rest in told:
             if kind == "send":
-                self.effects.append(("send", rest[0], self.letter(*rest)))
+                self.effects.append(("send", rest[0], self.envelope(*rest)))
             else:
                 self.effects.append((kind, seat, *rest))
 
-    def letter(self, to: str, word) -> Letter:
+    def envelope(self, to: str, message) -> Envelope:
         self.number += 1
-        return Letter(self.terms.cluster, self.terms.me, self.life, to, self.number, word, self.sole)
+        return Envelope(self.terms.cluster, self.terms.me, self.life, to, self.number, message, self.sole)
+
+
+def _released(envelope: Envelope) -> bool:
+    """Only a later life of the same relay can say that one is over."""
+    vote = envelope.message
+    return vote.released and envelope.sender == vote.seat[0] and envelope.life > vote.seat[1]
--- a/ryestack/peers/promises.py
+++ b/ryestack/peers/promises.py
@@ -10,7 +10,12 @@
 ROWS = (
     ("hand-in", "covered", "serve refuse", "take"),
     ("hand-in", "late", "serve", "take uncovered"),  # it stays in the seat, and is covered when that can be
-    ("hand-in", "late", "refuse", "leave in doubt"),  # a guard may have it: no word but this promises nothing
+    (
+        "hand-in",
+        "late",
+        "refuse",
+        "leave in doubt",
+    ),  # a guard may have it: no answer but this promises nothing
     ("hand-in", "no lease", "serve", "take outside"),  # nobody else knows of it, or ever will
     ("hand-in", "no lease", "refuse", "turn away"),
     ("push", "covered", "serve refuse", "send"),
--- a/ryestack/peers/roster.py
+++ b/ryestack/peers/roster.py
@@ -13,7 +13,7 @@
 TABLE = {(state, heard): to for states, heard, to in ROWS for state in states.split()}
 TWIN = "another relay of that name still speaks"
 GONE = 10  # times the lease: far past any pause that a take-over has not dealt with
-WINDOW = 1024  # numbers back within which a word may come late; what is older counts as doubled
+WINDOW = 1024  # numbers back within which a message may come late; what is older counts as doubled
 
 
 @dataclass
@@ -31,7 +31,7 @@
         self.known: dict[str, Peer] = {}  # who has ever spoken: few of a thousand share a group with us
 
     def admit(self, name: str, life: int, number: int, sole: bool, now: float) -> str:
-        """Why a word is refused, "" if it is not. sole: its folder proves that no earlier life of it runs."""
+        """Why a message is refused, "" if it is not. sole: its folder proves that no earlier life runs."""
         peer = self.peers.get(name)
         if peer is None:
             return "no relay of that name"
--- a/ryestack/peers/seat.py
+++ b/ryestack/peers/seat.py
@@ -7,7 +7,7 @@
 from math import inf
 
 from .kept import Kept, Member
-from .words import Append, Appended, Record, SeatName, Vote, Voted
+from .messages import Append, Appended, Record, SeatName, Vote, Voted
 
 # (states, input, next state, effect); what is not listed changes nothing.
 ROWS = (
@@ -21,7 +21,7 @@
 TABLE = {(state, heard): (to, do) for states, heard, to, do in ROWS for state in states.split()}
 DRIFT = 0.02  # how far two clocks' rates may differ: machines of one kind stay under a thousandth
 BEATS = 4  # in a lease: two may be lost, and the third still comes in time
-RETRY = 0.25  # of a beat: no answer for so long, and the word counts as lost
+RETRY = 0.25  # of a beat: no answer for so long, and the message counts as lost
 WEAK = 4  # leases: then members that may have forgotten count too, as two losses at once leave no others
 KEPT = 4096  # records that a holder keeps for members that lie behind; further behind they get the whole
 
@@ -113,12 +113,12 @@
         member = self.others[sender]
         member.waits = (
             member.waits and a.asked < member.sent
-        )  # a late answer to an older word starts no other
+        )  # a late answer to an older message starts no other
         if a.epoch > self.epoch:
             self.epoch = a.epoch
             self.turn("a higher epoch", now)
         if self.state == "holding" and a.epoch == self.epoch and a.granted:
-            if a.asked >= member.granted:  # the youngest word counts: one that has started anew has less
+            if a.asked >= member.granted:  # the youngest message counts: one that has started anew has less
                 member.has = a.at[1] if a.at[0] == self.epoch else -1
             member.granted = max(member.granted, a.asked)
             self.tick(now)
@@ -204,7 +204,7 @@
         return self.asked if self.state == "asking" else 0
 
     def busy_until(self) -> float:
-        """Until when our word binds us to who acts now."""
+        """Until when our vote binds us to who acts now."""
         return self.lease_end() if self.state == "holding" else self.grant_until
 
     def acts_until(self) -> float:
--- a/ryestack/peers/wire.py
+++ b/ryestack/peers/transport.py
@@ -1,6 +1,6 @@
-"""The sockets between relays: letters as bodies of POST /peers, an answer a letter. It decides nothing.
+"""The sockets between relays: envelopes as bodies of POST /peers, an answer an envelope. It decides nothing.
 
-A letter refused is a plain 4xx. To each peer only so many letters are out at once; the next ones are
+A envelope refused is a plain 4xx. To each peer only so many envelopes are out at once; the next ones are
 dropped and said again by the core, so that a slow peer slows nobody else and holds no memory.
 """
 
@@ -13,20 +13,20 @@
 from aiohttp import web
 
 from ..observe.log import event
-from . import words
+from . import messages
 from .node import Refused
 
 QUIET = logging.getLogger("ryestack.peers")  # bad requests are answered; a traceback of each helps nobody
 QUIET.setLevel(logging.CRITICAL)
 PATH = "/peers"
-OUT = 4  # letters to a peer at once: a lost one must not hold up the next
+OUT = 4  # envelopes to a peer at once: a lost one must not hold up the next
 PATIENCE = 10.0  # seconds for an answer; what comes later is asked for again long before
 IDLE = 30.0  # seconds that a connection may stand unused
 MOST = 64  # connections of peers at once
 
 
-class Door:
-    """Where peers' letters arrive. hear(letter) -> its answer, or raises Refused."""
+class PeerListener:
+    """Where peers' envelopes arrive. hear(envelope) -> its answer, or raises Refused."""
 
     def __init__(self, at: tuple[str, int], hear):
         self.at, self.hear, self.listener, self.sock = at, hear, None, None
@@ -59,10 +59,10 @@
             async with asyncio.timeout(PATIENCE):
                 async for chunk in request.content.iter_any():
                     body += chunk
-                    if len(body) > words.MOST:
+                    if len(body) > messages.LONGEST:
                         return _last(413)
-            return web.Response(body=words.write(self.hear(words.read(bytes(body)))))
-        except words.BadWord:
+            return web.Response(body=messages.encode(self.hear(messages.decode(bytes(body)))))
+        except messages.BadMessage:
             return web.Response(status=400, text="no letter\n")
         except Refused as why:
             return web.Response(status=409, text=f"{why}\n")
@@ -75,29 +75,29 @@
         if self.listener:
             self.listener.close()
             for connection in list(self.server.connections):
-                connection.force_close()  # a peer keeps its own open for the next letter
+                connection.force_close()  # a peer keeps its own open for the next envelope
             await self.server.shutdown(0.5)
         elif self.sock:
             self.sock.close()
 
 
-class Post:
-    """Carries letters to peers."""
+class PeerClient:
+    """Carries envelopes to peers."""
 
     def __init__(self, addresses: dict[str, str], answered, refused):
-        """answered(letter) is told each answer that is a letter, refused(why) each that turns one down."""
+        """answered(envelope) is told each answer that is one, refused(why) each that turns one down."""
         self.addresses, self.answered, self.refused = addresses, answered, refused
         self.out, self.dropped = Counter(), 0
         self.tasks: set[asyncio.Task] = set()
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE * 0.9)
         self.session = aiohttp.ClientSession(connector=connector, cookie_jar=aiohttp.DummyCookieJar())
 
-    def send(self, to: str, letter: words.Letter) -> None:
+    def send(self, to: str, envelope: messages.Envelope) -> None:
         if self.out[to] >= OUT:
             self.dropped += 1
             return
         self.out[to] += 1
-        task = asyncio.ensure_future(self.ask(to, words.write(letter)))
+        task = asyncio.ensure_future(self.ask(to, messages.encode(envelope)))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -109,18 +109,18 @@
                     answer = bytearray()
                     async for chunk in said.content.iter_any():
                         answer += chunk
-                        if len(answer) > words.MOST:
-                            raise words.BadWord("an answer without bounds")
+                        if len(answer) > messages.LONGEST:
+                            raise messages.BadMessage("an answer without bounds")
             if said.status == 200:
-                self.answered(words.read(bytes(answer)))
+                self.answered(messages.decode(bytes(answer)))
             elif said.status == 409:
                 why = bytes(answer[:200]).decode(errors="replace").strip()
                 event("peer.refuses", peer=to, why=why)
                 self.refused(why)
-        except words.BadWord as problem:
+        except messages.BadMessage as problem:
             event("peer.senseless", peer=to, why=str(problem))
         except (aiohttp.ClientError, OSError, TimeoutError):
-            pass  # a word lost: the core says it again
+            pass  # a message lost: the core says it again
         finally:
             self.out[to] -= 1
 
--- a/tests/peers_net.py
+++ b/tests/peers_net.py
@@ -1,10 +1,10 @@
-"""Members of one seat on clocks of their own, and a network that loses, delays, doubles, reorders words."""
+"""Members of one seat on clocks of their own, and a network that loses, delays, doubles, reorders."""
 
 import random
 from math import inf
 
+from ryestack.peers.messages import Append, Appended, Record, Vote, Voted
 from ryestack.peers.seat import DRIFT, Seat
-from ryestack.peers.words import Append, Appended, Record, Vote, Voted
 
 LEASE = 3.0
 NAMES = ("k", "g", "h")
@@ -36,37 +36,37 @@
     # -- what happens -----------------------------------------------------------------------------------
 
     def step(self, span: float) -> None:
-        """Words that are due arrive, then every running member ticks."""
+        """Messages that are due arrive, then every running member ticks."""
         self.now += span
         due = [f for f in self.flying if f[0] <= self.now]
         self.flying = [f for f in self.flying if f[0] > self.now]
         self.random.shuffle(due)
-        for _, sender, to, word in due:
+        for _, sender, to, message in due:
             if to not in self.stopped:
-                self.hear(sender, to, word)
+                self.hear(sender, to, message)
         for name in NAMES:
             if name not in self.stopped:
                 self.seats[name].tick(self.clock(name))
                 self.effects(name)
         self.check()
 
-    def hear(self, sender: str, to: str, word) -> None:
+    def hear(self, sender: str, to: str, message) -> None:
         seat, now = self.seats[to], self.clock(to)
-        if isinstance(word, Append):
-            self.send(to, sender, seat.on_append(now, sender, word))
-        elif isinstance(word, Vote):
-            self.send(to, sender, seat.on_vote(now, word))
-        elif isinstance(word, Appended):
-            seat.on_appended(now, sender, word)
-        elif isinstance(word, Voted):
-            seat.on_voted(now, sender, word)
+        if isinstance(message, Append):
+            self.send(to, sender, seat.on_append(now, sender, message))
+        elif isinstance(message, Vote):
+            self.send(to, sender, seat.on_vote(now, message))
+        elif isinstance(message, Appended):
+            seat.on_appended(now, sender, message)
+        elif isinstance(message, Voted):
+            seat.on_voted(now, sender, message)
         self.effects(to)
 
-    def send(self, sender: str, to: str, word) -> None:
+    def send(self, sender: str, to: str, message) -> None:
         copies = 0 if (sender, to) in self.cut or self.random.random() < self.loss else 1
         copies += copies and self.random.random() < 0.1
         for _ in range(copies):
-            self.flying.append((self.now + self.random.expovariate(1.0 / self.late), sender, to, word))
+            self.flying.append((self.now + self.random.expovariate(1.0 / self.late), sender, to, message))
 
     def effects(self, name: str) -> None:
         seat = self.seats[name]
--- a/tests/test_peers_config.py
+++ b/tests/test_peers_config.py
@@ -14,10 +14,10 @@
 from ryestack.lab.trial import TrialFailed
 from ryestack.lifecycle.replication.incarnations import Incarnations
 from ryestack.operator.schema import Peer, Peers, peers_rules
-from ryestack.peers import words
+from ryestack.peers import messages
+from ryestack.peers.messages import Append, BadMessage, Envelope, Record, Vote, Voted
 from ryestack.peers.node import LIVES, Node, Refused, Terms
-from ryestack.peers.wire import Door, Post
-from ryestack.peers.words import Append, BadWord, Letter, Record, Vote, Voted
+from ryestack.peers.transport import PeerClient, PeerListener
 
 RELAYS = [Peer(f"r{i}", f"127.0.0.1:{9000 + i}", "ab"[i % 2]) for i in range(3)]
 
@@ -45,9 +45,9 @@
     return Node(Terms("c", "r0", zones, 2, 1.0), 5, False, random.Random(1), now)
 
 
-def letter(word, **more):
+def envelope(message, **more):
     head = {"cluster": "c", "sender": "r1", "life": 3, "to": "r0", "number": 1}
-    return Letter(**{**head, **more}, word=word)
+    return Envelope(**{**head, **more}, message=message)
 
 
 APPEND = Append(("r1", 3), 3, 0.0, 0, [], True)
@@ -60,7 +60,7 @@
 def test_a_foreign_letter_changes_nothing(more):
     n = node()
     with pytest.raises(Refused):
-        n.hear(letter(APPEND, **more), 1.0)
+        n.hear(envelope(APPEND, **more), 1.0)
     assert list(n.seats) == [("r0", 5)] and n.refused == 1
 
 
@@ -68,7 +68,7 @@
     n = node()
     for life in range(1, 300):
         try:
-            n.hear(letter(Append(("r1", life), 3, 0.0, 0, [], True), number=life), 5.0)
+            n.hear(envelope(Append(("r1", life), 3, 0.0, 0, [], True), number=life), 5.0)
         except Refused as why:
             assert "too many lives" in str(why)
     assert len(n.seats) == LIVES + 1
@@ -77,19 +77,19 @@
 def test_an_answer_of_many_pieces_is_read_whole():
     """All that a seat holds comes in one answer: what stops at its first piece never takes over."""
     records = [Record(f"n{i}", bytes(60_000)) for i in range(60)]
-    said = letter(Voted(("r1", 3), 4, True, 4, 0.0, (3, 60), records, True))
+    said = envelope(Voted(("r1", 3), 4, True, 4, 0.0, (3, 60), records, True))
 
     async def play():
-        door, told = Door(("127.0.0.1", 0), lambda _: said), asyncio.Queue()
-        door.bind()
-        address = await door.open()
-        post = Post({"r1": address}, told.put_nowait, lambda _: None)
-        post.send("r1", letter(Vote(("r1", 3), 4)))
+        listener, told = PeerListener(("127.0.0.1", 0), lambda _: said), asyncio.Queue()
+        listener.bind()
+        address = await listener.open()
+        client = PeerClient({"r1": address}, told.put_nowait, lambda _: None)
+        client.send("r1", envelope(Vote(("r1", 3), 4)))
         try:
             return await asyncio.wait_for(told.get(), 5.0)
         finally:
-            await post.close()
-            await door.close()
+            await client.close()
+            await listener.close()
 
     assert asyncio.run(play()) == said
 
@@ -108,32 +108,32 @@
 
 def test_old_lives_doubled_letters_and_a_second_relay_of_a_name_are_refused_and_a_folder_proves_it_is_none():
     n = node()
-    n.hear(letter(APPEND), 5.0)
+    n.hear(envelope(APPEND), 5.0)
     for more, why in (({}, "said before"), ({"life": 2}, "over"), ({"life": 4, "number": 2}, "still speaks")):
         with pytest.raises(Refused, match=why):
-            n.hear(letter(APPEND, **more), 5.1)
-    n.hear(letter(APPEND, life=4, number=2, sole=True), 5.2)
+            n.hear(envelope(APPEND, **more), 5.1)
+    n.hear(envelope(APPEND, life=4, number=2, sole=True), 5.2)
     with pytest.raises(Refused, match="over"):
-        n.hear(letter(APPEND, number=9), 5.3)
+        n.hear(envelope(APPEND, number=9), 5.3)
 
 
 @given(st.binary(max_size=400))
 def test_any_bytes_are_a_letter_or_no_word(data):
-    with contextlib.suppress(BadWord):
-        words.read(data)
+    with contextlib.suppress(BadMessage):
+        messages.decode(data)
 
 
 @given(st.integers(0, 2**32))
 def test_a_hundred_thousand_bodies_change_nothing(seed):
-    """A thousand bodies an example: random bytes, and letters with a byte changed."""
+    """A thousand bodies an example: random bytes, and envelopes with a byte changed."""
     chance, n = random.Random(seed), node()
-    good = words.write(letter(Append(("r1", 3), 3, 0.0, 0, [Record("x", b"y")], True)))
+    good = messages.encode(envelope(Append(("r1", 3), 3, 0.0, 0, [Record("x", b"y")], True)))
     for number in range(1000):
         body = bytearray(good if number % 2 else chance.randbytes(chance.randrange(80)))
         if body:
             body[chance.randrange(len(body))] = chance.randrange(256)
-        with contextlib.suppress(BadWord, Refused):
-            n.hear(words.read(bytes(body)), 5.0)
+        with contextlib.suppress(BadMessage, Refused):
+            n.hear(messages.decode(bytes(body)), 5.0)
     assert len(n.seats) < 12 and len(n.roster.peers) == 2
 
 
@@ -144,9 +144,9 @@
 )
 def test_words_of_any_order_raise_nothing_but_refusals(said):
     n = node()
-    for number, word in enumerate(said, 1):
+    for number, message in enumerate(said, 1):
         with contextlib.suppress(Refused):
-            n.hear(letter(word, number=number), 5.0 + number)
+            n.hear(envelope(message, number=number), 5.0 + number)
 
 
 def test_an_address_in_use_and_a_name_that_another_has_end_a_start_with_status_2(tmp_path):
--- a/tests/test_peers_explored.py
+++ b/tests/test_peers_explored.py
@@ -1,7 +1,7 @@
 """Every interleaving of a small system, in breadth, up to a bound: three members, two notifications, a
 clock in steps.
 
-At each state any word that is out may arrive or be lost, time may go on by a third of a lease, the keeper
+At each state any message that is out may arrive or be lost, time may go on by a third of a lease, the keeper
 may take a notification, stop, go on, or start anew with its folder or without. The number of states is
 printed (pytest -s); RYESTACK_TEST_STATES raises the bound.
 """
@@ -12,13 +12,13 @@
 
 import pytest
 
+from ryestack.peers.messages import Append, Appended, Record, Vote, Voted
 from ryestack.peers.seat import DRIFT, Seat
-from ryestack.peers.words import Append, Appended, Record, Vote, Voted
 
 from .test_peers_seat import NoCover, NoEpoch, NoLease, NoWaitOut
 
 NAMES, LEASE, STEP = ("k", "g", "h"), 3.0, 1.1
-FLYING = 3  # words out at once: with more the oldest is lost
+FLYING = 3  # messages out at once: with more the oldest is lost
 MOST = int(os.environ.get("RYESTACK_TEST_STATES", "6000"))
 
 
@@ -90,10 +90,10 @@
     def made(self, move, i):
         other = self.copy()
         if move in ("arrives", "lost"):
-            sender, to, word = other.flying[i]
+            sender, to, message = other.flying[i]
             other.flying = other.flying[:i] + other.flying[i + 1 :]
             if move == "arrives" and not (to == "k" and other.stopped):
-                other.hear(sender, to, word)
+                other.hear(sender, to, message)
         elif move == "time":
             other.now += STEP
             for name in NAMES:
@@ -120,20 +120,20 @@
         other.check()
         return other
 
-    def hear(self, sender, to, word):
+    def hear(self, sender, to, message):
         seat = self.seats[to]
-        if isinstance(word, Append):
-            self.send(to, sender, seat.on_append(self.now, sender, word))
-        elif isinstance(word, Vote):
-            self.send(to, sender, seat.on_vote(self.now, word))
-        elif isinstance(word, Appended):
-            seat.on_appended(self.now, sender, word)
-        elif isinstance(word, Voted):
-            seat.on_voted(self.now, sender, word)
+        if isinstance(message, Append):
+            self.send(to, sender, seat.on_append(self.now, sender, message))
+        elif isinstance(message, Vote):
+            self.send(to, sender, seat.on_vote(self.now, message))
+        elif isinstance(message, Appended):
+            seat.on_appended(self.now, sender, message)
+        elif isinstance(message, Voted):
+            seat.on_voted(self.now, sender, message)
         self.drain(to)
 
-    def send(self, sender, to, word):
-        self.flying = (*self.flying, (sender, to, word))[-FLYING:]
+    def send(self, sender, to, message):
+        self.flying = (*self.flying, (sender, to, message))[-FLYING:]
 
     def drain(self, name):
         seat = self.seats[name]
