--- a/benchmarks/capacity_peers.py
+++ b/benchmarks/capacity_peers.py
@@ -14,8 +14,8 @@
 
 from ryestack.lab import peers
 from ryestack.lab.load import Load, Plan
-from ryestack.peers import words
-from ryestack.peers.kept import Kept
+from ryestack.peers.contents import Contents
+from ryestack.peers.messages import Append, Envelope, Record, decode, encode
 from ryestack.standins.links import Link
 from ryestack.store.owed import record
 
@@ -28,23 +28,22 @@
 # -- what a guard holds ----------------------------------------------------------------------------------
 
 
-def record_of(number: int) -> words.Record:
+def record_of(number: int) -> Record:
     """One message as its keeper tells it to its guards."""
     name = f"m{number:07}"
     head = [name, 2e9, number % 1000, "balance", "acme", "", "", 0, None, 0]
-    return words.Record(name, record("taken", *head, body=BODY), due=2e9)
+    return Record(name, record("taken", *head, body=BODY), due=2e9)
 
 
 def guard_by_messages(messages: int) -> dict[str, float]:
     """Memory of what a guard holds of one relay, and the letter that tells all of it."""
-    encode, decode = words.write, words.read
-    before, kept = resident(), Kept()
+    before, contents = resident(), Contents()
     for number in range(messages):
-        piece = words.Append(("r", 1), 3, 0.0, number, [record_of(number)])
-        kept.apply(decode(encode(words.Letter("c", "r", 1, "g", number, piece))).word.records)
+        piece = Append(("r", 1), 3, 0.0, number, [record_of(number)])
+        contents.apply(decode(encode(Envelope("c", "r", 1, "g", number, piece))).message.records)
     memory = resident() - before
-    whole = words.Append(("r", 1), 3, 0.0, messages, kept.whole(), whole=True)
-    letter = words.Letter("c", "r", 1, "g", 1, whole)
+    whole = Append(("r", 1), 3, 0.0, messages, contents.whole(), whole=True)
+    letter = Envelope("c", "r", 1, "g", 1, whole)
     text = encode(letter)
     seconds = median_seconds(lambda: (encode(letter), decode(text)), REPEATS)
     return {"guard.memory": memory, "guard.letter": len(text), "guard.letter_time": seconds}
--- a/benchmarks/peers_at_size.py
+++ b/benchmarks/peers_at_size.py
@@ -39,9 +39,9 @@
             for n in self.names
         }
         self.dead, self.messages, self.bytes, self.taken = set(), 0, 0, 0
-        self.owed: dict[str, dict[str, float]] = {n: {} for n in self.names}  # covered ones, by keeper
+        self.owed: dict[str, dict[str, float]] = {n: {} for n in self.names}  # covered ones, by owner
         self.waits: dict[str, list] = {n: [] for n in self.names}
-        self.after: list[float] = []  # seconds from the kill until a seat with work acts again
+        self.after: list[float] = []  # seconds from the kill until a shard with work acts again
         self.again, self.false, self.twice, self.lost, self.gone = set(), 0, 0, 0, 0
         for n in self.names:
             self.at(self.random.random() * TICK, "tick", n)
@@ -57,8 +57,8 @@
         while self.heap and self.heap[0][0] < UNTIL:
             self.now, _, what, who = heapq.heappop(self.heap)
             getattr(self, what)(who)
-        seats = [s for n, node in self.nodes.items() if n not in self.dead for s in node.seats.values()]
-        kept = {i for s in seats for i in (*s.kept.items, *s.kept.gone)}
+        shards = [s for n, node in self.nodes.items() if n not in self.dead for s in node.shards.values()]
+        kept = {i for s in shards for i in (*s.contents.items, *s.contents.gone)}
         groups = {n: set(self.nodes[n].own.group) for n in self.dead}
         self.lost = sum(i not in kept for n in self.dead for i in self.owed[n] if groups[n] - self.dead)
         self.gone = sum(len(self.owed[n]) for n in self.dead if groups[n] <= self.dead)
@@ -126,12 +126,12 @@
                 self.waits[name] = [w for w in self.waits[name] if w not in done]
                 self.owed[name].update({one: self.now for _, one in done})
             elif kind == "acts" and rest[0] is not node.own:
-                keeper = rest[0].name[0]
-                if keeper not in self.dead:
+                owner = rest[0].name[0]
+                if owner not in self.dead:
                     self.false += 1
-                    self.twice += self.now < self.nodes[keeper].own.acts_until()
-                elif keeper not in self.again:
-                    self.again.add(keeper)
+                    self.twice += self.now < self.nodes[owner].own.acts_until()
+                elif owner not in self.again:
+                    self.again.add(owner)
                     self.after.append(self.now - KILLED)
 
 
@@ -146,7 +146,7 @@
         "zone cut",
         "p50 s",
         "p99 s",
-        "seats",
+        "shards",
         "messages/ntf",
         "bytes/ntf",
         "bytes/relay/s",
@@ -177,7 +177,7 @@
                 )
         axes.set(
             xlabel="seconds from the kill of a third",
-            ylabel="part of the seats that act again",
+            ylabel="part of the shards that act again",
             title=f"Lease {LEASE:g} s, simulated",
         )
         axes.legend(fontsize=7)
--- a/ryestack/lifecycle/replication/peering.py
+++ b/ryestack/lifecycle/replication/peering.py
@@ -32,7 +32,7 @@
         self.replication: ReplicatedWork = None
 
     def begin(self, sole: bool) -> None:
-        """The journal is read: from here on the owner asks its guards. sole: no other process shares the
+        """The journal is read: from here on the owner asks its replicas. sole: no other process shares the
         folder."""
         if sole:
             self.bind()
--- a/ryestack/lifecycle/replication/record_codec.py
+++ b/ryestack/lifecycle/replication/record_codec.py
@@ -1,4 +1,4 @@
-"""What a guard keeps of a notification: the ledger's facts as records, and a notification owed made of
+"""What a replica keeps of a notification: the ledger's facts as records, and a notification owed made of
 them. Pure."""
 
 from math import inf
@@ -35,7 +35,7 @@
 
 
 def pushed(o: Owed, push: int, at: float, until: float) -> Record:
-    """at, until: when it went and when its keeper gives it up, of the wall's clock."""
+    """at, until: when it went and when its relay gives it up, of the wall's clock."""
     return Record(o.id, _write(["push", push, at, until]), due=o.due)
 
 
--- a/ryestack/peers/kept.py
+++ b/ryestack/peers/contents.py
@@ -1,4 +1,4 @@
-"""What there is of a seat: the facts of what is owed, what is over already, how far others have it. Pure."""
+"""What there is of a shard: the facts of what is owed, what is over already, how far others have it. Pure."""
 
 from dataclasses import dataclass
 from math import inf
@@ -7,8 +7,8 @@
 
 
 @dataclass
-class Member:
-    """Another member, as the holder sees it."""
+class Progress:
+    """Another member, as the leader sees it."""
 
     has: int = -1  # position it has of this epoch, -1 if nothing yet
     granted: float = -inf  # when we asked for the youngest grant it gave, by our clock
@@ -16,7 +16,7 @@
     waits: bool = False  # a message to it is out
 
 
-class Kept:
+class Contents:
     def __init__(self, records=()):
         self.items: dict[str, list[Record]] = {}  # the facts of each notification that is owed, in order
         self.gone: dict[
--- a/ryestack/peers/messages.py
+++ b/ryestack/peers/messages.py
@@ -8,7 +8,7 @@
 LONGEST = (
     16 * 1024 * 1024
 )  # bytes of a message: all that one relay owes fits its journal's allowance, and so here
-SeatName = tuple[str, int]  # a keeper's name and its life
+ShardName = tuple[str, int]  # an owner's name and its life
 
 
 class BadMessage(Exception):
@@ -26,11 +26,11 @@
 
 
 class Append(msgspec.Struct, frozen=True, tag="append"):
-    """The holder's records from position base on; whole: all there is at base, in place of what was there;
-    settled: all that the holder took up is covered in this epoch, so that nothing else of the seat can
+    """The leader's records from position base on; whole: all there is at base, in place of what was there;
+    settled: all that the leader took up is covered in this epoch, so that nothing else of the shard can
     come up."""
 
-    seat: SeatName
+    shard: ShardName = msgspec.field(name="seat")
     epoch: int
     asked: float
     base: int
@@ -42,7 +42,7 @@
 class Appended(msgspec.Struct, frozen=True, tag="appended"):
     """granted: nobody else gets our vote for a lease from now; at: epoch and position of what we have."""
 
-    seat: SeatName
+    shard: ShardName = msgspec.field(name="seat")
     epoch: int
     asked: float
     granted: bool
@@ -50,10 +50,10 @@
 
 
 class Vote(msgspec.Struct, frozen=True, tag="vote"):
-    """Who asks would hold the seat in that epoch. released: the keeper's life is over, as its folder
+    """Who asks would hold the shard in that epoch. released: the owner's life is over, as its folder
     proves."""
 
-    seat: SeatName
+    shard: ShardName = msgspec.field(name="seat")
     epoch: int
     released: bool = False
 
@@ -62,7 +62,7 @@
     """yes, with all we have (knows: since before any of it was covered); or no, with the highest epoch
     known here and how long our grant still runs."""
 
-    seat: SeatName
+    shard: ShardName = msgspec.field(name="seat")
     epoch: int
     yes: bool
     highest: int
--- a/ryestack/peers/promises.py
+++ b/ryestack/peers/promises.py
@@ -1,4 +1,4 @@
-"""What waits for guards, for how long, and what happens then: a table. Pure.
+"""What waits for replicas, for how long, and what happens then: a table. Pure.
 
 A client waits 400 ms for its answer, so a promise that is not covered by WAIT is answered without a cover.
 """
@@ -9,13 +9,9 @@
 # (what waits, how its cover came, what the operator chose for alone) -> what is done
 ROWS = (
     ("hand-in", "covered", "serve refuse", "take"),
-    ("hand-in", "late", "serve", "take uncovered"),  # it stays in the seat, and is covered when that can be
-    (
-        "hand-in",
-        "late",
-        "refuse",
-        "leave in doubt",
-    ),  # a guard may have it: no answer but this promises nothing
+    ("hand-in", "late", "serve", "take uncovered"),  # it stays in the shard, and is covered when that can be
+    # A replica may have it: no answer but this promises nothing.
+    ("hand-in", "late", "refuse", "leave in doubt"),
     ("hand-in", "no lease", "serve", "take outside"),  # nobody else knows of it, or ever will
     ("hand-in", "no lease", "refuse", "turn away"),
     ("push", "covered", "serve refuse", "send"),
@@ -25,7 +21,7 @@
     ("notice", "late", "serve refuse", "keep"),  # it is owed, until it is covered or another tells one
 )
 TABLE = {(what, how, alone): do for what, how, both, do in ROWS for alone in both.split()}
-ENDLESS = {"notice"}  # waits until it is covered, or the seat is another's
+ENDLESS = {"notice"}  # waits until it is covered, or the shard is another's
 
 
 def decided(what: str, how: str, alone: str) -> str:
--- a/ryestack/peers/transport.py
+++ b/ryestack/peers/transport.py
@@ -105,7 +105,7 @@
         try:
             async with asyncio.timeout(PATIENCE):
                 said = await self.session.post(f"http://{self.addresses[to]}{PATH}", data=body)
-                async with said:  # a piece at a time: what a seat holds comes in many
+                async with said:  # a piece at a time: what a shard holds comes in many
                     answer = bytearray()
                     async for chunk in said.content.iter_any():
                         answer += chunk
--- a/tests/test_peers_config.py
+++ b/tests/test_peers_config.py
@@ -61,7 +61,7 @@
     n = node()
     with pytest.raises(Refused):
         n.hear(envelope(APPEND, **more), 1.0)
-    assert list(n.seats) == [("r0", 5)] and n.refused == 1
+    assert list(n.shards) == [("r0", 5)] and n.refused == 1
 
 
 def test_lives_that_no_relay_has_do_not_pile_up():
@@ -71,11 +71,11 @@
             n.hear(envelope(Append(("r1", life), 3, 0.0, 0, [], True), number=life), 5.0)
         except Refused as why:
             assert "too many lives" in str(why)
-    assert len(n.seats) == LIVES + 1
+    assert len(n.shards) == LIVES + 1
 
 
 def test_an_answer_of_many_pieces_is_read_whole():
-    """All that a seat holds comes in one answer: what stops at its first piece never takes over."""
+    """All that a shard holds comes in one answer: what stops at its first piece never takes over."""
     records = [Record(f"n{i}", bytes(60_000)) for i in range(60)]
     said = envelope(Voted(("r1", 3), 4, True, 4, 0.0, (3, 60), records, True))
 
@@ -134,7 +134,7 @@
             body[chance.randrange(len(body))] = chance.randrange(256)
         with contextlib.suppress(BadMessage, Refused):
             n.hear(messages.decode(bytes(body)), 5.0)
-    assert len(n.seats) < 12 and len(n.roster.peers) == 2
+    assert len(n.shards) < 12 and len(n.roster.peers) == 2
 
 
 @given(
--- a/tests/test_peers_explored.py
+++ b/tests/test_peers_explored.py
@@ -1,7 +1,7 @@
 """Every interleaving of a small system, in breadth, up to a bound: three members, two notifications, a
 clock in steps.
 
-At each state any message that is out may arrive or be lost, time may go on by a third of a lease, the keeper
+At each state any message that is out may arrive or be lost, time may go on by a third of a lease, the owner
 may take a notification, stop, go on, or start anew with its folder or without. The number of states is
 printed (pytest -s); RYESTACK_TEST_STATES raises the bound.
 """
@@ -13,7 +13,7 @@
 import pytest
 
 from ryestack.peers.messages import Append, Appended, Record, Vote, Voted
-from ryestack.peers.seat import DRIFT, Seat
+from ryestack.peers.shard import DRIFT, Shard
 
 from .test_peers_seat import NoCover, NoEpoch, NoLease, NoWaitOut
 
@@ -45,30 +45,31 @@
             (),
         )
         self.lives, self.broken = 1, ""
-        self.seats = {n: self.seat(n, -inf) for n in NAMES}
-        self.seats["k"].open(0.0)
+        self.shards = {n: self.shard(n, -inf) for n in NAMES}
+        self.shards["k"].open(0.0)
         self.drain("k")
 
-    def seat(self, name, barred):
+    def shard(self, name, barred):
         return self.kind(("k", 1), NAMES, name, LEASE, Middle(), barred)
 
     def copy(self):
         other = copy.copy(self)
-        other.seats = {}
-        for name, seat in self.seats.items():
-            made = other.seats[name] = copy.copy(seat)
-            made.others = {n: copy.copy(m) for n, m in seat.others.items()}
-            made.kept = copy.copy(seat.kept)
-            made.kept.items = {i: list(r) for i, r in seat.kept.items.items()}
-            made.kept.gone, made.votes, made.log = dict(seat.kept.gone), dict(seat.votes), list(seat.log)
+        other.shards = {}
+        for name, shard in self.shards.items():
+            made = other.shards[name] = copy.copy(shard)
+            made.others = {n: copy.copy(m) for n, m in shard.others.items()}
+            made.contents = copy.copy(shard.contents)
+            made.contents.items = {i: list(r) for i, r in shard.contents.items.items()}
+            made.contents.gone = dict(shard.contents.gone)
+            made.votes, made.log = dict(shard.votes), list(shard.log)
             made.effects = []
         return other
 
     def mark(self):
         parts = [
-            (s.state, s.epoch, s.at, tuple(s.kept.items), s.grant_until, s.ask_at, s.asked, s.acting,
+            (s.state, s.epoch, s.at, tuple(s.contents.items), s.grant_until, s.ask_at, s.asked, s.acting,
             s.barrier, tuple(sorted(s.votes)), tuple((m.has, m.granted, m.sent, m.waits) for m in
-            s.others.values())) for s in self.seats.values()
+            s.others.values())) for s in self.shards.values()
         ]  # fmt: skip
         return repr((self.now, self.flying, self.stopped, self.taken, self.promised, self.lives, parts))
 
@@ -79,7 +80,7 @@
         yield ("time", 0)
         if not self.stopped:
             yield ("stop", 0)
-            if self.taken < 2 and self.seats["k"].mine and self.acts("k"):
+            if self.taken < 2 and self.shards["k"].mine and self.acts("k"):
                 yield ("take", 0)
         else:
             yield ("go on", 0)
@@ -98,12 +99,12 @@
             other.now += STEP
             for name in NAMES:
                 if not (name == "k" and other.stopped):
-                    other.seats[name].tick(other.now)
+                    other.shards[name].tick(other.now)
                     other.drain(name)
         elif move == "take":
             other.taken += 1
             record = Record(f"n{other.taken}", b"taken", due=inf)
-            other.seats["k"].write(other.now, [record])
+            other.shards["k"].write(other.now, [record])
             other.drain("k")
         elif move == "stop":
             other.stopped = True
@@ -111,43 +112,43 @@
             other.stopped = False
         else:
             other.stopped, other.lives = False, 2
-            other.seats["k"] = other.seat("k", other.now + LEASE * (1.0 + DRIFT))
+            other.shards["k"] = other.shard("k", other.now + LEASE * (1.0 + DRIFT))
             folder = move == "anew with its folder"
             owed = range(1, other.taken + 1) if folder else ()
             journal = [Record(f"n{n}", b"taken", due=inf) for n in owed]
-            other.seats["k"].claim(other.now, folder, journal)
+            other.shards["k"].claim(other.now, folder, journal)
             other.drain("k")
         other.check()
         return other
 
     def hear(self, sender, to, message):
-        seat = self.seats[to]
+        shard = self.shards[to]
         if isinstance(message, Append):
-            self.send(to, sender, seat.on_append(self.now, sender, message))
+            self.send(to, sender, shard.on_append(self.now, sender, message))
         elif isinstance(message, Vote):
-            self.send(to, sender, seat.on_vote(self.now, message))
+            self.send(to, sender, shard.on_vote(self.now, message))
         elif isinstance(message, Appended):
-            seat.on_appended(self.now, sender, message)
+            shard.on_appended(self.now, sender, message)
         elif isinstance(message, Voted):
-            seat.on_voted(self.now, sender, message)
+            shard.on_voted(self.now, sender, message)
         self.drain(to)
 
     def send(self, sender, to, message):
         self.flying = (*self.flying, (sender, to, message))[-FLYING:]
 
     def drain(self, name):
-        seat = self.seats[name]
-        told, seat.effects = seat.effects, []
+        shard = self.shards[name]
+        told, shard.effects = shard.effects, []
         for kind, *rest in told:
             if kind == "send":
                 self.send(name, *rest)
-            elif kind == "covered" and name == "k" and seat.mine:
+            elif kind == "covered" and name == "k" and shard.mine:
                 self.promised = tuple(f"n{n}" for n in range(1, min(self.taken, rest[0]) + 1))
-            elif kind == "acts" and (lost := set(self.promised) - set(seat.kept.items)):
+            elif kind == "acts" and (lost := set(self.promised) - set(shard.contents.items)):
                 self.broken = f"{name} acts and does not know {sorted(lost)}"
 
     def acts(self, name):
-        return self.now < self.seats[name].acts_until()
+        return self.now < self.shards[name].acts_until()
 
     def check(self):
         acting = [n for n in NAMES if not (n == "k" and self.stopped) and self.acts(n)]
@@ -184,7 +185,7 @@
 
 
 def test_no_state_within_the_bound_is_broken():
-    count, broken = explore(Seat, MOST)
+    count, broken = explore(Shard, MOST)
     print(f"{count} states explored")
     assert broken is None and count >= MOST
 
@@ -205,4 +206,4 @@
         return ""
 
     assert any(walk(kind, seed) for seed in range(400)), kind.__name__
-    assert not any(walk(Seat, seed) for seed in range(100))
+    assert not any(walk(Shard, seed) for seed in range(100))
--- a/tests/test_peers_seat.py
+++ b/tests/test_peers_seat.py
@@ -1,4 +1,4 @@
-"""One holder at a time, nothing promised forgotten: a seat under losses, delays, cuts, pauses, restarts."""
+"""One leader at a time, nothing promised forgotten: a shard under losses, delays, cuts, pauses, restarts."""
 
 from unittest.mock import patch
 
@@ -6,9 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ryestack.peers import seat as seats
+from ryestack.peers import shard as shards
 from ryestack.peers.groups import group
-from ryestack.peers.seat import Seat
+from ryestack.peers.shard import Shard
 
 from .peers_net import LEASE, NAMES, World
 
@@ -20,7 +20,7 @@
     w.take("n")
     w.run(0.3)
     assert (w.promised, w.broken) == ({"n"}, [])
-    assert all("n" in w.seats[n].kept.items for n in NAMES)
+    assert all("n" in w.shards[n].contents.items for n in NAMES)
 
 
 def test_a_killed_keepers_work_goes_on_at_one_guard_after_the_lease_and_not_before():
@@ -47,7 +47,7 @@
     assert not w.can_act("k")  # before it has heard of anything
     w.run(2.0)
     assert not w.can_act("k") and not w.broken
-    assert w.seats["k"].epoch > len(NAMES)
+    assert w.shards["k"].epoch > len(NAMES)
 
 
 def test_the_keepers_next_life_with_its_folder_waits_for_nobody_and_without_it_for_the_lease():
@@ -58,7 +58,7 @@
         w.run(0.2)
         w.forget("k")
         began = w.now
-        w.seats["k"].claim(w.clock("k"), released)
+        w.shards["k"].claim(w.clock("k"), released)
         while not any(w.can_act(n) for n in NAMES):
             w.step(0.02)
         assert least <= w.now - began <= most, released
@@ -72,7 +72,7 @@
     w.run(0.2)
     w.cut = {("k", "g"), ("g", "k")}  # one guard hears nothing, the other all
     w.run(6 * LEASE)
-    assert w.can_act("k") and w.seats["k"].epoch == len(NAMES) and not w.broken
+    assert w.can_act("k") and w.shards["k"].epoch == len(NAMES) and not w.broken
     w.cut = set()
     w.run(LEASE)
     assert w.can_act("k") and not w.broken
@@ -88,7 +88,7 @@
     w.run(2 * LEASE)
     w.take("n2")
     w.run(0.3)
-    assert w.promised == {"n1", "n2"} == set(w.seats["h"].kept.items) and not w.broken
+    assert w.promised == {"n1", "n2"} == set(w.shards["h"].contents.items) and not w.broken
 
 
 FAULTS = st.sampled_from(
@@ -96,7 +96,7 @@
 )
 
 
-def played(seed, moves, loss, late, kind=Seat) -> World:
+def played(seed, moves, loss, late, kind=Shard) -> World:
     w, taken, forgot = World(seed, loss, late, kind), 0, False
     w.run(1.0)
     for move, who, other, span in moves:
@@ -138,33 +138,33 @@
         assert any(w.can_act(n) for n in NAMES), "work stands still though all are there"
 
 
-class NoLease(Seat):
+class NoLease(Shard):
     def acts_until(self):
         return float("inf") if self.acting else float("-inf")
 
 
-class NoEpoch(Seat):
+class NoEpoch(Shard):
     def on_append(self, now, sender, a):
-        self.epoch = min(self.epoch, a.epoch) if self.state == "granted" else self.epoch
+        self.epoch = min(self.epoch, a.epoch) if self.state == "follower" else self.epoch
         return super().on_append(now, sender, a)
 
 
-class NoWaitOut(Seat):
+class NoWaitOut(Shard):
     def busy_until(self):
-        return 0.0 if self.state != "holding" else super().busy_until()
+        return 0.0 if self.state != "leader" else super().busy_until()
 
     def tick(self, now):
-        self.grant_until = min(self.grant_until, now) if self.state == "granted" else self.grant_until
+        self.grant_until = min(self.grant_until, now) if self.state == "follower" else self.grant_until
         super().tick(now)
 
 
-class NoCover(Seat):
+class NoCover(Shard):
     def covered(self):
         return self.at[1]
 
 
 def paused(kind, seed):
-    """The keeper stands still past its lease, and goes on where it hears nobody but one guard."""
+    """The owner stands still past its lease, and goes on where it hears nobody but one guard."""
     w = World(seed, 0.0, 0.05, kind)
     w.run(1.0)
     w.take("n1")
@@ -179,7 +179,7 @@
 
 
 def cut_off(kind, seed):
-    """Nothing of what the keeper says arrives, then it is lost with its folder."""
+    """Nothing of what the owner says arrives, then it is lost with its folder."""
     w = World(seed, 0.0, 0.05, kind)
     w.run(1.0)
     w.cut = {("k", "g"), ("k", "h")}
@@ -187,13 +187,13 @@
     w.run(0.5)
     w.stopped.add("k")
     w.run(3 * LEASE)
-    w.seats["g"].claim(w.clock("g"), False)
+    w.shards["g"].claim(w.clock("g"), False)
     w.run(8 * LEASE)  # it asks as one that may have forgotten: the others must answer, or time pass
     return w
 
 
 def half_deaf(kind, seed):
-    """One guard does not hear the keeper, which acts by the other's grant."""
+    """One guard does not hear the owner, which acts by the other's grant."""
     w = World(seed, 0.0, 0.05, kind)
     w.run(1.0)
     w.take("n1")
@@ -203,17 +203,17 @@
     return w
 
 
-@pytest.mark.parametrize("kind", [Seat, NoLease, NoEpoch, NoWaitOut, NoCover])
+@pytest.mark.parametrize("kind", [Shard, NoLease, NoEpoch, NoWaitOut, NoCover])
 def test_each_mutation_is_found_and_the_seat_as_it_is_is_not(kind):
     broken = [play(kind, seed).broken for play in (paused, cut_off, half_deaf) for seed in range(10)]
-    assert any(broken) == (kind is not Seat), kind.__name__
+    assert any(broken) == (kind is not Shard), kind.__name__
 
 
 def test_groups_are_the_same_everywhere_span_zones_and_move_little():
     zones = {f"r{i}": "abc"[i % 3] for i in range(30)}
     made = {n: group(n, zones, 2) for n in zones}
-    for name, (keeper, *guards) in made.items():
-        assert keeper == name and len({*guards, name}) == 3
+    for name, (owner, *guards) in made.items():
+        assert owner == name and len({*guards, name}) == 3
         assert len({zones[g] for g in (name, *guards)}) == 3
     fewer = {n: z for n, z in zones.items() if n != "r7"}
     changed = sum(group(n, fewer, 2) != made[n] for n in fewer)
@@ -222,9 +222,9 @@
 
 
 def test_a_lease_holds_by_the_clock_that_asked():
-    with patch.object(seats, "DRIFT", 0.02):
+    with patch.object(shards, "DRIFT", 0.02):
         w = World(6, loss=0.0, late=0.01)
         w.run(1.0)
-        seat = w.seats["k"]
-        latest = max(m.granted for m in seat.others.values())
-        assert seat.acts_until() == latest + LEASE <= w.clock("k") + LEASE
+        shard = w.shards["k"]
+        latest = max(m.granted for m in shard.others.values())
+        assert shard.acts_until() == latest + LEASE <= w.clock("k") + LEASE
--- a/tests/test_peers_takeover.py
+++ b/tests/test_peers_takeover.py
@@ -1,4 +1,4 @@
-"""What a successor does with a push that its keeper may still have out."""
+"""What a successor does with a push that its owner may still have out."""
 
 import asyncio
 import random
@@ -8,7 +8,7 @@
 from ryestack.lifecycle.replication import record_codec
 from ryestack.lifecycle.replication.replicated import ReplicatedWork
 from ryestack.peers.node import Node, Terms
-from ryestack.peers.seat import Seat
+from ryestack.peers.shard import Shard
 from ryestack.store.ledger import Ledger
 from ryestack.store.owed import Owed
 
@@ -29,14 +29,14 @@
         loop = asyncio.get_running_loop()
         g, adopted = replicated(loop.time)
         wall = loop.time() + 1000.0
-        seat = Seat(("r9", 1), ("r0",), "r0", 1.0, random.Random(1), 0.0)
-        seat.state, seat.acting = "holding", True
+        shard = Shard(("r9", 1), ("r0",), "r0", 1.0, random.Random(1), 0.0)
+        shard.state, shard.acting = "leader", True
         for name, until in (("out", wall + 0.3), ("over", wall - 1.0), ("ended", wall + 9.0)):
             owed = Owed(name, wall + 20.0, 7, "again", "", "", "", b"x")
-            seat.kept.apply([record_codec.taken(owed), record_codec.pushed(owed, 0, wall - 2.0, until)])
+            shard.contents.apply([record_codec.taken(owed), record_codec.pushed(owed, 0, wall - 2.0, until)])
         ended = Owed("ended", wall + 20.0, 7, "again", "", "", "", b"x")
-        seat.kept.apply([record_codec.ended(ended, 0, True)])
-        g.on_acts(seat)
+        shard.contents.apply([record_codec.ended(ended, 0, True)])
+        g.on_acts(shard)
         at_once = list(adopted)
         assert g.owner.ledger.owed["out"].open and g.owner.ledger.owed["out"].pushes == 1
         await asyncio.sleep(0.2)
@@ -53,12 +53,12 @@
         loop = asyncio.get_running_loop()
         g, adopted = replicated(loop.time)
         wall = loop.time() + 1000.0
-        seat = Seat(("r9", 1), ("r0",), "r0", 1.0, random.Random(1), 0.0)
-        seat.state, seat.acting = "holding", True
+        shard = Shard(("r9", 1), ("r0",), "r0", 1.0, random.Random(1), 0.0)
+        shard.state, shard.acting = "leader", True
         owed = Owed("out", wall + 20.0, 7, "again", "", "", "", b"x")
-        seat.kept.apply([record_codec.taken(owed), record_codec.pushed(owed, 0, wall, wall + 0.1)])
-        g.on_acts(seat)
-        g.on_lost(seat)
+        shard.contents.apply([record_codec.taken(owed), record_codec.pushed(owed, 0, wall, wall + 0.1)])
+        g.on_acts(shard)
+        g.on_lost(shard)
         await asyncio.sleep(0.2)
         return adopted, dict(g.owner.ledger.owed)
 
