The test of the last races follows the owner's new names

tests/test_races_left.py landed while the ports were renamed and set courier and ends, which the owner has no more: now dispatcher and notices, with close_idle and cancel_unsent. Only these three lines change; its assertions are the same. With the lines untouched the owner's test fails for want of a dispatcher.

--- a/tests/test_races_left.py
+++ b/tests/test_races_left.py
@@ -126,9 +126,9 @@
     told, ledger = [], Ledger(Journal(folder, 100_000))
     ledger.recover()
     made = Owner(settings(), 1, ledger, lambda: now, 1000.0)
-    made.courier = SimpleNamespace(forget=lambda: None, hang_up=lambda _: None, call_off=lambda _: None)
-    made.courier.start = start
-    made.ends = SimpleNamespace(add=lambda name, notice: told.append((name, notice)))
+    made.dispatcher = SimpleNamespace(forget=lambda: None, start=start)
+    made.dispatcher.close_idle = made.dispatcher.cancel_unsent = lambda _: None
+    made.notices = SimpleNamespace(add=lambda name, notice: told.append((name, notice)))
     return made, told
 
 
