--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -70,7 +70,7 @@
         "messages",
         "bodies of 200 bytes, one failed push each, 1,000 destinations",
     ),
-    "group": Probe(state.group_by_relays, (200, 800, 3000, 12_000), "relays", "2 guards, 16 zones"),
+    "group": Probe(state.group_by_relays, (200, 800, 3000, 12_000), "relays", "2 replicas, 16 zones"),
     "watch": Probe(
         processes.watch_by_relays,
         (1, 3, 10, 32),
@@ -78,19 +78,19 @@
         "idle, 3 endpoints, a registry that says nothing new",
     ),
     "peers": Probe(
-        guards.peers_by_letters,
+        guards.peers_by_heartbeats,
         tuple(guards.LEASES),
-        "letters in 100 s",
-        "3 relays, 2 guards each, idle; leases of 60, 15, 4 and 1 s",
+        "messages in 100 s",
+        "3 relays, 2 replicas each, idle; leases of 60, 15, 4 and 1 s",
     ),
     "guard": Probe(
-        guards.guard_by_messages, (1000, 3000, 10_000, 40_000), "messages", "one seat, bodies of 200 bytes"
+        guards.guard_by_messages, (1000, 3000, 10_000, 40_000), "messages", "one shard, bodies of 200 bytes"
     ),
     "guarded": Probe(
         guards.guarded_by_rate,
         (1, 5, 15, 50),
         "messages/s",
-        "3 relays, 2 guards each, lease 3 s, one endpoint, bodies of 64 bytes",
+        "3 relays, 2 replicas each, lease 3 s, one endpoint, bodies of 64 bytes",
     ),
     "assignment": Probe(
         control.assignment_by_relays,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -99,10 +99,16 @@
 
 
 def test_a_tampered_figure_is_found(text, shown):
-    assert wrong_sums(shown.replace("= **3.46 GB**", "= **3.1 GB**"))
-    assert wrong_verdicts(shown.replace("over 13.5x", "over 12.5x"))
-    points = re.search(r"\[100000, 1\.323e\+08\]", text)
-    assert page(text.replace(points[0], "[100000, 1.223e+08]")) != shown
+    """Of each product and each verdict on the page, and of each slope's largest point in the inputs."""
+    for found in re.finditer(r"= \*\*([\d.,]+)", shown):
+        more = f"{float(found[1].replace(',', '')) * 1.2:.6g}"
+        assert wrong_sums(shown[: found.start(1)] + more + shown[found.end(1) :]), found[0]
+    for found in re.finditer(r"over ([\d.,]+)x", shown):
+        less = f"{float(found[1].replace(',', '')) * 0.9:.6g}"
+        assert wrong_verdicts(shown[: found.start(1)] + less + shown[found.end(1) :]), found[0]
+    for found in re.finditer(r", ([\d.e+-]+)\]\]", text):
+        more = f"{float(found[1]) * 1.2:.6g}"
+        assert page(text[: found.start(1)] + more + text[found.end(1) :]) != shown, found[0]
 
 
 def test_each_measured_slope_has_its_points_and_its_provenance(text):
