Relay: destinations and settings from control machines, in scope

With [control] the relay's directory is the control tier. A destination that leaves the scope takes nothing new (503: another relay may serve it), and its endpoints stay until the ledger owes nothing of it; setting/settings is taken as a reread takes the file, whole or not at all; the last version in force is kept in the folder (one step, checksum, an eighth of the folder's bytes), so that a start with no machine in reach serves and says how old that is. Without [control] nothing of it is imported or opened. Found on the way: a poll was confirmed at the version that changed the relays' set before the assignment of that set was made, so a relay acknowledged a shard that it did not have yet: polls now wait for the assignment, half a second at most. A rejected version is offered again after each poll, for the cause may be the relay's own.

--- a/ryestack/control/publisher.py
+++ b/ryestack/control/publisher.py
@@ -136,7 +136,11 @@
         answers: list[tuple[Hashable, Answer]] = [(token, over) for token in self._superseded]
         self._superseded = []
         for poll in self._relays.take_due(now):
-            answers.append((poll.token, self._answer_poll(poll.request)))
+            if self.scopes.due_at < inf:  # no version is confirmed before the scope is of it
+                poll.due = self.scopes.due_at
+                self._relays.hold(poll)
+            else:
+                answers.append((poll.token, self._answer_poll(poll.request)))
         for poll in self._followers.take_due(now):
             answers.append((poll.token, self._answer_follow(poll.request)))
         return answers
@@ -157,9 +161,11 @@
         self._supersede(self._relays, poll.relay)
         self.scopes.refresh(now)
         answer = self._answer_poll(poll)
-        if not _nothing_new(answer) or not poll.hold > 0.0 or self._relays.full():
+        waits = _nothing_new(answer) and poll.hold > 0.0
+        settled = self.scopes.due_at == inf or isinstance(answer, Unavailable)
+        if self._relays.full() or (settled and not waits):
             return answer
-        due = now + min(poll.hold, MAX_HOLD_SECONDS)
+        due = now + min(poll.hold, MAX_HOLD_SECONDS) if waits else self.scopes.due_at
         self._relays.hold(HeldPoll(poll.relay, token, poll, due))
         return None
 
--- a/ryestack/control/staging.py
+++ b/ryestack/control/staging.py
@@ -27,7 +27,7 @@
 class Staging:
     """retained: shards of the holdings that no change of scope or floor has broken since they were applied;
     their content is that of the holdings under `changed`. fresh: shards gathered anew. missing: shards to
-    fetch, the first from the key `after` on. unoffered: whether anything came since it was last rejected."""
+    fetch, the first from the key `after` on."""
 
     def __init__(self, holdings: Holdings, limit_bytes: int = MAX_STAGED_BYTES) -> None:
         self._holdings, self._limit = holdings, limit_bytes
@@ -41,7 +41,6 @@
         self.position: int | None = holdings.version if holdings.shards else None
         self.need = holdings.version
         self.bytes = 0
-        self.unoffered = True
 
     def retarget(self, shards: Sequence[str]) -> None:
         """The scope is another one: keep what is whole of it, fetch the rest.
@@ -55,7 +54,6 @@
             for shard in tables.keys() & (in_part | (tables.keys() - self.shards)):
                 self.bytes -= _bytes_of(tables.pop(shard).values())
         self.missing, self.after = sorted(self.shards - self.retained - self.fresh.keys()), ""
-        self.unoffered = True
         if not self.retained and not self.fresh:
             self.position = None
 
@@ -66,7 +64,6 @@
         self.fresh.clear()
         self.missing, self.after = sorted(self.shards), ""
         self.position, self.bytes = None, 0
-        self.unoffered = True
 
     def wanted(self) -> list[str]:
         """The shards for the next Fetch, none if all are there."""
@@ -88,7 +85,6 @@
         self.after = "" if piece.done else piece.entries[-1].key
         self.position = piece.version if self.position is None else min(self.position, piece.version)
         self.need = max(self.need, piece.version)
-        self.unoffered = True
 
     def add_delta(self, delta: Delta) -> None:
         """Raises BadAnswer, TooLarge."""
@@ -104,7 +100,6 @@
                 self._put(self.fresh[entry.shard], entry)
         self.position = delta.version
         self.need = max(self.need, delta.target)
-        self.unoffered |= bool(delta.entries)
 
     def complete(self) -> bool:
         """Whether the content is exactly that of the version `position`, and not older than what is held."""
--- a/ryestack/control/subscriber.py
+++ b/ryestack/control/subscriber.py
@@ -55,7 +55,7 @@
         self.state, self.sure_at = State.WAITING, -inf
         self.wake_at = now + (chance.uniform(0.0, START_SECONDS) if kept else 0.0)
         self.rejected: Rejection | None = None
-        self._number, self._asked_at = 0, now
+        self._number, self._least_at = 0, now
         self._out: Ask | None = None
         self._update: Update | None = None
 
@@ -132,8 +132,7 @@
             return Input.MORE
         if not self._staging.complete():
             return Input.BEHIND
-        news = self._staging.differs() and self._staging.unoffered
-        return Input.CHANGED if news else Input.CURRENT
+        return Input.CHANGED if self._staging.differs() else Input.CURRENT
 
     # -- effects ----------------------------------------------------------------------------------
 
@@ -144,7 +143,8 @@
         hold = request.hold if isinstance(request, Poll) else 0.0
         self._number += 1
         self._out = Ask(self._number, machine, request, hold + ANSWER_SECONDS)
-        self._asked_at, self.wake_at = now, inf
+        self._least_at = now + hold / 2.0  # a machine that can hold no more polls answers at once
+        self.wake_at = inf
 
     def _fetch(self, shards: list[str]) -> Fetch:
         return Fetch(self.identity.cluster, self.identity.relay, shards, self._staging.after)
@@ -163,14 +163,10 @@
         self._out, self.wake_at = None, now
 
     def _confirm(self, now: float) -> None:
-        hold = self._out.request.hold
         self._go_on(now)
-        self.wake_at = max(
-            now, self._asked_at + hold / 2.0
-        )  # a machine that holds no more polls answers at once
-        if not self._staging.differs():
-            self.holdings.version = self._staging.position
-            self.rejected, self.sure_at = None, now
+        self.wake_at = max(now, self._least_at)
+        self.holdings.version = self._staging.position
+        self.rejected, self.sure_at = None, now
 
     def _offer(self, now: float) -> None:
         self._go_on(now)
@@ -183,9 +179,9 @@
         self.sure_at = self.wake_at = now
 
     def _keep(self, now: float) -> None:
-        """The staged version stays, so that a later change of the key can mend it."""
-        self._staging.unoffered = False
-        self._update, self.wake_at = None, now
+        """The staged version stays, so that a later change of the key can mend it; after each further poll
+        it is offered again, for what kept it from being used may have been the relay's own."""
+        self._update, self.wake_at = None, max(now, self._least_at)
 
     def _fail_over(self, now: float) -> None:
         self._out, self.wake_at = None, self._failover.failed(now)
--- a/ryestack/lifecycle/admin.py
+++ b/ryestack/lifecycle/admin.py
@@ -25,6 +25,8 @@
             "loads_total": self.loads["taken"],
             "load_errors_total": self.loads["turned down"],
         }
+        if parts.control:
+            values |= parts.control.figures()
         topics = [topic.name for topic in owner.settings.topic_types]
         return 200, figures.TYPE, figures.text(owner.ended, topics, values)
 
--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -18,6 +18,7 @@
 
 OWN_SOCKETS = 32  # for the journal, the watch, notices, the log, what opens while others close
 CLIENTS_PART = 0.28  # of all: the front opens a third at most, and no more while idle ones fill that
+SCOPE_PART = 8  # one in so many of the folder's bytes is for what control machines told
 FEWEST = 8  # connections a side, however few descriptors there are
 DIRECTORIES = {"catalog": Catalog, "fixed": Fixed}
 
@@ -33,15 +34,27 @@
     fronts: list[Front]
     terms: Terms
     peering: object = None  # where an operator file has peers
+    control: object = None  # where it has control machines: the directory, then
 
 
 def assemble(config: Config, clock, wall: float) -> Parts:
     """clock: seconds, of the loop; wall: added to it, it gives the wall's time."""
     settings, operator = config.settings, config.operator
-    ledger = Ledger(Journal(config.state, max(config.disk // 2, config.disk - remembered.MOST)))
+    scoped = bool(operator.control.cluster)
+    scope_bytes = config.disk // SCOPE_PART if scoped else 0
+    journal_bytes = max(config.disk // 2, config.disk - remembered.MOST - scope_bytes)
+    ledger = Ledger(Journal(config.state, journal_bytes))
     owner = Owner(settings, config.seed, ledger, clock, wall)
     platform = Platform(config.discovery)
-    directory = owner.directory = DIRECTORIES[operator.directory.source](platform, config.known)
+    if scoped:
+        from .scope.directory import ScopeDirectory  # most relays have none
+
+        directory = ScopeDirectory(
+            operator.control, config.name, owner, config.state, scope_bytes, config.seed
+        )
+    else:
+        directory = DIRECTORIES[operator.directory.source](platform, config.known)
+    owner.directory = directory
     most = max(FEWEST, int(config.sockets * CLIENTS_PART))
     left = max(FEWEST, config.sockets - most - OWN_SOCKETS)
     members = directory.members
@@ -58,4 +71,7 @@
         from .replication.peering import Peering  # most relays have none
 
         peering = Peering(operator.peers, config.name, owner, config.state, config.seed)
-    return Parts(ledger, owner, platform, directory, owner.courier, owner.ends, [front], terms, peering)
+    control = directory if scoped else None
+    return Parts(
+        ledger, owner, platform, directory, owner.courier, owner.ends, [front], terms, peering, control
+    )
--- a/ryestack/lifecycle/config.py
+++ b/ryestack/lifecycle/config.py
@@ -96,6 +96,28 @@
     return ""
 
 
+def _settings(options: dict, told: dict, chosen: Operator) -> it.Settings:
+    settings = read_settings(options)
+    check_shape(options)
+    if peers_wrong := _peers(chosen, told, settings):
+        raise BadConfig(peers_wrong)
+    if settings.asks_for_list and chosen.directory.source == "fixed":
+        raise MixedShapes("options.discovery is ask, but directory.source is fixed: nothing would be asked")
+    return settings
+
+
+def settings_of(options: dict, config: Config) -> it.Settings:
+    """Settings from their JSON object, for a relay of that configuration; raises BadConfig."""
+    try:
+        return _settings(options, config.told, config.operator)
+    except MixedShapes as problem:
+        raise Mixed(str(problem)) from None
+    except BadSettings as problem:
+        raise BadConfig(str(problem)) from None
+    except (*UNREADABLE, AttributeError) as problem:
+        raise BadConfig(f"a value of the wrong kind: {problem}") from None
+
+
 def read(told: dict, state: str, chosen: Operator, ops: str | None = None) -> Config:
     """ops: of this process alone, where two of them read one file; else the file tells it."""
 
@@ -119,12 +141,7 @@
         seed = int(str(told.get("seed", "")), 16)
     except ValueError:
         raise BadConfig("seed must be hex digits") from None
-    settings = read_settings(need(told, "settings", dict))
-    check_shape(told["settings"])
-    if peers_wrong := _peers(chosen, told, settings):
-        raise BadConfig(peers_wrong)
-    if settings.asks_for_list and chosen.directory.source == "fixed":
-        raise MixedShapes("options.discovery is ask, but directory.source is fixed: nothing would be asked")
+    settings = _settings(need(told, "settings", dict), told, chosen)
     return Config(
         name=need(told, "name", str),
         host=host,
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -15,6 +15,7 @@
 from .assembly import assemble
 from .config import BadConfig, Config, load
 from .phases import ACCEPT, LOOK, PHASES, READY, SHORT
+from .settings_taker import SettingsTaker
 from .state_saver import StateSaver
 from .upgrade.channel import PATIENCE, Channel, ChannelListener, connect
 from .upgrade.handover import Handover
@@ -24,7 +25,7 @@
 WORD = 0.3  # for the word of a process after us that it serves, where a stop comes first
 
 
-class Relay(Admin, Handover, StateSaver):
+class Relay(Admin, Handover, StateSaver, SettingsTaker):
     def __init__(self, config: Config):
         self.config, self.phase = config, "starting"
         loop = asyncio.get_running_loop()
@@ -34,6 +35,8 @@
         self.channel_listener = ChannelListener(config.state, self.successor_connected)
         self.parts = assemble(config, self.clock, wall)
         self.ledger, self.owner = self.parts.ledger, self.parts.owner
+        if self.parts.control:
+            self.parts.control.bind(self.read_control_settings, self.take_control_settings)
         self.tasks, self.stop_asked, self.stop_at = [], asyncio.Event(), 0.0
         self.reread_asked = asyncio.Semaphore(0)
         self.loads = Counter()
@@ -187,8 +190,9 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.parts.courier.close()
         await self.parts.platform.close()
-        if self.parts.peering:
-            await self.parts.peering.close()
+        for part in (self.parts.peering, self.parts.control):
+            if part:
+                await part.close()
         self.ledger.journal.close()
 
     async def rereads(self) -> None:
@@ -201,6 +205,7 @@
         """The platform's address and the settings may change in a life, the whole file or nothing of it."""
         try:
             told = load(before=self.config)
+            settings = self.settings_after(told)
         except BadConfig as bad:
             self.loads["turned down"] += 1
             event("config.kept", why=str(bad))
@@ -208,15 +213,9 @@
         self.loads["taken"] += 1
         if self.parts.platform.move(told.discovery):
             event("platform.moved", address=told.discovery)
-        if told.settings != self.config.settings:
-            self.parts.terms.change(told.settings, self.clock())
-            self.owner.retune(told.settings)
-            for part in (self.parts.courier, *self.parts.fronts):
-                part.retune(told.settings)
-            event("settings.changed", topics=",".join(t.name for t in told.settings.topic_types))
-        now_held = {"discovery": told.discovery, "settings": told.settings, "told": told.told}
-        self.config = replace(self.config, **now_held)
-        same = {f.name for f in fields(Config)} - {"known", "seed"}
+        self.take_settings(settings)
+        self.config = replace(self.config, discovery=told.discovery, told=told.told)
+        same = {f.name for f in fields(Config)} - {"known", "seed", "settings"}
         if later := sorted(name for name in same if getattr(told, name) != getattr(self.config, name)):
             event("config.later", keys=",".join(later))
 
@@ -237,4 +236,5 @@
             journal=self.ledger.journal.size,
             cpu=round(used.ru_utime + used.ru_stime, 2),
             memory=used.ru_maxrss // 1024,
+            **(self.parts.control.figures() if self.parts.control else {}),
         )
--- a/ryestack/observe/figures.py
+++ b/ryestack/observe/figures.py
@@ -19,15 +19,22 @@
     ("load_errors_total", "counter", "configuration files turned down at SIGHUP"),
 )
 
+CONTROL_FIGURES = (  # of relays that have control machines
+    ("control_version", "gauge", "version of destinations and settings in force"),
+    ("control_age_seconds", "gauge", "since a control machine last said that it is the newest"),
+    ("control_rejected", "gauge", "1 while a newer version cannot be used"),
+)
+
 
-def text(handled: Counter, categories: Iterable[str], values: dict[str, int]) -> str:
+def text(handled: Counter, categories: Iterable[str], values: dict[str, float]) -> str:
     """handled: by (topic type, how it ended); categories: the topic types to tell though none ended yet."""
     lines = _head("handled_total", "counter", "messages ended: delivered; refused or handed back; failed")
     for category in sorted({*categories, *(topic for topic, _ in handled)}):
         for end, word in OUTCOMES.items():
             labels = f'category="{_escaped(category)}",outcome="{word}"'
             lines.append(f"{PREFIX}handled_total{{{labels}}} {handled[category, end]}")
-    for name, kind, meaning in FIGURES:
+    scoped = CONTROL_FIGURES if "control_version" in values else ()
+    for name, kind, meaning in (*FIGURES, *scoped):
         lines += [*_head(name, kind, meaning), f"{PREFIX}{name} {values[name]}"]
     return "\n".join(lines) + "\n"
 
--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass
 
+from .registry_control import CONTROL_ROWS
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
@@ -48,6 +50,7 @@
         "what else has changed holds from the next start",
         "restart when it suits",
     ),
+    *CONTROL_ROWS,
     (
         "ends.blocked",
         "WARNING",
@@ -200,7 +203,7 @@
     (
         "relay.summary",
         "INFO",
-        "counts owed out clients journal cpu memory",
+        "counts owed out clients journal cpu memory control_version control_age_seconds control_rejected",
         "figures since the start: pushes by how they ended, notifications taken, throttled, expired, turned "
         "away; owed now, pushes out, clients connected, journal bytes, CPU seconds, most memory in MB",
         "the table of troubles; `owed` and `memory` must not grow without end",
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -62,7 +62,12 @@
 
 
 class Members:
-    """Where endpoints are reached, of what kind they are, as last told, and which destinations there are."""
+    """Where endpoints are reached, of what kind they are, as last told, and which destinations there are.
+
+    scoped: whether other relays may serve destinations that are not listed here.
+    """
+
+    scoped = False
 
     def __init__(self, clock=time.monotonic):
         self.index, self.rows, self.clock = 0, {}, clock
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -31,6 +31,10 @@
 }
 
 
+class NotServed(Exception):
+    """A destination that this relay does not serve, though another may."""
+
+
 class Clients:
     """Serves clients; hand_in and withdraw put into the queue of the task that owns the decisions."""
 
@@ -172,6 +176,8 @@
             ntf, key = self.read(request.headers, self.clock())
         except forms.BadForm as bad:
             return self.answer(MALFORMED, str(bad))
+        except NotServed as why:
+            return self.answer(REFUSED, str(why))
         except TimeoutError:
             return self.answer(TOO_SLOW, "the body did not come", last=True)
         except (OSError, aiohttp.ClientError, web.RequestPayloadError):  # its client went, or sent no body
@@ -216,7 +222,7 @@
         due = now + forms.seconds(headers.get("X-Deadline", ""))
         dest = forms.destination(headers.get("X-Envelope", ""))
         if not self.members.has(dest):
-            raise forms.BadForm(f"no destination {dest}")
+            raise (NotServed if self.members.scoped else forms.BadForm)(f"no destination {dest}")
         key = headers.get("Idempotency-Key", "")
         if key or topic.effect is it.Effect.COLLAPSIBLE:
             forms.token(key, "Idempotency-Key")
