--- a/ryestack/lifecycle/replication/record_codec.py
+++ b/ryestack/lifecycle/replication/record_codec.py
@@ -1,11 +1,11 @@
-"""What a guard keeps of a notification: the ledger's facts as records, and a notification owed made of
+"""What a replica keeps of a notification: the ledger's facts as records, and a notification owed made of
 them. Pure."""
 
 from math import inf
 
 import msgspec
 
-from ...peers.words import Record
+from ...peers.messages import Record
 from ...store.owed import Owed
 
 _write, _read = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder().decode
@@ -35,7 +35,7 @@
 
 
 def pushed(o: Owed, push: int, at: float, until: float) -> Record:
-    """at, until: when it went and when its keeper gives it up, of the wall's clock."""
+    """at, until: when it went and when its relay gives it up, of the wall's clock."""
     return Record(o.id, _write(["push", push, at, until]), due=o.due)
 
 
@@ -52,7 +52,7 @@
 
 
 def decode(records: list[Record]) -> Owed | None:
-    """None where the facts make no sense: they are another's words."""
+    """None where the facts make no sense: they are another's messages."""
     made, out = None, {}
     try:
         for record in records:
--- a/ryestack/lifecycle/settings_taker.py
+++ b/ryestack/lifecycle/settings_taker.py
@@ -38,7 +38,7 @@
             return
         self.parts.terms.change(settings, self.clock())
         self.owner.retune(settings)
-        for part in (self.parts.courier, *self.parts.fronts):
+        for part in (self.parts.dispatcher, *self.parts.listeners):
             part.retune(settings)
         self.config = replace(self.config, settings=settings)
         event("settings.changed", topics=",".join(topic.name for topic in settings.topic_types))
