--- a/ryestack/lab/capacity_page.py
+++ b/ryestack/lab/capacity_page.py
@@ -3,7 +3,8 @@
 from itertools import groupby
 from math import isnan
 
-from .capacity import Derived, Figure, Inputs, Slope, counts_of, figures, ranking, read
+from .capacity import Figure, counts_of, figures, ranking
+from .capacity_model import Derived, Inputs, Slope, read
 
 HEAD = """# Capacity
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,7 +7,8 @@
 import numpy as np
 import pytest
 
-from ryestack.lab.capacity import BadInputs, counts_of, figures, ranking, read
+from ryestack.lab.capacity import counts_of, figures, ranking
+from ryestack.lab.capacity_model import BadInputs, read
 from ryestack.lab.capacity_page import page
 from ryestack.lab.slopes import TooFewPoints, decades, fit
 
