--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -115,7 +115,7 @@
             message.verdict.set_result((Verdict.UNREADABLE, 0.0))
         elif (away := self.replication.turned_away()) is not None:
             self.turn_away(message, away)
-        elif self.full(message):
+        elif self.full(message) or self.clock() > message.answer_by:
             self.turn_away(message)
         else:
             self.fresh[name] = message
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -34,7 +34,8 @@
 
     verdict: what the relay made of it, (Verdict, seconds to stay away, 0 if none is told). heard: whether
     its client was told that it is taken on; pushes wait for it. key: the partner's idempotency key, "" if
-    none; body: the bytes to deliver.
+    none; body: the bytes to deliver. answer_by: a time of the clock; later its client has gone, or will
+    have before it can be told.
     """
 
     ntf: it.Notification
@@ -42,6 +43,7 @@
     body: bytes
     verdict: Future[tuple[Verdict, float]]
     heard: Future[bool]
+    answer_by: float = inf
 
 
 @dataclass(slots=True)
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -21,6 +21,7 @@
 BUFFER = 16 * 1024  # bytes that the library reads ahead on a connection
 BATCH = 16  # connections accepted in one turn of the loop: what usual clients sent is read between
 BACKLOG = 512
+ANSWERED = 0.35  # seconds in which a request has to be taken on: its client goes after 0.4
 TAKEN, REFUSED, FAILED, MALFORMED, TOO_SLOW, TOO_LARGE = 202, 503, 500, 400, 408, 413
 
 
@@ -180,7 +181,9 @@
         finally:
             self.unread -= len(body)
         loop = asyncio.get_running_loop()
-        message, told = HandIn(ntf, key, bytes(body), loop.create_future(), loop.create_future()), False
+        answer_by = request.protocol.came_at + ANSWERED
+        message = HandIn(ntf, key, bytes(body), loop.create_future(), loop.create_future(), answer_by)
+        told = False
         verdict = Verdict.TAKEN  # unless the owner says otherwise
         self.hand_in(message)
         try:
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -7,7 +7,7 @@
 from ryestack.lifecycle.terms import Terms
 from ryestack.ports import Verdict
 from ryestack.wire.lateness import HALF_LIFE, MOST, PART, Lateness
-from ryestack.wire.server import Clients
+from ryestack.wire.server import ANSWERED, Clients
 
 from .helpers import members, settings
 from .test_wire import RAW
@@ -27,11 +27,11 @@
 
 
 def busy_while_it_comes(*parts):
-    """What a loop takes on that stands still while the bytes come; when they were sent; its lateness."""
+    """What comes to a loop that stands still while the bytes come; when they were sent; its lateness."""
     got = []
 
     def take(message):
-        got.append(message.ntf)
+        got.append(message)
         message.verdict.set_result((Verdict.TAKEN, 0.0))
 
     async def run():
@@ -60,11 +60,12 @@
 
 
 def test_the_time_of_a_request_that_waited_unread_runs_from_its_coming():
-    [ntf], sent_at, late = busy_while_it_comes(WHOLE)
-    assert abs(ntf.due - (sent_at + SPAN - late)) < STEP
+    [message], sent_at, late = busy_while_it_comes(WHOLE)
+    assert abs(message.ntf.due - (sent_at + SPAN - late)) < STEP
+    assert abs(message.answer_by - (sent_at + ANSWERED)) < STEP
     assert BUSY - STEP < late < BUSY + 2 * STEP
 
 
 def test_the_time_of_one_in_pieces_runs_from_the_last():
-    [ntf], sent_at, late = busy_while_it_comes(WHOLE[:40], WHOLE[40:-1], WHOLE[-1:])
-    assert abs(ntf.due - (sent_at + SPAN - late)) < STEP
+    [message], sent_at, late = busy_while_it_comes(WHOLE[:40], WHOLE[40:-1], WHOLE[-1:])
+    assert abs(message.ntf.due - (sent_at + SPAN - late)) < STEP
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -77,6 +77,14 @@
         read.journal.close()
         self.assertEqual((read.owed["n"].due, read.owed["n"].open), (1030.0, {0: 1010.0}))
 
+    async def test_what_its_client_would_not_hear_of_any_more_is_turned_away_unseen(self):
+        o, late, soon = self.owner(), self.hand_in("late"), self.hand_in("soon")
+        late.answer_by, soon.answer_by = self.now - 0.01, self.now
+        o.round([late, soon])
+        self.assertEqual([m.verdict.result()[0] for m in (late, soon)], [Verdict.THROTTLED, Verdict.TAKEN])
+        self.assertEqual((list(o.ledger.owed), list(o.brain.held), self.sent), (["soon"], ["soon"], [("soon", 0)]))
+        self.assertEqual(o.ended["again", "throttled"], 1)
+
     async def test_an_end_at_once_answers_and_leaves_nothing_owed(self):
         o, message = self.owner(), self.hand_in("n", due=10.0)
         o.round([message])
