--- a/ryestack/wire/lateness.py
+++ b/ryestack/wire/lateness.py
@@ -5,8 +5,8 @@
 """
 
 HALF_LIFE = 2.0  # seconds in which the worst wait counts half: a spell of load outlasts its messages' reading
-MOST = 0.5  # seconds that are allowed for, whatever was seen
-PART = 0.05  # of a message's time, at most: a short one keeps nearly all of it
+MOST = 1.0  # seconds that are allowed for, whatever was seen
+PART = 0.1  # of a message's time, at most: a short one keeps most of it
 
 
 class Lateness:
