--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -65,6 +65,7 @@
         "more relays, or more descriptors",
         "*",
     ),
+    ("front.stale", "DEBUG", "waited", "a hand-in that its client had given up was answered 503 unparsed"),
     ("front.open", "INFO", "protocol address", "clients are served at this address"),
     (
         "journal.adopted",
--- a/ryestack/wire/client_connection.py
+++ b/ryestack/wire/client_connection.py
@@ -10,12 +10,13 @@
 
 from aiohttp import web
 
+from ..observe.log import event
 from .sockets import unread, waited
 
 IDLE = 2.2  # seconds: a connection with no open request may end after 2, and a bad client must hear within 3
 QUIET_FOR = 0.3  # seconds that one which is let go has said nothing
 BODY = 2.6  # seconds for a first request from its connection on, for a later one from its head on
-GONE = 0.4  # seconds after which a client has given its request up: one read later is not worth its parsing
+GONE = 0.4  # seconds after which a client has given its request up
 HAND_IN = b"POST /api"
 LINGER = 0.5  # seconds for a client to end its side: it does so as it reads our end, or has gone
 MOST_THROWN = 256 * 1024  # bytes thrown away meanwhile: a request has less; a flood is cut off
@@ -88,7 +89,8 @@
             return
         self.heard_at = self._loop.time()
         self.came_at = self.heard_at - waited(self.whole)
-        if self.heard_at > self.came_at + GONE and data.startswith(HAND_IN) and self.idle():
+        if self.given_up(data):
+            event("front.stale", waited=round(self.heard_at - self.came_at, 3))
             self.whole.write(REFUSED)
             self.force_close()
             return
@@ -100,6 +102,10 @@
             elif self.transport is not None:
                 self.transport.pause_reading()
 
+    def given_up(self, data: bytes) -> bool:
+        """Whether a hand-in begins whose client has gone: under overload all work would be for such."""
+        return self.heard_at > self.came_at + GONE and data.startswith(HAND_IN) and self.idle()
+
     def _process_keepalive(self) -> None:
         """The library's end of an idle connection: not over a request that has come and is not read yet."""
         if self.ending is None and self.idle() and self.transport is not None and unread(self.whole):
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -6,6 +6,7 @@
 
 from ryestack.lifecycle.terms import Terms
 from ryestack.ports import Verdict
+from ryestack.wire.client_connection import GONE
 from ryestack.wire.lateness import HALF_LIFE, MOST, PART, Lateness
 from ryestack.wire.server import ANSWERED, Clients
 
@@ -69,3 +70,34 @@
 def test_the_time_of_one_in_pieces_runs_from_the_last():
     [message], sent_at, late = busy_while_it_comes(WHOLE[:40], WHOLE[40:-1], WHOLE[-1:])
     assert abs(message.ntf.due - (sent_at + SPAN - late)) < STEP
+
+
+def test_what_its_client_has_given_up_is_refused_unparsed_and_a_look_at_health_is_not():
+    got, health = [], b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    async def ask(clients, raw):
+        """Its status, and whether the connection ends."""
+        reader, writer = await asyncio.open_connection(*clients.listener.sockets[0].getsockname()[:2])
+        while not clients.server.connections:
+            await asyncio.sleep(0)
+        writer.write(raw)
+        time.sleep(GONE + STEP)
+        async with asyncio.timeout(3.0):
+            status = await reader.read(12)
+            writer.write_eof()
+            closes = b"Connection: close" in await reader.read()
+        writer.close()
+        return status, closes
+
+    async def run():
+        clock = asyncio.get_running_loop().time
+        clients = Clients(settings(), Terms(settings()), members(), clock, got.append, got.append, 50)
+        await clients.listen("127.0.0.1", 0)
+        clients.ready = True
+        said = [await ask(clients, raw) for raw in (WHOLE, health)]
+        clients.stop_listening()
+        await clients.server.shutdown(0.1)
+        return said
+
+    assert asyncio.run(run()) == [(b"HTTP/1.1 503", True), (b"HTTP/1.1 200", False)]
+    assert got == []
