--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -33,6 +33,10 @@
 }
 
 
+class NotServed(Exception):
+    """A destination that this relay does not serve, though another may."""
+
+
 class Clients:
     """Serves clients; hand_in and withdraw put into the queue of the task that owns the decisions."""
 
@@ -64,8 +68,8 @@
             logger=QUIET,
         )
 
-    async def open(self, door: socket.socket | None = None, beside: bool = False) -> str:
-        await self.listen(*self.at, door, beside)
+    async def open(self, listening_socket: socket.socket | None = None, beside: bool = False) -> str:
+        await self.listen(*self.at, listening_socket, beside)
         self.ready = True
         host, port = self.listener.sockets[0].getsockname()[:2]
         return f"{host}:{port}"
@@ -84,7 +88,7 @@
             connection.end_if_quiet()
         self.ebbing = asyncio.get_running_loop().call_later(EBB, self.empty)
 
-    def relieved(self) -> None:
+    def replaced(self) -> None:
         self.listener.close()
         self.ready = True  # of the relay, which the other process is now, drained or not
         self.empty()
@@ -105,17 +109,17 @@
     def connections(self) -> int:
         return len(self.server.connections)
 
-    def door(self) -> int | None:
+    def descriptor(self) -> int | None:
         return self.listener.sockets[0].fileno() if self.listener and self.listener.sockets else None
 
-    async def listen(self, host: str, port: int, door=None, beside: bool = False) -> None:
-        """door: the socket of the process before us: one queue of connections, of which no close resets any.
+    async def listen(self, host: str, port: int, listening_socket=None, beside: bool = False) -> None:
+        """listening_socket: of the process before us: one queue of connections, of which no close resets any.
 
         Without it, beside another process, the address is shared; else it must be free, as ever.
         """
-        if door is None and not beside:
+        if listening_socket is None and not beside:
             socket.create_server((host, port), backlog=1).close()
-        sock = door or socket.create_server((host, port), backlog=BACKLOG, reuse_port=True)
+        sock = listening_socket or socket.create_server((host, port), backlog=BACKLOG, reuse_port=True)
         sock.setblocking(False)
         self.listener = await asyncio.get_running_loop().create_server(self.accept, sock=sock, backlog=BATCH)
         sock.listen(BACKLOG)  # the library knows one figure for both
@@ -174,6 +178,8 @@
             ntf, key = self.read(request.headers, request.protocol.came_at)
         except forms.BadForm as bad:
             return self.answer(MALFORMED, str(bad))
+        except NotServed as why:
+            return self.answer(REFUSED, str(why))
         except TimeoutError:
             return self.answer(TOO_SLOW, "the body did not come", last=True)
         except (OSError, aiohttp.ClientError, web.RequestPayloadError):  # its client went, or sent no body
@@ -224,7 +230,7 @@
         due = came_at + span - self.lateness.reserve(now, span)
         dest = forms.destination(headers.get("X-Envelope", ""))
         if not self.members.has(dest):
-            raise forms.BadForm(f"no destination {dest}")
+            raise (NotServed if self.members.scoped else forms.BadForm)(f"no destination {dest}")
         key = headers.get("Idempotency-Key", "")
         if key or topic.effect is it.Effect.COLLAPSIBLE:
             forms.token(key, "Idempotency-Key")
