Control: machines as processes, with the change log, relays' polls, changes and status

Cause: the parts of a control machine had no process around them. Change: python -m ryestack with [control] role = machine serves /control, /control/changes, /control/status, /control/destination/<n>, /consensus and /control/reports; voters keep the change log, others follow a voter; the leader tells what is in force everywhere from all machines' reports. A machine that has heard no leader for 5 s answers who lies behind and sends all others on. lifecycle/service.py reads the operator's choices first, so that a machine needs no LB_CONFIG.

--- /dev/null
+++ b/ryestack/control/catalogue_codec.py
@@ -0,0 +1,39 @@
+"""A catalogue as the parts of a snapshot file, and back. Pure."""
+
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from .catalogue import Catalogue, Snapshot
+from .messages import Entry
+
+PART_ENTRIES = 1000
+
+
+class CatalogueHead(msgspec.Struct, frozen=True):
+    """The first part; as in `catalogue.Snapshot`."""
+
+    version: int
+    floor: int
+
+
+_heads = msgspec.msgpack.Decoder(CatalogueHead)
+_entries = msgspec.msgpack.Decoder(list[Entry])
+
+
+def parts_of(snapshot: Snapshot) -> Iterator[bytes]:
+    """Bounded parts that hold a snapshot."""
+    yield msgspec.msgpack.encode(CatalogueHead(snapshot.version, snapshot.floor))
+    for begin in range(0, len(snapshot.entries), PART_ENTRIES):
+        yield msgspec.msgpack.encode(snapshot.entries[begin : begin + PART_ENTRIES])
+
+
+def read_catalogue(parts: Iterable[bytes]) -> Catalogue:
+    """The catalogue of a snapshot's parts; an empty one of none. Raises msgspec.MsgspecError."""
+    rest = iter(parts)
+    first = next(rest, None)
+    if first is None:
+        return Catalogue()
+    head = _heads.decode(first)
+    entries = [entry for part in rest for entry in _entries.decode(part)]
+    return Catalogue.restore(Snapshot(head.version, head.floor, entries))
--- /dev/null
+++ b/ryestack/control/change_log.py
@@ -0,0 +1,168 @@
+"""A voter at work: its replica of the change log, its disk, its way to the others, and the state they give.
+
+One task (`run`) does all that follows from what came: records to disk, then messages out, then committed
+changes into the publisher. What comes while the disk is at work shares the next fsync.
+"""
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from ..observe.log import event
+from .catalogue_codec import read_catalogue
+from .changes import entries_of
+from .compaction import Compaction
+from .consensus import Overloaded, Replica
+from .consensus_messages import LogEntry, Message
+from .consensus_state import Ready, Record, Role
+from .publisher import Publisher
+from .storage import Storage
+from .storage_errors import StorageFull
+from .transport import Transport
+
+TICK_SECONDS = 0.1
+FULL_REST_SECONDS = 0.5  # until a full disk is tried again
+CHANGE_SECONDS = 4.0  # that a change waits for a majority
+MAX_WAITING = 1000  # changes at once
+
+
+class DiskBlocked(Exception):
+    """The disk takes nothing: changes and messages are refused meanwhile."""
+
+
+class Unconfirmed(Exception):
+    """No majority has said that it has the change: it may hold, now or later."""
+
+
+class ChangeLog:
+    """on_applied: called when the publisher has taken changes; blocked: why the disk takes nothing, or ""."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        storage: Storage,
+        transport: Transport,
+        publisher: Publisher,
+        clock: Callable[[], float],
+        on_applied: Callable[[], None],
+    ):
+        self.replica, self.publisher, self.blocked = replica, publisher, ""
+        self._storage, self._transport, self._clock = storage, transport, clock
+        self._on_applied = on_applied
+        self._disk = ThreadPoolExecutor(1, "disk")
+        self._compaction = Compaction(replica, storage, publisher)
+        self._work = asyncio.Event()
+        self._waiting: dict[int, tuple[LogEntry, asyncio.Future]] = {}
+        self._told = (Role.FOLLOWER, "")
+
+    async def run(self) -> None:
+        """Ends by cancellation, or with the OSError or BadStorage of a disk that can't be used."""
+        while True:
+            self.replica.tick(self._clock())
+            while ready := self.replica.take():
+                await self._finish(ready)
+            await self._compaction.step()
+            self._tell_role()
+            try:
+                await asyncio.wait_for(self._work.wait(), TICK_SECONDS)
+            except TimeoutError:
+                continue
+            self._work.clear()
+
+    def receive(self, messages: list[Message]) -> None:
+        """Raises Misdirected or DiskBlocked."""
+        self._check_disk()
+        for message in messages:
+            self.replica.receive(message, self._clock())
+        self._work.set()
+
+    async def propose(self, payload: bytes) -> int:
+        """The version of the change, once a majority has it on disk.
+
+        Raises NotLeader, NoQuorum, Overloaded or DiskBlocked: it was not taken; Unconfirmed.
+        """
+        self._check_disk()
+        if len(self._waiting) >= MAX_WAITING:
+            raise Overloaded(f"{MAX_WAITING} changes wait")
+        position = self.replica.propose(payload, self._clock())
+        entry = LogEntry(position, self.replica.state.term, payload)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[position] = (entry, future)
+        self._work.set()
+        try:
+            async with asyncio.timeout(CHANGE_SECONDS):
+                await future
+        except TimeoutError:
+            raise Unconfirmed("no majority answers; the change may still come to hold") from None
+        finally:
+            if self._waiting.get(position, (None, None))[1] is future:
+                del self._waiting[position]
+        return position
+
+    def close(self) -> None:
+        """To be called once `run` has ended."""
+        self._compaction.close()
+        self._disk.shutdown()
+
+    def _check_disk(self) -> None:
+        if self.blocked:
+            raise DiskBlocked(self.blocked)
+
+    async def _finish(self, ready: Ready) -> None:
+        if ready.records:
+            await self._store(ready.records)
+        self._transport.send(ready.messages)
+        if ready.restored:
+            await self._restore()
+        for entry in ready.committed:
+            self._apply(entry)
+        if ready.restored or ready.committed:
+            self._on_applied()
+        self.replica.persisted(ready, self._clock())
+
+    async def _store(self, records: list[Record]) -> None:
+        """Returns once all is on disk; with a full one it tries until there is room."""
+        while True:
+            try:
+                await self._on_disk(self._storage.store, records)
+                break
+            except StorageFull as full:
+                self.blocked = str(full)
+                event("control.blocked", why=self.blocked)
+                self._give_up("the disk is full")
+                await asyncio.sleep(FULL_REST_SECONDS)
+        if self.blocked:
+            self.blocked = ""
+            event("control.unblocked")
+
+    async def _restore(self) -> None:
+        """A leader's snapshot has taken the state's place."""
+        catalogue = await self._on_disk(lambda: read_catalogue(self._storage.read_snapshot()))
+        self.publisher.load(catalogue)
+        self._give_up("another leader's snapshot came")
+
+    def _apply(self, entry: LogEntry) -> None:
+        self.publisher.apply(entry.position, entries_of(entry.payload, entry.position), self._clock())
+        mine, future = self._waiting.pop(entry.position, (None, None))
+        if future is None or future.done():
+            return
+        if mine.term == entry.term:
+            future.set_result(None)
+        else:
+            future.set_exception(Unconfirmed("another leader's change stands in its place"))
+
+    def _give_up(self, reason: str) -> None:
+        """Answer all changes that wait: what becomes of them is not known here."""
+        for _, future in self._waiting.values():
+            if not future.done():
+                future.set_exception(Unconfirmed(f"{reason}; the change may still come to hold"))
+        self._waiting.clear()
+
+    def _on_disk(self, call: Callable, *arguments) -> asyncio.Future:
+        return asyncio.get_running_loop().run_in_executor(self._disk, call, *arguments)
+
+    def _tell_role(self) -> None:
+        state = self.replica.state
+        if self._told != (state.role, state.leader):
+            self._told = (state.role, state.leader)
+            event("control.role", role=state.role.value, leader=state.leader or "none", term=state.term)
--- /dev/null
+++ b/ryestack/control/changes.py
@@ -0,0 +1,161 @@
+"""Changes that operators hand in: what may be in one, its form in the log, the entries it makes. Pure.
+
+A body is `{"changes": [{"key": "destination/7", "value": {...}}, {"key": "setting/x", "delete": true}]}`. All
+of it holds at one version, or nothing does.
+"""
+
+import re
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from .assignment import SHARDS_PER_REGION, shard_of
+from .consensus_messages import MAX_PAYLOAD_BYTES
+from .messages import CONTROL_SHARD, MAX_NAME_LENGTH, SHARED_SHARD, Entry
+
+MAX_BODY_BYTES = 1024 * 1024
+MAX_CHANGES = 10_000  # in one body
+MAX_VALUE_BYTES = 64 * 1024
+MAX_ENDPOINTS = 256  # of one destination
+NAME = rf"^[A-Za-z0-9._-]{{1,{MAX_NAME_LENGTH}}}$"
+DESTINATION, SETTING, RELAY = "destination/", "setting/", "relay/"
+ALLOWED_KEYS = f"{DESTINATION}<number>, {SETTING}<name> or {RELAY}<name>"
+
+Name = Annotated[str, Meta(pattern=NAME)]
+Text = Annotated[str, Meta(min_length=1, max_length=255)]
+
+
+class BadChange(Exception):
+    """A body that can't be taken; the text names the key and the place."""
+
+
+class Endpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One endpoint of a destination; address: host:port; weight: its share beside the others'."""
+
+    name: Text
+    zone: Annotated[str, Meta(max_length=255)]
+    type: Text
+    address: Text
+    status: Literal["up", "draining", "removed"] = "up"
+    weight: Annotated[float, Meta(ge=0, le=1e9)] = 1.0
+
+
+class Destination(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The value of a `destination/` key; region: its home."""
+
+    region: Name
+    endpoints: Annotated[list[Endpoint], Meta(max_length=MAX_ENDPOINTS)]
+
+
+class Relay(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The value of a `relay/` key: its place, and its capacity beside the others'."""
+
+    region: Name
+    zone: Annotated[str, Meta(max_length=255)]
+    weight: Annotated[float, Meta(gt=0, le=1e9)] = 1.0
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """One key's new value as JSON, None to delete it."""
+
+    key: str
+    value: bytes | None
+
+
+class _Asked(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    key: str
+    value: msgspec.Raw = msgspec.Raw(b"")
+    delete: bool = False
+
+
+class _Body(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    changes: Annotated[list[_Asked], Meta(min_length=1, max_length=MAX_CHANGES)]
+
+
+_FAULTS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, OverflowError)
+_bodies = msgspec.json.Decoder(_Body)
+_values = {
+    DESTINATION: msgspec.json.Decoder(Destination),
+    SETTING: msgspec.json.Decoder(dict),
+    RELAY: msgspec.json.Decoder(Relay),
+}
+_payloads = msgspec.msgpack.Decoder(list[Change])
+
+
+def read_body(body: bytes) -> list[Change]:
+    """The changes of a body. Raises BadChange with one line."""
+    if len(body) > MAX_BODY_BYTES:
+        raise BadChange(f"the body has {len(body)} bytes, {MAX_BODY_BYTES} at most")
+    try:
+        asked = _bodies.decode(body).changes
+    except _FAULTS as problem:
+        raise BadChange(_one_line(problem)) from None
+    changes, seen = [], set()
+    for index, one in enumerate(asked):
+        place = f"changes[{index}] {one.key[:MAX_NAME_LENGTH]!r}"
+        if one.key in seen:
+            raise BadChange(f"{place}: the key is there twice")
+        seen.add(one.key)
+        changes.append(_read_change(one, place))
+    return changes
+
+
+def encode(changes: list[Change]) -> bytes:
+    """The payload of a log entry. Raises BadChange where they are too large for one."""
+    payload = msgspec.msgpack.encode(changes)
+    if len(payload) > MAX_PAYLOAD_BYTES:
+        raise BadChange(f"the changes have {len(payload)} bytes, {MAX_PAYLOAD_BYTES} at most")
+    return payload
+
+
+def entries_of(payload: bytes, version: int) -> list[Entry]:
+    """What a log entry's payload makes of the state, none for the first entry of a term."""
+    changes = _payloads.decode(payload) if payload else []
+    return [Entry(change.key, version, _shard(change), change.value) for change in changes]
+
+
+def _read_change(asked: _Asked, place: str) -> Change:
+    kind = _kind(asked.key, place)
+    raw = bytes(asked.value)
+    if asked.delete:
+        if raw:
+            raise BadChange(f"{place}: has a value and is to be deleted: one of both is allowed")
+        return Change(asked.key, None)
+    if not raw:
+        raise BadChange(f'{place}: has no value, and no "delete": true')
+    try:
+        _values[kind].decode(raw)
+        value = msgspec.json.format(raw, indent=-1)
+    except _FAULTS as problem:
+        raise BadChange(f"{place}: {_one_line(problem)}") from None
+    if len(value) > MAX_VALUE_BYTES:
+        raise BadChange(f"{place}: the value has {len(value)} bytes, {MAX_VALUE_BYTES} at most")
+    return Change(asked.key, value)
+
+
+def _kind(key: str, place: str) -> str:
+    """Which kind of key it is. Raises BadChange."""
+    number = key.removeprefix(DESTINATION)
+    if number != key and re.fullmatch(r"0|[1-9][0-9]{0,17}", number):
+        return DESTINATION
+    for kind in (SETTING, RELAY):
+        if key.startswith(kind) and re.fullmatch(NAME, key.removeprefix(kind)):
+            return kind
+    raise BadChange(f"{place}: is no key, {ALLOWED_KEYS} is allowed")
+
+
+def _shard(change: Change) -> str:
+    """A destination's is by its home region; a deleted one's is where it was, which the catalogue knows."""
+    if change.key.startswith(SETTING):
+        return SHARED_SHARD
+    if change.key.startswith(RELAY):
+        return CONTROL_SHARD
+    if change.value is None:
+        return ""
+    region = _values[DESTINATION].decode(change.value).region
+    return shard_of(region, change.key.removeprefix(DESTINATION), SHARDS_PER_REGION)
+
+
+def _one_line(problem: BaseException) -> str:
+    return str(problem).encode("unicode_escape").decode()
--- /dev/null
+++ b/ryestack/control/compaction.py
@@ -0,0 +1,92 @@
+"""When a voter writes a snapshot and forgets the log behind it.
+
+The snapshot is written by a thread beside the voter's work; only putting it in place and rewriting the short
+rest of the log is done between two steps of that.
+"""
+
+import asyncio
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from ..observe.log import event
+from .catalogue_codec import parts_of
+from .consensus import Replica
+from .consensus_state import Persisted
+from .publisher import Publisher
+from .storage import Storage
+from .storage_errors import StorageFull
+
+LEAST_LOG_BYTES = 16 * 1024 * 1024  # below it a log is never compacted
+SNAPSHOT_SHARE = 0.5  # a log is compacted from that part of its snapshot's size on
+KEPT_BYTES = 4 * 1024 * 1024  # of entries behind which a voter needs no snapshot
+KEPT_ENTRIES = 10_000
+
+
+class Compaction:
+    """`step` is called between two steps of the change log, when all that is committed is applied."""
+
+    def __init__(self, replica: Replica, storage: Storage, publisher: Publisher):
+        self._replica, self._storage, self._publisher = replica, storage, publisher
+        self._writer = ThreadPoolExecutor(1, "snapshot")
+        self._writing: Future | None = None
+        self._position = self._term = 0
+        self._least_bytes = LEAST_LOG_BYTES
+
+    async def step(self) -> None:
+        """Begin, or put in place what is written. Raises OSError where the disk is lost."""
+        if self._writing is None:
+            if self._storage.log_bytes > max(
+                self._least_bytes, self._storage.snapshot_bytes * SNAPSHOT_SHARE
+            ):
+                self._begin()
+        elif self._writing.done() and self._replica.can_compact():
+            writing, self._writing = self._writing, None
+            try:
+                writing.result()
+                await self._finish()
+                self._least_bytes = LEAST_LOG_BYTES
+            except StorageFull as full:
+                self._least_bytes = 2 * self._storage.log_bytes  # until then there may be room
+                event("control.not_compacted", why=str(full))
+
+    def close(self) -> None:
+        """Waits for the snapshot that is being written."""
+        self._writer.shutdown()
+
+    def _begin(self) -> None:
+        state = self._replica.state
+        self._position, self._term = state.applied, state.log.term_at(state.applied)
+        snapshot = self._publisher.catalogue.snapshot()
+        self._writing = self._writer.submit(
+            self._storage.prepare_snapshot, self._position, self._term, parts_of(snapshot)
+        )
+
+    async def _finish(self) -> None:
+        if self._replica.state.snapshot_position >= self._position:
+            self._storage.drop_prepared()  # a leader's newer one came meanwhile
+            return
+        self._storage.install_snapshot()
+        self._replica.compact(self._position, self._entries_to_keep())
+        content = self._content()
+        await asyncio.get_running_loop().run_in_executor(self._writer, self._storage.rewrite_log, content)
+
+    def _entries_to_keep(self) -> int:
+        log, size, count = self._replica.state.log, 0, 0
+        for entry in reversed(log.between(log.base, self._position)):
+            size += len(entry.payload)
+            if size > KEPT_BYTES or count == KEPT_ENTRIES:
+                break
+            count += 1
+        return count
+
+    def _content(self) -> Persisted:
+        """What the disk is to hold; records that are not stored yet may be in it, and are stored again."""
+        state = self._replica.state
+        return Persisted(
+            term=state.term,
+            vote=state.vote,
+            snapshot_position=state.snapshot_position,
+            snapshot_term=state.snapshot_term,
+            base=state.log.base,
+            base_term=state.log.base_term,
+            entries=list(state.log.entries),
+        )
--- /dev/null
+++ b/ryestack/control/endpoints.py
@@ -0,0 +1,103 @@
+"""What a control machine answers at each of its paths: bytes in, bytes out, a status for every fault."""
+
+import msgspec
+
+from . import changes, consensus_messages, messages, status
+from .change_log import DiskBlocked, Unconfirmed
+from .changes import BadChange
+from .consensus import Misdirected, NoQuorum, NotLeader, Overloaded
+from .machine_client import Refusal
+from .messages import BadMessage
+from .publisher import Refused
+from .server import Response, Route
+
+CHANGES_PATH, REPORTS_PATH = "/control/changes", "/control/reports"
+STATUS_PATH, DESTINATION_PATH = "/control/status", "/control/destination/"
+MSGPACK = "application/msgpack"
+
+
+class Endpoints:
+    """machine: `machine.ControlMachine`, which has the state and takes the decisions."""
+
+    def __init__(self, machine):
+        self._machine = machine
+
+    def routes(self) -> list[Route]:
+        routes = [
+            Route("POST", messages.PATH, messages.MAX_MESSAGE_BYTES, self.poll),
+            Route("POST", CHANGES_PATH, changes.MAX_BODY_BYTES, self.change),
+            Route("POST", REPORTS_PATH, messages.MAX_MESSAGE_BYTES, self.report),
+            Route("GET", STATUS_PATH, 0, self.status),
+            Route("GET", DESTINATION_PATH, 0, self.destination),
+        ]
+        if self._machine.change_log:
+            limit = consensus_messages.MAX_BODY_BYTES
+            routes.append(Route("POST", "/consensus", limit, self.consensus))
+        return routes
+
+    async def poll(self, body: bytes, _: str) -> Response:
+        """A relay's or a follower's request; it may be held."""
+        try:
+            answer = await self._machine.polls.answer(messages.decode_request(body))
+        except BadMessage:
+            return _text(400, "no message")
+        except Refused as why:
+            return _text(409, str(why))
+        return Response(200, messages.encode(answer), MSGPACK)
+
+    async def consensus(self, body: bytes, _: str) -> Response:
+        """Messages of another voter."""
+        try:
+            self._machine.change_log.receive(consensus_messages.decode(body))
+        except BadMessage:
+            return _text(400, "no message")
+        except Misdirected as why:
+            return _text(409, str(why))
+        except DiskBlocked as why:
+            return _text(503, str(why))
+        return Response(200, b"", MSGPACK)
+
+    async def change(self, body: bytes, _: str) -> Response:
+        """Changes of operators; answered once a majority has them on disk."""
+        try:
+            payload = changes.encode(changes.read_body(body))
+        except BadChange as fault:
+            return _text(400, str(fault))
+        if not self._machine.change_log:
+            return self._refusal("this machine has no vote")
+        try:
+            version = await self._machine.change_log.propose(payload)
+        except (NotLeader, NoQuorum, Overloaded, DiskBlocked, Unconfirmed) as why:
+            return self._refusal(str(why))
+        return _json(200, {"version": version})
+
+    async def report(self, body: bytes, _: str) -> Response:
+        """What another machine heard of its relays: of use to the leader alone."""
+        try:
+            report = status.decode_report(body)
+        except BadMessage:
+            return _text(400, "no message")
+        if not self._machine.leads():
+            return self._refusal("another machine leads, or none")
+        if not self._machine.take_report(report):
+            return _text(409, "is of another cluster or machine")
+        return _json(200, {})
+
+    async def status(self, _: bytes, __: str) -> Response:
+        return _json(200, self._machine.status())
+
+    async def destination(self, _: bytes, number: str) -> Response:
+        """Which relays serve a destination."""
+        told = self._machine.destination(number)
+        return _json(200, told) if told else _text(404, f"there is no {changes.DESTINATION}{number[:32]}")
+
+    def _refusal(self, reason: str) -> Response:
+        return _json(503, Refusal(reason, *self._machine.leader()))
+
+
+def _json(code: int, value) -> Response:
+    return Response(code, msgspec.json.encode(value) + b"\n")
+
+
+def _text(code: int, line: str) -> Response:
+    return Response(code, line.encode(errors="replace") + b"\n", "text/plain")
--- /dev/null
+++ b/ryestack/control/follower.py
@@ -0,0 +1,74 @@
+"""A control machine without a vote: it follows one that has, and answers relays alike."""
+
+import asyncio
+from collections.abc import Callable
+from math import inf
+from random import Random
+
+import aiohttp
+
+from ..observe.log import event
+from . import messages
+from .gathering import BadAnswer, Gathered, Gathering, NotAhead
+from .machine_client import LOST, NoAnswer, post
+from .messages import PATH, BadMessage, Delta, Fetch
+from .order import Failover, Machine, machine_order
+from .publisher import Publisher
+
+ANSWER_SECONDS = 5.0  # for an answer, beside what it may be held
+
+
+class Follower:
+    """voters: the machines to follow; confirmed_at: when one last said that there was nothing newer."""
+
+    def __init__(
+        self,
+        machine: Machine,
+        cluster: str,
+        voters: list[Machine],
+        publisher: Publisher,
+        session: aiohttp.ClientSession,
+        hold: float,
+        clock: Callable[[], float],
+        chance: Random,
+        on_applied: Callable[[], None],
+    ):
+        self._publisher, self._session, self._clock = publisher, session, clock
+        self._on_applied = on_applied
+        self._gathering = Gathering(cluster, machine.name, hold)
+        self._failover = Failover(machine_order(machine.name, machine.region, voters), chance)
+        self._hold = hold
+        self.confirmed_at = -inf
+
+    async def run(self) -> None:
+        """Ends by cancellation."""
+        while True:
+            source = self._failover.choose(self._clock())
+            try:
+                await self._ask(source)
+            except (NoAnswer, NotAhead, BadAnswer, BadMessage, *LOST) as problem:
+                event("control.lost", machine=source.name, why=str(problem) or type(problem).__name__)
+                rest_until = self._failover.failed(self._clock())
+                await asyncio.sleep(max(0.0, rest_until - self._clock()))
+
+    async def _ask(self, source: Machine) -> None:
+        request = self._gathering.request()
+        body = messages.encode(request)
+        hold = 0.0 if isinstance(request, Fetch) else request.hold
+        answer = messages.decode_answer(
+            await post(self._session, source.address, PATH, body, hold + ANSWER_SECONDS)
+        )
+        gathered = self._gathering.hear(answer)
+        self._failover.answered()
+        if gathered:
+            self._apply(gathered)
+        if isinstance(answer, Delta) and not answer.more:
+            self.confirmed_at = self._clock()
+
+    def _apply(self, gathered: Gathered) -> None:
+        if gathered.catalogue:
+            self._publisher.load(gathered.catalogue)
+        else:
+            self._publisher.apply(gathered.version, gathered.entries, self._clock())
+        self._gathering.applied(gathered)
+        self._on_applied()
--- /dev/null
+++ b/ryestack/control/machine.py
@@ -0,0 +1,219 @@
+"""One control machine: its voter or follower, what it publishes, its address, its reports to the leader."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from math import inf
+from pathlib import Path
+
+import msgspec
+
+from ..observe.log import event
+from .catalogue import Catalogue
+from .catalogue_codec import read_catalogue
+from .change_log import ChangeLog
+from .changes import DESTINATION
+from .consensus import NoQuorum, NotLeader, Replica
+from .endpoints import REPORTS_PATH, Endpoints
+from .follower import Follower
+from .machine_client import LOST, NoAnswer, new_session, post
+from .order import Machine as Place
+from .polls import Polls
+from .publisher import Publisher
+from .server import ControlServer
+from .status import Report, Reports, encode_report, states_of
+from .storage import Storage
+from .storage_errors import BadStorage
+from .transport import Transport
+
+REPORT_SECONDS = 1.0  # between reports to the leader
+STALE_SECONDS = 5.0  # without word of a leader, after which a machine may be behind the others
+
+
+class ControlMachine:
+    """machines: all of the cluster; name: which this is; folder: a voter's; hold, replicas: as in [control].
+
+    To be made within a running loop. Raises BadStorage, OSError.
+    """
+
+    def __init__(
+        self,
+        cluster: str,
+        name: str,
+        machines: list[Place],
+        voters: list[str],
+        folder: Path,
+        hold: float,
+        replicas: int,
+        clock: Callable[[], float],
+    ):
+        self.cluster, self.name, self.voters, self._clock = cluster, name, tuple(voters), clock
+        self._places = {place.name: place for place in machines}
+        self._hold = hold
+        self._chance = random.Random()
+        self._reports = Reports(self._places)
+        self._leader_address = ""  # as last told to a machine without a vote
+        self._heard_leader_at = -inf
+        self._storage = Storage(folder, cluster, name) if name in voters else None
+        catalogue, persisted = self._load()
+        self._publisher = Publisher(cluster, catalogue, replicas, self._chance)
+        self._publisher.ready = catalogue.version > 0
+        self.polls = Polls(self._publisher, clock, self._stale)
+        self._session = new_session()
+        self.change_log = self._make_change_log(persisted) if self._storage else None
+        self.follower = None if self._storage else self._make_follower()
+        host, _, port = self._places[name].address.rpartition(":")
+        self._server = ControlServer((host, int(port)), Endpoints(self).routes())
+
+    def bind(self) -> None:
+        """Raises OSError where the address is in use."""
+        self._server.bind()
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Until it is told to stop. Raises what ended it else: OSError or BadStorage of a lost disk."""
+        await self._server.open()
+        event("control.open", machine=self.name, address=self._places[self.name].address)
+        work = self.change_log or self.follower
+        tasks = [asyncio.ensure_future(one) for one in (work.run(), self._report(), stop.wait())]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Let go of address, connections and folder."""
+        self.polls.close()
+        await self._server.close()
+        if self.change_log:
+            await self._transport.close()
+            self.change_log.close()
+        await self._session.close()
+        if self._storage:
+            self._storage.close()
+
+    def leads(self) -> bool:
+        return bool(self.change_log and self.change_log.replica.leadership)
+
+    def leader(self) -> tuple[str, str]:
+        """Name and address of who takes changes, "" where that is not known."""
+        if not self.change_log:
+            return "", self._leader_address
+        try:
+            self.change_log.replica.check_leader(self._clock())
+        except NotLeader as other:
+            return other.leader, self._places[other.leader].address
+        except NoQuorum:
+            return "", ""
+        return self.name, self._places[self.name].address
+
+    def take_report(self, report: Report) -> bool:
+        return report.cluster == self.cluster and self._reports.take(report, self._clock())
+
+    def status(self) -> dict:
+        """What GET /control/status tells; of relays, the leader tells what all machines heard."""
+        now, version = self._clock(), self._publisher.catalogue.version
+        self._reports.take(self._own_report(now), now)
+        leader, address = self.leader()
+        state = self.change_log.replica.state if self.change_log else None
+        relays = self._reports.status(self._publisher.scopes.members(), version, now)
+        return {
+            "cluster": self.cluster,
+            "machine": self.name,
+            "role": state.role.value if state else "observer",
+            "leader": leader,
+            "leader_address": address,
+            "term": state.term if state else 0,
+            "version": version,
+            "commit": state.commit if state else 0,
+            "stale": self._stale(),
+            "disk": self.change_log.blocked if self.change_log else "",
+            "held": self._publisher.held(),
+            "machines": self._reports.versions(now),
+            **msgspec.to_builtins(relays),
+        }
+
+    def destination(self, number: str) -> dict | None:
+        """Which relays serve a destination; None where there is none of that number."""
+        entry = self._publisher.catalogue.get(DESTINATION + number)
+        if entry is None or entry.value is None:
+            return None
+        relays = sorted(self._publisher.scopes.relays_of(entry.shard))
+        return {"key": entry.key, "version": entry.version, "shard": entry.shard, "relays": relays}
+
+    def _load(self) -> tuple[Catalogue, object]:
+        if not self._storage:
+            return Catalogue(), None
+        try:
+            persisted = self._storage.load()
+            return read_catalogue(self._storage.read_snapshot()), persisted
+        except msgspec.MsgspecError as problem:
+            raise BadStorage(f"{self._storage.snapshot_path}: is not readable: {problem}") from None
+
+    def _make_change_log(self, persisted) -> ChangeLog:
+        others = {name: self._places[name].address for name in self.voters if name != self.name}
+        self._transport = Transport(others, self._session)
+        replica = Replica(
+            self.cluster,
+            self.name,
+            self.voters,
+            persisted,
+            self._chance,
+            self._storage.read_piece,
+            self._clock(),
+        )
+        return ChangeLog(
+            replica, self._storage, self._transport, self._publisher, self._clock, self._on_applied
+        )
+
+    def _make_follower(self) -> Follower:
+        return Follower(
+            self._places[self.name],
+            self.cluster,
+            [self._places[name] for name in self.voters],
+            self._publisher,
+            self._session,
+            self._hold,
+            self._clock,
+            self._chance,
+            self._on_applied,
+        )
+
+    def _on_applied(self) -> None:
+        self._publisher.ready = self._publisher.catalogue.version > 0
+        self.polls.look()
+
+    def _stale(self) -> str:
+        """Why this machine may be behind all others, "" while it is not."""
+        now = self._clock()
+        if self.follower:
+            if now - self.follower.confirmed_at < STALE_SECONDS + self._hold:
+                return ""
+            return "it reaches no machine that is up to date"
+        if self.leader()[0]:
+            self._heard_leader_at = now
+        return "" if now - self._heard_leader_at < STALE_SECONDS else "no majority of the voters is in reach"
+
+    def _own_report(self, now: float) -> Report:
+        version = self._publisher.catalogue.version
+        return Report(self.cluster, self.name, version, states_of(self._publisher.reports, now))
+
+    async def _report(self) -> None:
+        """Tell the leader of the relays that poll here, again and again."""
+        voters = [self._places[name].address for name in self.voters]
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            if self._stale() or self.leads():
+                continue
+            address = self.leader()[1] or self._chance.choice(voters)
+            body = encode_report(self._own_report(self._clock()))
+            try:
+                await post(self._session, address, REPORTS_PATH, body, 2.0 * REPORT_SECONDS)
+                self._leader_address = address
+            except NoAnswer as refusal:
+                self._leader_address = refusal.address
+            except LOST:
+                self._leader_address = ""
--- a/ryestack/control/storage.py
+++ b/ryestack/control/storage.py
@@ -20,7 +20,7 @@
 class Storage:
     """One machine's folder, which no other process may use meanwhile. `close` lets go of it.
 
-    log_bytes: the size of the log's file.
+    log_bytes, snapshot_bytes: sizes of the files.
     """
 
     def __init__(self, folder: Path, cluster: str, machine: str):
@@ -30,7 +30,7 @@
         self._incoming = folder / "control.snapshot.incoming"
         self._fresh = folder / "control.snapshot.new"
         self._lock = _lock(folder / "control.lock")
-        self._log, self.log_bytes = -1, 0
+        self._log, self.log_bytes, self.snapshot_bytes = -1, 0, 0
 
     def load(self) -> Persisted:
         """What is stored, ready for more. Raises BadStorage, OSError."""
@@ -71,6 +71,7 @@
     def install_snapshot(self) -> None:
         """Put the prepared snapshot in the place of the one that stands."""
         replace(self._fresh, self.snapshot_path)
+        self._measure_snapshot()
 
     def rewrite_log(self, content: Persisted) -> None:
         """Put a log with just this content in the place of the old one. Raises StorageFull, OSError."""
@@ -89,9 +90,6 @@
         """The parts of the snapshot that stands, none if there is none. Raises BadStorage."""
         return read_parts(self.snapshot_path, self.cluster) if self.snapshot_path.exists() else iter(())
 
-    def snapshot_bytes(self) -> int:
-        return self.snapshot_path.stat().st_size if self.snapshot_path.exists() else 0
-
     def read_piece(self, position: int, offset: int) -> tuple[bytes, bool]:
         """Bytes of the snapshot file from there on, and whether they are its last."""
         with open(self.snapshot_path, "rb") as file:
@@ -109,6 +107,7 @@
         if self.snapshot_path.exists():
             head = read_head(self.snapshot_path, self.cluster)
             found.snapshot_position, found.snapshot_term = head.position, head.term
+            self._measure_snapshot()
         if found.snapshot_position < found.base:
             end = f"ends at {found.snapshot_position}"
             raise BadStorage(f"{self.snapshot_path}: {end}, but the log begins behind {found.base}")
@@ -135,8 +134,12 @@
             return []
         self._check_incoming(piece)
         replace(self._incoming, self.snapshot_path)
+        self._measure_snapshot()
         return [restart]
 
+    def _measure_snapshot(self) -> None:
+        self.snapshot_bytes = self.snapshot_path.stat().st_size
+
     def _check_incoming(self, piece: NewPiece) -> None:
         """All of it can be read."""
         head = read_head(self._incoming, self.cluster)
--- a/ryestack/lifecycle/config.py
+++ b/ryestack/lifecycle/config.py
@@ -47,7 +47,7 @@
     operator: the operator file; flags: dotted key to text; chosen: choices that stand already; before: what
     holds: its choices stand, and no key that it was told may be missing now.
     """
-    chosen = before.operator if before else chosen or _choose(environ, operator, flags)
+    chosen = before.operator if before else chosen or choose(environ, operator, flags)
     path, state = environ.get("LB_CONFIG"), environ.get("LB_STATE")
     if not path or not state:
         raise BadConfig("LB_CONFIG must name the configuration, LB_STATE a folder that lasts")
@@ -72,15 +72,18 @@
         raise BadConfig(f"{path}: a value of the wrong kind: {problem}") from None
 
 
-def _choose(environ, operator: str | None, flags: dict | None) -> Operator:
-    """Most relays choose nothing: what reads and checks choices is loaded where there are some."""
+def choose(environ, operator: str | None, flags: dict | None) -> Operator:
+    """The operator's choices; raises BadConfig.
+
+    Most relays choose nothing: what reads and checks choices is loaded where there are some.
+    """
     if not operator and not flags and not any(name.startswith("RYESTACK_") for name in environ):
         return Operator()
-    from ..operator.layers import BadOperator, choose
+    from ..operator import layers
 
     try:
-        return choose(operator, environ, flags).values
-    except BadOperator as bad:
+        return layers.choose(operator, environ, flags).values
+    except layers.BadOperator as bad:
         raise BadConfig(str(bad)) from None
 
 
--- a/ryestack/lifecycle/service.py
+++ b/ryestack/lifecycle/service.py
@@ -1,11 +1,12 @@
-"""One relay as a process: its log, its configuration, its exit status."""
+"""One relay as a process, or one control machine: its log, its configuration, its exit status."""
 
 import asyncio
+import os
 import signal
 import sys
 
 from ..observe import log
-from .config import BadConfig, Config, load
+from .config import BadConfig, Config, choose, load
 from .relay import Relay
 
 
@@ -17,23 +18,35 @@
         await relay.close()
 
 
-def serve(**choices) -> int:
-    """Run a relay until it is told to stop; returns the exit status. choices as lifecycle.config.load's."""
+def serve(environ=os.environ, operator: str | None = None, flags: dict | None = None) -> int:
+    """Run until it is told to stop; returns the exit status. Arguments as lifecycle.config.load's."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something that could reread
     log.setup()
     try:
-        config = load(**choices)
+        chosen = choose(environ, operator, flags)
+        if chosen.control.role == "machine" and chosen.control.cluster:
+            from .control_machine import serve as serve_machine  # a relay loads none of it
+
+            return serve_machine(chosen, environ)
+        config = load(environ, chosen=chosen)
     except BadConfig as bad:
-        for line in str(bad).splitlines():
-            print(f"ryestack: {line}", file=sys.stderr)
-        return 2
+        return _refuse(bad)
+    return _serve_relay(config)
+
+
+def _refuse(bad: BadConfig) -> int:
+    for line in str(bad).splitlines():
+        print(f"ryestack: {line}", file=sys.stderr)
+    return 2
+
+
+def _serve_relay(config: Config) -> int:
     chosen = config.operator.log
     log.setup(config.name, chosen.format, chosen.level, chosen.repeat)
     try:
         asyncio.run(_serve(config))
     except BadConfig as bad:  # what only a start shows: an address in use, a name that another relay has
-        print(f"ryestack: {bad}", file=sys.stderr)
-        return 2
+        return _refuse(bad)
     except OSError as problem:
         log.event("relay.ended", why=str(problem))
         return 1
--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass
 
+from .registry_machine import MACHINE_ROWS
+
 
 @dataclass(frozen=True, slots=True)
 class Event:
@@ -72,6 +74,7 @@
         "file owed",
         "what a process that is gone left in a file of its own is this one's now",
     ),
+    *MACHINE_ROWS,
     (
         "journal.blocked",
         "ERROR",
--- /dev/null
+++ b/ryestack/observe/registry_machine.py
@@ -0,0 +1,31 @@
+"""The events of a control machine, for `registry`."""
+
+MACHINE_ROWS = (
+    (
+        "control.blocked",
+        "ERROR",
+        "why",
+        "the change log's disk is full: this machine takes no changes and says nothing to the other voters",
+        "free space in its folder; it goes on by itself",
+        "*",
+    ),
+    (
+        "control.lost",
+        "WARNING",
+        "machine why",
+        "the voter that this control machine followed gave no answer that could be used; the next is asked",
+        "nothing, unless it is told of all of them",
+        "machine",
+    ),
+    (
+        "control.not_compacted",
+        "WARNING",
+        "why",
+        "there was no room for a snapshot; the change log goes on growing",
+        "free space in the folder",
+        "*",
+    ),
+    ("control.open", "INFO", "machine address", "a control machine answers at this address"),
+    ("control.role", "INFO", "role leader term", "a voter's part in the change log, and whom it follows"),
+    ("control.unblocked", "INFO", "", "the change log's disk takes records again"),
+)
