--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -92,7 +92,7 @@
     began = time.monotonic()
     code, body = machines.change(leader, {"key": "setting/two", "value": {}})
     assert code == 503 and "majority" in json.loads(body)["reason"] and time.monotonic() - began < 3.0
-    poll = Poll("test", "r1", 1, "eu", "z", 0, messages.scope_digest([messages.SHARED_SHARD]), 0.0)
+    poll = Poll("test", "r9", 1, "eu", "z", 0, messages.scope_digest([messages.SHARED_SHARD]), 0.0)
     code, answer = machines.ask(leader, "/control", messages.encode(poll))
     delta = messages.decode_answer(answer)
     assert code == 200 and isinstance(delta, Delta)
