--- a/ryestack/control/change_log.py
+++ b/ryestack/control/change_log.py
@@ -128,12 +128,12 @@
                 break
             except StorageFull as full:
                 self.blocked = str(full)
-                event("control.blocked", why=self.blocked)
+                event("machine.blocked", why=self.blocked)
                 self._give_up("the disk is full")
                 await asyncio.sleep(FULL_REST_SECONDS)
         if self.blocked:
             self.blocked = ""
-            event("control.unblocked")
+            event("machine.unblocked")
 
     async def _restore(self) -> None:
         """A leader's snapshot has taken the state's place."""
@@ -165,4 +165,4 @@
         state = self.replica.state
         if self._told != (state.role, state.leader):
             self._told = (state.role, state.leader)
-            event("control.role", role=state.role.value, leader=state.leader or "none", term=state.term)
+            event("machine.role", role=state.role.value, leader=state.leader or "none", term=state.term)
--- a/ryestack/control/compaction.py
+++ b/ryestack/control/compaction.py
@@ -46,7 +46,7 @@
                 self._least_bytes = LEAST_LOG_BYTES
             except StorageFull as full:
                 self._least_bytes = 2 * self._storage.log_bytes  # until then there may be room
-                event("control.not_compacted", why=str(full))
+                event("machine.not_compacted", why=str(full))
 
     def close(self) -> None:
         """Waits for the snapshot that is being written."""
--- a/ryestack/control/follower.py
+++ b/ryestack/control/follower.py
@@ -47,7 +47,7 @@
             try:
                 await self._ask(source)
             except (NoAnswer, NotAhead, BadAnswer, BadMessage, *LOST) as problem:
-                event("control.lost", machine=source.name, why=str(problem) or type(problem).__name__)
+                event("machine.lost", machine=source.name, why=str(problem) or type(problem).__name__)
                 rest_until = self._failover.failed(self._clock())
                 await asyncio.sleep(max(0.0, rest_until - self._clock()))
 
--- a/ryestack/control/machine.py
+++ b/ryestack/control/machine.py
@@ -72,7 +72,7 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Until it is told to stop. Raises what ended it else: OSError or BadStorage of a lost disk."""
         await self._server.open()
-        event("control.open", machine=self.name, address=self._places[self.name].address)
+        event("machine.open", machine=self.name, address=self._places[self.name].address)
         work = self.change_log or self.follower
         tasks = [asyncio.ensure_future(one) for one in (work.run(), self._report(), stop.wait())]
         try:
--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass
 
+from .registry_control import CONTROL_ROWS
 from .registry_machine import MACHINE_ROWS
 
 
@@ -50,6 +51,7 @@
         "what else has changed holds from the next start",
         "restart when it suits",
     ),
+    *CONTROL_ROWS,
     (
         "ends.blocked",
         "WARNING",
@@ -67,6 +69,7 @@
         "more relays, or more descriptors",
         "*",
     ),
+    ("front.stale", "DEBUG", "waited", "a hand-in that its client had given up was answered 503 unparsed"),
     ("front.open", "INFO", "protocol address", "clients are served at this address"),
     (
         "journal.adopted",
@@ -203,7 +206,7 @@
     (
         "relay.summary",
         "INFO",
-        "counts owed out clients journal cpu memory",
+        "counts owed out clients journal cpu memory control_version control_age_seconds control_rejected",
         "figures since the start: pushes by how they ended, notifications taken, throttled, expired, turned "
         "away; owed now, pushes out, clients connected, journal bytes, CPU seconds, most memory in MB",
         "the table of troubles; `owed` and `memory` must not grow without end",
--- a/ryestack/observe/registry_machine.py
+++ b/ryestack/observe/registry_machine.py
@@ -2,7 +2,7 @@
 
 MACHINE_ROWS = (
     (
-        "control.blocked",
+        "machine.blocked",
         "ERROR",
         "why",
         "the change log's disk is full: this machine takes no changes and says nothing to the other voters",
@@ -10,7 +10,7 @@
         "*",
     ),
     (
-        "control.lost",
+        "machine.lost",
         "WARNING",
         "machine why",
         "the voter that this control machine followed gave no answer that could be used; the next is asked",
@@ -18,14 +18,14 @@
         "machine",
     ),
     (
-        "control.not_compacted",
+        "machine.not_compacted",
         "WARNING",
         "why",
         "there was no room for a snapshot; the change log goes on growing",
         "free space in the folder",
         "*",
     ),
-    ("control.open", "INFO", "machine address", "a control machine answers at this address"),
-    ("control.role", "INFO", "role leader term", "a voter's part in the change log, and whom it follows"),
-    ("control.unblocked", "INFO", "", "the change log's disk takes records again"),
+    ("machine.open", "INFO", "machine address", "a control machine answers at this address"),
+    ("machine.role", "INFO", "role leader term", "a voter's part in the change log, and whom it follows"),
+    ("machine.unblocked", "INFO", "", "the change log's disk takes records again"),
 )
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -21,6 +21,7 @@
 BUFFER = 16 * 1024  # bytes that the library reads ahead on a connection
 BATCH = 16  # connections accepted in one turn of the loop: what usual clients sent is read between
 BACKLOG = 512
+ANSWERED = 0.35  # seconds in which a request has to be taken on: its client goes after 0.4
 TAKEN, REFUSED, FAILED, MALFORMED, TOO_SLOW, TOO_LARGE = 202, 503, 500, 400, 408, 413
 
 
@@ -32,6 +33,10 @@
 }
 
 
+class NotServed(Exception):
+    """A destination that this relay does not serve, though another may."""
+
+
 class Clients:
     """Serves clients; hand_in and withdraw put into the queue of the task that owns the decisions."""
 
@@ -173,6 +178,8 @@
             ntf, key = self.read(request.headers, request.protocol.came_at)
         except forms.BadForm as bad:
             return self.answer(MALFORMED, str(bad))
+        except NotServed as why:
+            return self.answer(REFUSED, str(why))
         except TimeoutError:
             return self.answer(TOO_SLOW, "the body did not come", last=True)
         except (OSError, aiohttp.ClientError, web.RequestPayloadError):  # its client went, or sent no body
@@ -180,7 +187,9 @@
         finally:
             self.unread -= len(body)
         loop = asyncio.get_running_loop()
-        message, told = HandIn(ntf, key, bytes(body), loop.create_future(), loop.create_future()), False
+        answer_by = request.protocol.came_at + ANSWERED
+        message = HandIn(ntf, key, bytes(body), loop.create_future(), loop.create_future(), answer_by)
+        told = False
         verdict = Verdict.TAKEN  # unless the owner says otherwise
         self.hand_in(message)
         try:
@@ -221,7 +230,7 @@
         due = came_at + span - self.lateness.reserve(now, span)
         dest = forms.destination(headers.get("X-Envelope", ""))
         if not self.members.has(dest):
-            raise forms.BadForm(f"no destination {dest}")
+            raise (NotServed if self.members.scoped else forms.BadForm)(f"no destination {dest}")
         key = headers.get("Idempotency-Key", "")
         if key or topic.effect is it.Effect.COLLAPSIBLE:
             forms.token(key, "Idempotency-Key")
