--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -5,8 +5,7 @@
 
 from dataclasses import dataclass
 
-from .registry_control import CONTROL_ROWS
-from .registry_machine import MACHINE_ROWS
+from . import registry_control, registry_machine
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +50,7 @@
         "what else has changed holds from the next start",
         "restart when it suits",
     ),
-    *CONTROL_ROWS,
+    *registry_control.CONTROL_ROWS,
     (
         "ends.blocked",
         "WARNING",
@@ -77,7 +76,7 @@
         "file owed",
         "what a process that is gone left in a file of its own is this one's now",
     ),
-    *MACHINE_ROWS,
+    *registry_machine.MACHINE_ROWS,
     (
         "journal.blocked",
         "ERROR",
