--- a/ryestack/control/assignment.py
+++ b/ryestack/control/assignment.py
@@ -7,12 +7,13 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Set
-from hashlib import blake2b
+from collections.abc import Iterable, Mapping, Sequence, Set
+from copy import copy
 
 import msgspec
 
-from ryestack.control.bounded_load import hash_fraction
+from ryestack.control.bounded_load import shard_probes
+from ryestack.control.stable_hash import as_fraction, hash_word
 from ryestack.control.zone_spread import Zones, deal_in_region
 
 REPLICAS = 3
@@ -48,8 +49,7 @@
 
 def shard_of(region: str, destination: str, shards_per_region: int = SHARDS_PER_REGION) -> str:
     """The shard of a destination with this home region."""
-    digest = blake2b(destination.encode(), digest_size=8).digest()
-    return shard_key(region, int.from_bytes(digest, "little") % shards_per_region)
+    return shard_key(region, hash_word(destination) % shards_per_region)
 
 
 class HomeLayout(msgspec.Struct, frozen=True):
@@ -120,20 +120,15 @@
 
         Who joins under a known name takes its place. `homes`, where given, takes the place of those before.
         """
-        members = dict(self.members)
-        for name in left:
-            members.pop(name, None)
-        members.update(_by_name(joined))
-        changed = object.__new__(Assignment)
-        changed.replicas, changed.shards_per_region = self.replicas, self.shards_per_region
-        changed.slack = self.slack
-        changed.homes = self.homes if homes is None else frozenset(homes)
-        changed.members = members
-        touched = {self.members[name].region for name in self.members.keys() - members.keys()}
-        for name, member in members.items():
-            former = self.members.get(name)
-            if member != former:
-                touched |= {member.region, former.region if former else member.region}
+        changed = copy(self)
+        changed.members = dict(self.members)
+        gone = [changed.members.pop(name, None) for name in left]
+        arrivals = _by_name(joined)
+        gone += [changed.members.get(name) for name in arrivals]
+        changed.members.update(arrivals)
+        if homes is not None:
+            changed.homes = frozenset(homes)
+        touched = {member.region for member in (*gone, *arrivals.values()) if member is not None}
         changed._lay_out(self._reusable(touched))
         return changed
 
@@ -160,18 +155,22 @@
         }
 
     def _layout(self, home: str) -> HomeLayout:
-        relays: list[tuple[str, ...]] = [()] * self.shards_per_region
+        relays: list[list[str]] = [[] for _ in range(self.shards_per_region)]
+        probes = shard_probes(self.shards_per_region)
         for (region, seats), numbers in self._serving_groups(home).items():
-            shards = {shard_key(home, number): number for number in numbers}
-            for shard, names in deal_in_region(self._regions[region], shards, seats, self.slack).items():
-                relays[shards[shard]] += tuple(names)
+            dealt = deal_in_region(self._regions[region], numbers, seats, self.slack, probes)
+            for number, names in dealt.items():
+                relays[number] += names
         numbers_of: defaultdict[str, list[int]] = defaultdict(list)
         for number, names in enumerate(relays):
             for name in names:
                 numbers_of[name].append(number)
-        return HomeLayout(tuple(relays), {name: tuple(numbers) for name, numbers in numbers_of.items()})
+        return HomeLayout(
+            relays=tuple(map(tuple, relays)),
+            numbers={name: tuple(numbers) for name, numbers in numbers_of.items()},
+        )
 
-    def _serving_groups(self, home: str) -> Mapping[tuple[str, int], Iterable[int]]:
+    def _serving_groups(self, home: str) -> Mapping[tuple[str, int], Sequence[int]]:
         """(serving region, seats there) to the numbers of the home region's shards."""
         numbers = range(self.shards_per_region)
         if self._serves_itself(home):
@@ -191,7 +190,9 @@
         shard = shard_key(home, number)
 
         def score(region: str) -> tuple[bool, float, str]:
-            draw = -math.log(hash_fraction(f"region|{region}|{shard}")) / self._region_weights[region]
+            draw = (
+                -math.log(as_fraction(hash_word(f"region|{region}|{shard}"))) / self._region_weights[region]
+            )
             return region != home, draw, region
 
         return sorted(self._regions, key=score)
--- a/ryestack/control/bounded_load.py
+++ b/ryestack/control/bounded_load.py
@@ -7,14 +7,14 @@
 """
 
 import math
-import struct
 from bisect import bisect
-from collections.abc import Iterator, Mapping, Sequence
-from hashlib import blake2b, shake_128
+from collections.abc import Mapping, Sequence
+from functools import lru_cache
+from itertools import chain, islice
 
-import msgspec
+from ryestack.control.stable_hash import as_fraction, hash_table, hash_word, hash_words
 
-RING_POSITIONS = 64
+RING_POSITIONS = 32
 """Positions on the ring of a relay of weight 1: more make its arcs evener and the ring slower to sort."""
 PROBES = 8
 """Independent positions tried for a shard before the ring is walked from the last of them."""
@@ -25,24 +25,15 @@
 """Shares closer than this to a whole number count as whole."""
 
 _INDEX_MASK = MAXIMUM_RELAYS - 1
-_PROBE_FORMAT = struct.Struct(f"<{PROBES}Q")
 
+Probes = Sequence[tuple[int, ...]]
+"""By shard number: positions at which the shard looks for relays, in the order of its preference."""
 
-class SeatsWanted(msgspec.Struct, frozen=True):
-    """How many distinct relays of a group a shard takes."""
 
-    shard: str
-    seats: int
-
-
-def hash_words(text: str) -> tuple[int, ...]:
-    """Eight words of 64 bits, the same in each process and release."""
-    return _PROBE_FORMAT.unpack(blake2b(text.encode()).digest())
-
-
-def hash_fraction(text: str) -> float:
-    """A number above 0 and below 1, the same in each process and release."""
-    return ((hash_words(text)[0] >> 12) + 0.5) / (1 << 52)
+@lru_cache(maxsize=1)
+def shard_probes(shard_count: int) -> Probes:
+    """The probes of shards 0 to `shard_count` - 1."""
+    return hash_table("probes", shard_count, PROBES)
 
 
 def fair_shares(total: float, weights: Mapping[str, float], limits: Mapping[str, float]) -> dict[str, float]:
@@ -73,75 +64,57 @@
     Between the two whole numbers around (1 + slack) x fair share, a hash of the name decides. When the
     number of relays changes, capacities so step one relay after another and not all at once.
     """
-    stepped = math.floor((1 + slack) * fair_share + hash_fraction(f"capacity|{name}"))
+    stepped = math.floor((1 + slack) * fair_share + as_fraction(hash_word(f"capacity|{name}")))
     least = math.ceil(fair_share - ROUNDING)
     return min(load_bound(fair_share, slack, shard_count), max(least, stepped))
 
 
-class Ring:
-    """Relays on a circle of hash positions, more positions for more weight."""
+class Dealer:
+    """Deals seats to the relays of one group, one shard after another, from a ring of hash positions."""
 
-    def __init__(self, weights: Mapping[str, float]) -> None:
+    def __init__(self, weights: Mapping[str, float], wanted: Mapping[int, int], slack: float) -> None:
         if len(weights) > MAXIMUM_RELAYS:
             raise ValueError(f"{len(weights)} relays in one group, {MAXIMUM_RELAYS} at most")
-        self.names = sorted(weights)
-        self._entries = sorted(
-            position >> INDEX_BITS << INDEX_BITS | index
-            for index, name in enumerate(self.names)
-            for position in _ring_positions(name, weights[name])
-        )
-
-    def candidates(self, shard: str) -> Iterator[int]:
-        """Indices of relays in the order in which the shard prefers them; each comes at least once."""
-        entries = self._entries
-        count = len(entries)
-        place = 0
-        for probe in hash_words(shard):
-            place = bisect(entries, probe) % count
-            yield entries[place] & _INDEX_MASK
-        for step in range(1, count):
-            yield entries[(place + step) % count] & _INDEX_MASK
-
-
-def _ring_positions(name: str, weight: float) -> tuple[int, ...]:
-    count = max(1, round(RING_POSITIONS * weight))
-    return struct.unpack(f"<{count}Q", shake_128(name.encode()).digest(8 * count))
-
-
-class Dealer:
-    """Deals seats one shard after another to relays with room."""
-
-    def __init__(self, weights: Mapping[str, float], wanted: Sequence[SeatsWanted], slack: float) -> None:
-        total = sum(want.seats for want in wanted)
-        shares = fair_shares(total, weights, dict.fromkeys(weights, len(wanted)))
-        self._ring = Ring(weights)
-        self._room = [capacity(name, shares[name], slack, len(wanted)) for name in self._ring.names]
-        self._dealt: dict[str, list[int]] = {}
+        shares = fair_shares(sum(wanted.values()), weights, dict.fromkeys(weights, len(wanted)))
+        self._room = {name: capacity(name, shares[name], slack, len(wanted)) for name in weights}
         self._wanted = wanted
-
-    def deal(self) -> dict[str, list[str]]:
-        """The relays of each shard."""
-        for want in self._wanted:
-            self._dealt[want.shard] = self._take(want)
-        names = self._ring.names
-        return {shard: [names[index] for index in relays] for shard, relays in self._dealt.items()}
-
-    def _take(self, want: SeatsWanted) -> list[int]:
-        room = self._room
-        taken: list[int] = []
-        if not want.seats:
-            return taken
-        for index in self._ring.candidates(want.shard):
-            if room[index] and index not in taken:
-                room[index] -= 1
-                taken.append(index)
-                if len(taken) == want.seats:
+        self._dealt: dict[int, list[str]] = {}
+        self._ring = _sorted_ring(weights)
+        names = sorted(weights)
+        self._owners = [names[entry & _INDEX_MASK] for entry in self._ring]
+        self._owners += self._owners[:1]  # the owner behind the last entry: there the ring begins again
+
+    def deal(self, probes: Probes) -> dict[int, list[str]]:
+        """The relays of each shard number."""
+        for number, seats in self._wanted.items():
+            self._dealt[number] = self._take(seats, probes[number]) if seats else []
+        return self._dealt
+
+    def _take(self, seats: int, probes: tuple[int, ...]) -> list[str]:
+        ring, owners, room = self._ring, self._owners, self._room
+        taken: list[str] = []
+        for probe in probes:
+            name = owners[bisect(ring, probe)]
+            if room[name] and name not in taken:
+                room[name] -= 1
+                taken.append(name)
+                if len(taken) == seats:
                     return taken
-        while len(taken) < want.seats:
+        self._walk(bisect(ring, probes[-1]), seats, taken)
+        while len(taken) < seats:
             taken.append(self._swap(taken))
         return taken
 
-    def _swap(self, taken: list[int]) -> int:
+    def _walk(self, start: int, seats: int, taken: list[str]) -> None:
+        """Takes the next relays with room on the ring, until there are as many as seats or all were seen."""
+        for name in chain(islice(self._owners, start, None), islice(self._owners, start)):
+            if self._room[name] and name not in taken:
+                self._room[name] -= 1
+                taken.append(name)
+                if len(taken) == seats:
+                    return
+
+    def _swap(self, taken: list[str]) -> str:
         """Frees a relay for a shard that holds a seat of every relay with room, and returns the relay.
 
         An earlier shard without the relay that has room gives up one of its own relays for it. There always
@@ -152,7 +125,7 @@
             if not self._room[roomy]:
                 continue
             for relays in self._dealt.values():
-                spare = [index for index in relays if index not in taken]
+                spare = [name for name in relays if name not in taken]
                 if spare and roomy not in relays:
                     relays[relays.index(spare[0])] = roomy
                     self._room[roomy] -= 1
@@ -160,13 +133,25 @@
         raise AssertionError("capacities are less than the seats wanted")
 
 
+def _sorted_ring(weights: Mapping[str, float]) -> list[int]:
+    """Entries with a position in the high bits and the index of its relay, by name, in the low ones.
+
+    A relay has positions in proportion to its weight.
+    """
+    return sorted(
+        position & ~_INDEX_MASK | index
+        for index, name in enumerate(sorted(weights))
+        for position in hash_words(name, max(1, round(RING_POSITIONS * weights[name])))
+    )
+
+
 def deal_seats(
-    weights: Mapping[str, float], wanted: Sequence[SeatsWanted], slack: float
-) -> dict[str, list[str]]:
-    """Deals each shard its seats among the relays named in `weights`, distinct within a shard.
+    weights: Mapping[str, float], wanted: Mapping[int, int], slack: float, probes: Probes
+) -> dict[int, list[str]]:
+    """Deals shards their seats among the relays named in `weights`, distinct within a shard.
 
-    No relay gets more than ceil((1 + slack) x fair share) seats, where fair shares are in proportion to
-    weights and none exceeds the number of shards. No shard may want more seats than there are relays, and
-    seats wanted by two shards may differ by one at most.
+    `wanted` is shard number to seats. No relay gets more than ceil((1 + slack) x fair share) seats, where
+    fair shares are in proportion to weights and none exceeds the number of shards. No shard may want more
+    seats than there are relays, and seats wanted by two shards may differ by one at most.
     """
-    return Dealer(weights, wanted, slack).deal()
+    return Dealer(weights, wanted, slack).deal(probes)
--- a/ryestack/control/zone_spread.py
+++ b/ryestack/control/zone_spread.py
@@ -1,11 +1,12 @@
 """Spreads the seats of a region's shards over its zones, then deals those of each zone to its relays."""
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
-from ryestack.control.bounded_load import SeatsWanted, deal_seats, fair_shares, hash_fraction
+from ryestack.control.bounded_load import Probes, deal_seats, fair_shares
+from ryestack.control.stable_hash import as_fraction, hash_table
 
 LEAST_EXTRA_WEIGHT = 1e-9
 """Weight of a zone that already has more than its share, when one of the last seats of a shard is placed."""
@@ -15,24 +16,33 @@
 
 
 class SeatPlan(msgspec.Struct, frozen=True):
-    """How the seats of a shard are spread over the zones of a region."""
+    """How the seats of a shard are spread over the zones of a region.
+
+    base: seats that every shard has in a zone; extra: seats that are left, at most one a zone, which differ
+    from shard to shard in their zones; extra_weights: how the zones share in these.
+    """
 
     base: dict[str, int]
-    """Seats that every shard has in a zone."""
     extra: int
-    """Seats that are left, at most one a zone; which zones have them differs from shard to shard."""
     extra_weights: dict[str, float]
 
-    def seats(self, shard: str) -> dict[str, int]:
-        """Zone to seats of this shard; extra seats by weighted rendezvous hashing."""
+    def seats(self, numbers: Sequence[int]) -> dict[str, dict[int, int]]:
+        """Zone to shard number to seats."""
+        seats = {zone: dict.fromkeys(numbers, count) for zone, count in self.base.items()}
         if not self.extra:
-            return self.base
-        scores = {
-            zone: -math.log(hash_fraction(f"zone|{zone}|{shard}")) / weight
-            for zone, weight in self.extra_weights.items()
-        }
-        chosen = sorted(scores, key=lambda zone: (scores[zone], zone))[: self.extra]
-        return {zone: count + (zone in chosen) for zone, count in self.base.items()}
+            return seats
+        scores = [_rendezvous_scores(zone, weight, numbers) for zone, weight in self.extra_weights.items()]
+        zones = list(self.extra_weights)
+        for number, row in zip(numbers, zip(*scores, strict=True), strict=True):
+            for rank in sorted(range(len(row)), key=row.__getitem__)[: self.extra]:
+                seats[zones[rank]][number] += 1
+        return seats
+
+
+def _rendezvous_scores(zone: str, weight: float, numbers: Sequence[int]) -> list[float]:
+    """Exponential draws: the lowest of several zones is each one's in proportion to its weight."""
+    words = hash_table(f"zone|{zone}", max(numbers, default=-1) + 1, 1)
+    return [-math.log(as_fraction(words[number][0])) / weight for number in numbers]
 
 
 def plan_seats(zones: Zones, seats: int) -> SeatPlan:
@@ -52,16 +62,12 @@
     return SeatPlan(base=base, extra=remaining if eligible else 0, extra_weights=extra_weights)
 
 
-def deal_in_region(zones: Zones, shards: Iterable[str], seats: int, slack: float) -> dict[str, list[str]]:
-    """Shard to relays of one region: `seats` each, or all relays of the region if it has fewer."""
-    plan = plan_seats(zones, seats)
-    wanted: dict[str, list[SeatsWanted]] = {zone: [] for zone in plan.base}
-    dealt: dict[str, list[str]] = {}
-    for shard in shards:
-        dealt[shard] = []
-        for zone, count in plan.seats(shard).items():
-            wanted[zone].append(SeatsWanted(shard, count))
-    for zone, wants in wanted.items():
-        for shard, relays in deal_seats(zones[zone], wants, slack).items():
-            dealt[shard] += relays
+def deal_in_region(
+    zones: Zones, numbers: Sequence[int], seats: int, slack: float, probes: Probes
+) -> dict[int, list[str]]:
+    """Shard number to relays of one region: `seats` each, or all relays of the region if it has fewer."""
+    dealt: dict[int, list[str]] = {number: [] for number in numbers}
+    for zone, wanted in plan_seats(zones, seats).seats(numbers).items():
+        for number, relays in deal_seats(zones[zone], wanted, slack, probes).items():
+            dealt[number] += relays
     return dealt
--- a/tests/test_control_assignment.py
+++ b/tests/test_control_assignment.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from ryestack.control.assignment import Assignment, RelayMember, UnknownShard, shard_key, shard_of
-from ryestack.control.bounded_load import SeatsWanted, deal_seats, fair_shares, load_bound
+from ryestack.control.bounded_load import capacity, deal_seats, fair_shares, load_bound, shard_probes
 
 SHARDS = 24
 REGIONS = ("ap-1", "eu-1", "us-1")
@@ -135,13 +135,14 @@
     def test_seats_within_the_bound_can_always_be_dealt(self, weights, count, data):
         """Also where the room left is at relays that a shard has already: an earlier shard swaps with it."""
         base = data.draw(st.integers(0, len(weights) - 1))
-        wanted = [SeatsWanted(f"s/{n}", base + data.draw(st.integers(0, 1))) for n in range(count)]
-        dealt = deal_seats(weights, wanted, slack=1e-6)
-        total = sum(want.seats for want in wanted)
+        wanted = {number: base + data.draw(st.integers(0, 1)) for number in range(count)}
+        dealt = deal_seats(weights, wanted, 1e-6, shard_probes(count))
+        total = sum(wanted.values())
         shares = fair_shares(total, weights, dict.fromkeys(weights, count))
         self.assertAlmostEqual(math.fsum(shares.values()), total)
-        for want in wanted:
-            self.assertEqual(len(set(dealt[want.shard])), want.seats)
+        for number, count_wanted in wanted.items():
+            self.assertEqual(len(set(dealt[number])), count_wanted)
+            self.assertEqual(len(dealt[number]), count_wanted)
         seats = Counter(name for names in dealt.values() for name in names)
         for name, share in shares.items():
             self.assertLessEqual(seats[name], load_bound(share, 1e-6, count))
@@ -158,7 +159,7 @@
             moved += moved_seats(before, after)
             for shard in all_shards(before, [region for region in REGIONS if region != leaver.region]):
                 self.assertIs(before.relays_of(shard), after.relays_of(shard))
-        self.assertLessEqual(moved, 4 * owned)
+        self.assertLessEqual(moved, 1.8 * owned)
 
     def test_a_zone_that_is_lost_leaves_shards_with_a_relay_in_each_zone_left(self):
         relays = fleet(180)
@@ -167,7 +168,7 @@
         after = before.with_changes(left=lost)
         owned = sum(len(before.shards_of(name)) for name in lost)
         self.assertEqual(owned, 512)
-        self.assertLessEqual(moved_seats(before, after), 1.3 * owned)
+        self.assertLessEqual(moved_seats(before, after), 1.15 * owned)
 
     def test_a_region_without_relays_is_served_from_all_others(self):
         before = assign(fleet(180), shards_per_region=512)
@@ -181,8 +182,25 @@
         for shard in all_shards(before, ["ap-1", "us-1"]):
             self.assertEqual(before.relays_of(shard), after.relays_of(shard))
 
+    def test_capacities_step_one_relay_after_another(self):
+        """Else one relay more or less changes the capacity of all, and moves seats of all, at some sizes."""
+        raised = [
+            sum(capacity(f"relay-{n}", share, 0.1, 100) == 7 for n in range(400)) for share in (5.5, 5.8)
+        ]
+        self.assertTrue(0 < raised[0] < raised[1] < 400, raised)
+
+    def test_a_larger_zone_takes_more_of_the_seats_left(self):
+        sizes = {"a": 40, "b": 20}
+        relays = [RelayMember(f"{z}-{n}", "eu-1", z) for z, size in sizes.items() for n in range(size)]
+        assignment = Assignment(relays, replicas=3, shards_per_region=1024)
+        in_a = sum(len(assignment.shards_of(member.name)) for member in relays if member.zone == "a")
+        self.assertAlmostEqual(in_a / (3 * 1024), 40 / 60, delta=0.02)
+
 
 class Keys(unittest.TestCase):
+    def test_the_probes_of_a_shard_stay_when_there_are_more_shards(self):
+        self.assertEqual(shard_probes(10), shard_probes(30)[:10])
+
     def test_a_destinations_shard_is_the_same_in_each_release(self):
         self.assertEqual(shard_of("eu-1", "destination-1", 4096), "eu-1/2771")
 
