--- a/ryestack/lab/capacity_model.py
+++ b/ryestack/lab/capacity_model.py
@@ -122,6 +122,28 @@
     state: str
 
 
+class Share(Entry, frozen=True):
+    """A part of a relay's processor time, of 1."""
+
+    name: str
+    share: float
+
+
+class Profile(Entry, frozen=True):
+    """Where a relay's processor time goes.
+
+    packages: in a package's own code, of all; functions: in one of ours or what it called, so that they hold
+    each other.
+    """
+
+    command: str
+    commit: str
+    samples: int
+    fixed: str
+    packages: list[Share]
+    functions: list[Share]
+
+
 class Inputs(Entry, frozen=True):
     """The whole file."""
 
@@ -131,6 +153,7 @@
     row: list[Row]
     missing: list[Missing]
     cannot_say: list[str]
+    profile: Profile
     notes: list[str] = []
 
 
--- a/ryestack/lab/capacity_page.py
+++ b/ryestack/lab/capacity_page.py
@@ -3,7 +3,7 @@
 from itertools import groupby
 from math import isnan
 
-from .capacity import Figure, counts_of, figures, ranking
+from .capacity import Figure, Rank, counts_of, figures, ranking
 from .capacity_model import Derived, Inputs, Slope, read
 
 HEAD = """# Capacity
@@ -153,30 +153,36 @@
     return "\n".join(parts)
 
 
+def breaking_size(rank: Rank) -> str:
+    """At which size, and which part of the asked one that is."""
+    f = rank.figure
+    if f.breaks_at is None:
+        return f"at any size: {significant(f.over)} times its limit"
+    size = f"{number(f.breaks_at)} of {number(f.asked)} {f.row.grows_with.replace('_', ' ')}"
+    return f"{size} ({significant(100.0 * rank.part)}% of the size)"
+
+
 def ranked(inputs: Inputs, computed: list[Figure]) -> str:
     rows = []
     for place, rank in enumerate(ranking(inputs, computed), 1):
-        f = rank.figure
-        at = (
-            f"{number(f.breaks_at)} of {number(f.asked)} {f.row.grows_with.replace('_', ' ')}"
-            if f.breaks_at is not None
-            else "-"
-        )
-        share = f"{significant(100.0 * rank.part)}% of the size"
-        rows.append(
-            [
-                str(place),
-                f"**{rank.missing.name}**: {rank.missing.what}",
-                f"{f.row.what}: {product(f)}",
-                f"{at} ({share})",
-                rank.missing.state,
-            ]
-        )
+        what = f"**{rank.missing.name}**: {rank.missing.what}"
+        first = f"{rank.figure.row.what}: {product(rank.figure)}"
+        rows.append([str(place), what, first, breaking_size(rank), rank.missing.state])
     heads = ["", "mechanism", "the row that breaks first", "breaks at", "state"]
     text = (
-        "## Ranking\n\nWhat is missing, by the part of the size at which its first row breaks, least first.\n"
+        "## Ranking\n\nWhat is missing, by the part of the size at which its first row breaks, least first."
     )
-    return f"{text}\n{table(heads, rows)}"
+    return f"{text}\n\n{table(heads, rows)}"
+
+
+def profile(inputs: Inputs) -> str:
+    """Where the processor time of a message goes."""
+    found, parts = inputs.profile, []
+    for title, shares in (("in its own code", found.packages), ("in it and what it calls", found.functions)):
+        rows = [[f"`{share.name}`", f"{significant(100.0 * share.share)}%"] for share in shares]
+        parts.append(table([title, "of a relay's processor time"], rows))
+    source = f"`{found.command}` on {found.commit}, {found.samples:,} samples; {found.fixed}."
+    return "\n".join(["## Processor time of a message\n", f"{source}\n", *parts])
 
 
 def page(text: str) -> str:
@@ -190,6 +196,7 @@
         ranked(inputs, computed),
         roles(inputs, computed),
         slopes(inputs),
+        profile(inputs),
     ]
     for title, lines in (("Notes", inputs.notes), ("What this page can't say", inputs.cannot_say)):
         parts.append(f"## {title}\n\n" + "\n".join(f"- {line}" for line in lines) + "\n")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -169,3 +169,8 @@
     assert change[0] in text
     with pytest.raises(BadInputs):
         page(text.replace(*change, 1))
+
+
+def test_the_profile_adds_up(text):
+    shares = [share.share for share in read(text).profile.packages]
+    assert 0.97 <= sum(shares) <= 1.005 and shares[:-1] == sorted(shares[:-1], reverse=True)
