Control: a stalled process keeps its leader, an empty state is followed, a lost disk answers at once

Cause: a process that stood still (an assignment over all relays takes seconds) took the others for lost and made elections; a follower took an empty fetched state for none, as a catalogue without entries is false; changes waited out their time after the machine had ended. Change: time between ticks counts for nobody's silence; is not None; waiting changes are answered when the machine ends.

--- a/ryestack/control/change_log.py
+++ b/ryestack/control/change_log.py
@@ -57,6 +57,12 @@
 
     async def run(self) -> None:
         """Ends by cancellation, or with the OSError or BadStorage of a disk that can't be used."""
+        try:
+            await self._work_on()
+        finally:
+            self._give_up("the machine ends")
+
+    async def _work_on(self) -> None:
         while True:
             self.replica.tick(self._clock())
             while ready := self.replica.take():
--- a/ryestack/control/consensus.py
+++ b/ryestack/control/consensus.py
@@ -67,6 +67,7 @@
         self.follower = Follower(self.state)
         self.leadership: Leadership | None = None
         self.read_piece, self.timeout = read_piece, timeout
+        self.last_tick = now
 
     def receive(self, message: Message, now: float) -> None:
         """Raises Misdirected where the message is none of this replica's."""
@@ -102,6 +103,7 @@
 
     def tick(self, now: float) -> None:
         """To be called several times in an election timeout."""
+        self._absorb_stall(now)
         if self.leadership:
             if self.leadership.has_quorum(now):
                 self.leadership.tick(now)
@@ -152,6 +154,14 @@
         state.snapshot_term, state.snapshot_position = state.log.term_at(position), position
         state.log.compact(max(state.log.base, position - keep))
 
+    def _absorb_stall(self, now: float) -> None:
+        """A process that stood still has heard nobody, which says nothing of the others."""
+        stall, self.last_tick = now - self.last_tick, now
+        if stall >= self.timeout / 2.0:
+            self.election.postpone(stall)
+            if self.leadership:
+                self.leadership.postpone(stall)
+
     def _check_address(self, message: Message) -> None:
         state = self.state
         if message.cluster != state.cluster:
--- a/ryestack/control/elections.py
+++ b/ryestack/control/elections.py
@@ -25,6 +25,11 @@
             self.rearm(now)
         return now >= self.deadline
 
+    def postpone(self, seconds: float) -> None:
+        """Count for nothing the time that the process stood still."""
+        self.deadline += seconds
+        self.heard_leader += seconds
+
     def hear_leader(self, name: str, now: float) -> None:
         self.state.role, self.state.leader = Role.FOLLOWER, name
         self.heard_leader = now
--- a/ryestack/control/follower.py
+++ b/ryestack/control/follower.py
@@ -66,7 +66,7 @@
             self.confirmed_at = self._clock()
 
     def _apply(self, gathered: Gathered) -> None:
-        if gathered.catalogue:
+        if gathered.catalogue is not None:
             self._publisher.load(gathered.catalogue)
         else:
             self._publisher.apply(gathered.version, gathered.entries, self._clock())
--- a/ryestack/control/leadership.py
+++ b/ryestack/control/leadership.py
@@ -72,6 +72,11 @@
         heard = sum(abs(now - progress.heard) < self.timeout for progress in self.progress.values())
         return heard + 1 >= self.state.majority
 
+    def postpone(self, seconds: float) -> None:
+        """Count for nothing the time that the process stood still."""
+        for progress in self.progress.values():
+            progress.heard += seconds
+
     def is_transferring(self) -> bool:
         return any(progress.transfer for progress in self.progress.values())
 
--- /dev/null
+++ b/tests/test_control_change_log.py
@@ -0,0 +1,125 @@
+"""A voter in the process of the test: a full or lost disk, changes that share an fsync, what a relay loads."""
+
+import asyncio
+import errno
+import os
+import subprocess
+import sys
+import time
+
+import pytest
+
+from ryestack.control.change_log import DiskBlocked, Unconfirmed
+from ryestack.control.changes import Change, encode
+from ryestack.control.machine import ControlMachine
+from ryestack.control.order import Machine
+
+from .control_machines import ROOT, free_ports
+
+
+def lone_voter(folder) -> ControlMachine:
+    place = Machine("v", f"127.0.0.1:{free_ports(1)[0]}")
+    return ControlMachine("c", "v", [place], ["v"], folder, 1.0, 2, time.monotonic)
+
+
+async def propose(machine: ControlMachine, key: str) -> int:
+    return await machine.change_log.propose(encode([Change(key, b"{}")]))
+
+
+async def running(machine: ControlMachine, work) -> None:
+    """Run the machine until work(machine) is done. Raises what ended either."""
+    machine.bind()
+    stop = asyncio.Event()
+    task = asyncio.ensure_future(machine.run(stop))
+    try:
+        async with asyncio.timeout(60):
+            while not machine.leads() or not machine.status()["version"]:
+                await asyncio.sleep(0.02)
+            await work(machine)
+            stop.set()
+            await task
+    finally:
+        task.cancel()
+        await machine.close()
+
+
+def keys_in(folder) -> set[str]:
+    """What a machine that is started on the folder has once it leads."""
+    found = set()
+
+    async def look(machine):
+        found.update(entry.key for entry in machine._publisher.catalogue.live("*"))
+
+    async def play():
+        await running(lone_voter(folder), look)
+
+    asyncio.run(play())
+    return found
+
+
+def test_a_full_disk_refuses_changes_loses_none_and_goes_on(tmp_path, monkeypatch):
+    async def fill(machine):
+        await propose(machine, "setting/before")
+        write = os.pwrite
+
+        def full(descriptor, data, offset):
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+        monkeypatch.setattr(os, "pwrite", full)
+        with pytest.raises(Unconfirmed, match="disk is full"):
+            await propose(machine, "setting/meanwhile")
+        with pytest.raises(DiskBlocked, match="No space left"):
+            await propose(machine, "setting/refused")
+        assert "No space left" in machine.status()["disk"]
+        monkeypatch.setattr(os, "pwrite", write)
+        while machine.change_log.blocked:
+            await asyncio.sleep(0.02)
+        await propose(machine, "setting/after")
+
+    async def play():
+        await running(lone_voter(tmp_path), fill)
+
+    asyncio.run(play())
+    assert keys_in(tmp_path) == {"setting/before", "setting/meanwhile", "setting/after"}
+
+
+def test_a_disk_that_does_not_sync_ends_the_machine_and_nothing_is_acknowledged(tmp_path, monkeypatch):
+    async def lose(machine):
+        def fsync(descriptor):
+            raise OSError(errno.EIO, "Input/output error")
+
+        monkeypatch.setattr(os, "fsync", fsync)
+        with pytest.raises(Unconfirmed):
+            await propose(machine, "setting/lost")
+
+    async def play():
+        await running(lone_voter(tmp_path), lose)
+
+    with pytest.raises(OSError, match="Input/output"):
+        asyncio.run(play())
+
+
+def test_changes_that_come_together_share_an_fsync(tmp_path, monkeypatch):
+    syncs = []
+    fsync = os.fsync
+    monkeypatch.setattr(os, "fsync", lambda descriptor: (syncs.append(descriptor), fsync(descriptor)))
+
+    async def many(machine):
+        before = len(syncs)
+        versions = await asyncio.gather(*(propose(machine, f"setting/s{n}") for n in range(50)))
+        assert len(set(versions)) == 50 and len(syncs) - before <= 3
+
+    async def play():
+        await running(lone_voter(tmp_path), many)
+
+    asyncio.run(play())
+
+
+def test_a_relay_without_control_loads_none_of_it():
+    code = (
+        "import sys, ryestack.lifecycle.service; print([m for m in sys.modules if 'ryestack.control' in m])"
+    )
+    told = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True, timeout=60
+    )
+    assert told.stdout.strip() == "[]"
--- a/tests/test_control_machine.py
+++ b/tests/test_control_machine.py
@@ -145,6 +145,28 @@
     return log.splitlines()[-1]
 
 
+def test_a_voter_behind_the_compacted_log_gets_a_snapshot_and_keeps_it(machines):
+    leader = machines.leader()
+    behind = next(name for name in machines.voters if name != leader)
+    machines.end(behind, signal.SIGKILL)
+    text = "x" * 60_000
+    for number in range(24):  # 23 MB of changes, 4 MB of state
+        keys = [f"setting/large-{number % 4}-{n}" for n in range(16)]
+        code, _ = machines.change(leader, *({"key": k, "value": {"n": number, "text": text}} for k in keys))
+        assert code == 200
+    snapshot = machines.folder / leader / "control.snapshot"
+    until(lambda: snapshot.exists(), 20, "the leader's snapshot")
+    version = machines.status(leader)["version"]
+    machines.start(behind)
+    machines.has(behind, version)
+    assert (machines.folder / behind / "control.snapshot").exists()
+    log_bytes = (machines.folder / behind / "control.log").stat().st_size
+    assert log_bytes < 12_000_000
+    machines.end(behind)
+    machines.start(behind)
+    machines.has(behind, version)
+
+
 def test_a_start_that_cannot_be_is_refused_in_one_line(machines):
     machines.end("v0")
     path = machines.folder / "v0" / "control.log"
--- a/tests/test_control_voters.py
+++ b/tests/test_control_voters.py
@@ -61,6 +61,16 @@
     assert old.state == new.state
 
 
+def test_a_process_that_stood_still_does_not_take_the_others_for_lost():
+    net = Calm()
+    net.go(4 * TIMEOUT)
+    leader, term = net.leader(), net.leader().replica.state.term
+    for stall in (0.6, 1.0, 3.0, 20.0):
+        net.now += stall * TIMEOUT  # all stand still, as when one computer runs them
+        net.go(2 * TIMEOUT)
+        assert net.leader() is leader and leader.replica.state.term == term
+
+
 def lagging_behind_a_snapshot() -> tuple[Calm, object, object]:
     """A leader that has compacted its log, and a voter whose log ends before it."""
     net = Calm()
