--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -7,7 +7,7 @@
 from ..store.journal import Journal
 from ..store.ledger import Ledger
 from ..wire.calls import Calls
-from ..wire.files import FileEnds
+from ..wire.files import FileNotices
 from ..wire.members import Catalog, Fixed
 from ..wire.notices import Notices
 from ..wire.platform import Platform
@@ -60,7 +60,7 @@
     members = directory.members
     owner.dispatcher = Calls(settings, members, clock, owner.put, left)
     if operator.ends.sink == "file":
-        owner.notices = FileEnds(operator.ends.path, owner.told_platform)
+        owner.notices = FileNotices(operator.ends.path, owner.told_platform)
     else:
         owner.notices = Notices(platform, owner.told_platform)
     at = (config.host, config.port)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,7 @@
 from ryestack.interface import Listed
 from ryestack.ports import Item
 from ryestack.wire.calls import Calls
-from ryestack.wire.files import FileEnds
+from ryestack.wire.files import FileNotices
 from ryestack.wire.members import BadList, Fixed, Members, watch
 from ryestack.wire.notices import Notices
 from ryestack.wire.platform import MOST, Platform
@@ -172,7 +172,7 @@
     async def test_ends_into_a_file_are_told_once_they_are_there_and_wait_for_room(self):
         with tempfile.TemporaryDirectory() as folder:
             told, path = [], f"{folder}/none/ends"
-            ends = FileEnds(path, told.extend)
+            ends = FileNotices(path, told.extend)
             ends.add("n", {"state": "failed"})
             task = asyncio.ensure_future(ends.run())
             await asyncio.sleep(0.05)
