Control: a relay's first scope is in force with its last piece; answers may take longer where many fail

A complete piece is offered at once, and what differs is asked for without a wait unless it is rejected. 3,000 relays that started at one machine never all joined in 240 s, each giving its answer up after 2 s: the time doubles from the third failure in a row on, to 16 s; not measured again yet. Each of the two rules' tests fails with its rule taken out.

--- a/ryestack/control/order.py
+++ b/ryestack/control/order.py
@@ -14,6 +14,8 @@
 FIRST_REST_SECONDS = 1.0  # at most, before the next machine is asked; doubles with each failure in a row
 LONGEST_REST_SECONDS = 4.0
 LEAST_REST = 0.1  # part of a rest that is not left to chance
+ANSWER_SECONDS = 2.0  # for an answer, beside what the poll may be held; doubles where machines are too busy
+LONGEST_ANSWER_SECONDS = 16.0
 RETURN_SECONDS = (30.0, 90.0)  # after a failover, until the machine that is first in order is tried again
 
 
@@ -58,6 +60,11 @@
             self._turn_to(0, inf)
         return self.machine
 
+    def patience(self) -> float:
+        """Seconds for an answer: the second machine is as quickly given up as the first, for one may be
+        lost; where more fail in a row they are too busy, and asking anew would only add to it."""
+        return min(LONGEST_ANSWER_SECONDS, ANSWER_SECONDS * 2.0 ** min(max(0, self._failures - 1), 10))
+
     def answered(self) -> None:
         """The machine has given an answer that could be used."""
         self.confirmed, self._failures, self._tried_from = True, 0, None
--- a/ryestack/control/subscriber.py
+++ b/ryestack/control/subscriber.py
@@ -26,7 +26,6 @@
 from .staging import MAX_STAGED_BYTES, BadAnswer, Staging, TooLarge
 from .subscription import TABLE, Ask, Identity, Input, State
 
-ANSWER_SECONDS = 2.0  # for an answer, beside what the poll may be held
 LEAST_HOLD = 0.8  # part of the time that a poll is held that is not left to chance
 START_SECONDS = 0.3  # that the first polls of relays that start together spread over
 OVERSIZE_REST_SECONDS = 60.0  # before a scope that was too large is looked at again
@@ -107,7 +106,7 @@
         try:
             if isinstance(answer, Piece) and isinstance(asked, Fetch):
                 staging.add_piece(asked.shards, answer)
-                return Input.MORE
+                return Input.CHANGED if staging.complete() else Input.MORE
             if isinstance(asked, Fetch):
                 return Input.FAILED
             if isinstance(answer, Scope) and answer.shards and set(answer.shards) != staging.shards:
@@ -142,7 +141,7 @@
         request = self._fetch(shards) if shards else self._poll()
         hold = request.hold if isinstance(request, Poll) else 0.0
         self._number += 1
-        self._out = Ask(self._number, machine, request, hold + ANSWER_SECONDS)
+        self._out = Ask(self._number, machine, request, hold + self._failover.patience())
         self._least_at = now + hold / 2.0  # a machine that can hold no more polls answers at once
         self.wake_at = inf
 
@@ -152,7 +151,8 @@
     def _poll(self) -> Poll:
         staging, who = self._staging, self.identity
         hold = 0.0
-        if self._failover.confirmed and staging.complete():
+        waits = staging.complete() and (self.rejected is not None or not staging.differs())
+        if self._failover.confirmed and waits:
             hold = self._hold * self._chance.uniform(LEAST_HOLD, 1.0)
         head = who.cluster, who.relay, who.session, who.region, who.zone
         return Poll(*head, staging.position or 0, staging.digest, hold, self.holdings.version, self.rejected)
--- a/tests/test_control_subscriber.py
+++ b/tests/test_control_subscriber.py
@@ -109,3 +109,40 @@
     assert failover.choose(200.0).name == "m0"
     failover.answered()
     assert failover.choose(1000.0).name == "m0"
+
+
+def test_a_first_scope_is_in_force_with_its_last_piece_and_asks_for_no_further_answer():
+    s = subscriber()
+    s.heard(asked(s, 1.0).number, messages.Scope(4, ["*", "eu/1"]), 1.0)
+    s.heard(asked(s, 1.0).number, messages.Piece("*", 4, [entry(1, 2, shard="*")], False), 1.0)
+    s.heard(asked(s, 1.0).number, messages.Piece("eu/1", 4, [entry(2, 3)], True), 1.0)
+    assert [e.version for e in s.step(1.0).entries] == [2, 3] and s.step(1.0).version == 4
+
+
+def test_what_is_not_in_force_yet_is_asked_for_without_a_wait_unless_it_is_rejected():
+    s = subscriber()
+    s.heard(asked(s, 1.0).number, messages.Scope(4, ["*", "eu/1"]), 1.0)
+    s.heard(asked(s, 1.0).number, messages.Piece("*", 5, [], True), 1.0)
+    s.heard(asked(s, 1.0).number, messages.Piece("eu/1", 4, [entry(2, 3)], True), 1.0)  # two versions
+    request = asked(s, 1.0).request
+    assert (request.version, request.hold, request.applied) == (4, 0.0, 0)
+    s.heard(s._out.number, messages.Delta(4, 5, [], 5), 1.0)
+    s.reject("destination/2", "no", 1.0)
+    request = asked(s, 1.0).request
+    assert (request.version, request.applied, request.rejected.version) == (5, 0, 5) and request.hold >= 4.0
+    s.heard(s._out.number, messages.Delta(5, 5, [], 5), 5.0)
+    assert s.step(5.0).version == 5
+    s.reject("destination/2", "no", 5.0)
+    s.heard(asked(s, 5.0).number, messages.Delta(5, 5, [], 5), 5.0)  # by a machine that can hold no more
+    s.reject("destination/2", "no", 5.0)
+    assert s.wake_at >= 7.0
+
+
+def test_where_many_machines_fail_in_a_row_an_answer_may_take_longer():
+    failover, found = Failover([Machine(f"m{n}", f"m{n}:1") for n in range(3)], random.Random(1)), []
+    for number in range(7):
+        found.append(failover.patience())
+        failover.failed(float(number))
+    assert found == [2.0, 2.0, 4.0, 8.0, 16.0, 16.0, 16.0]
+    failover.answered()
+    assert failover.patience() == 2.0
