Control: a scope that only lost shards is in force at once

The answer that told it was followed by a poll with a hold, and what left the scope stayed in force for up to 5 s.

--- a/ryestack/control/subscriber.py
+++ b/ryestack/control/subscriber.py
@@ -111,7 +111,7 @@
                 return Input.FAILED
             if isinstance(answer, Scope) and answer.shards and set(answer.shards) != staging.shards:
                 staging.retarget(answer.shards)
-                return Input.MORE
+                return Input.CHANGED if staging.complete() else Input.MORE
             if isinstance(answer, TooOld) and staging.shards:
                 staging.refetch()
                 return Input.MORE
@@ -151,8 +151,7 @@
     def _poll(self) -> Poll:
         staging, who = self._staging, self.identity
         hold = 0.0
-        waits = staging.complete() and (self.rejected is not None or not staging.differs())
-        if self._failover.confirmed and waits:
+        if self._failover.confirmed and staging.complete():
             hold = self._hold * self._chance.uniform(LEAST_HOLD, 1.0)
         head = who.cluster, who.relay, who.session, who.region, who.zone
         return Poll(*head, staging.position or 0, staging.digest, hold, self.holdings.version, self.rejected)
--- a/tests/test_control_subscriber.py
+++ b/tests/test_control_subscriber.py
@@ -119,6 +119,12 @@
     assert [e.version for e in s.step(1.0).entries] == [2, 3] and s.step(1.0).version == 4
 
 
+def test_a_scope_that_only_lost_shards_is_in_force_at_once():
+    s = subscriber(Kept(2, ["*", "eu/1"], [entry(7, 2)]))
+    s.heard(asked(s, 1.0).number, messages.Scope(4, ["*"]), 1.0)
+    assert (s.step(1.0).version, s.step(1.0).removed) == (2, ["destination/7"])
+
+
 def test_what_is_not_in_force_yet_is_asked_for_without_a_wait_unless_it_is_rejected():
     s = subscriber()
     s.heard(asked(s, 1.0).number, messages.Scope(4, ["*", "eu/1"]), 1.0)
