--- a/ryestack/lab/scale_processes.py
+++ b/ryestack/lab/scale_processes.py
@@ -31,6 +31,8 @@
 class MachineProcess(RelayProcess):
     """A control machine: it is there once it answers at its own address."""
 
+    ready_within = READY_WITHIN
+
     def __init__(self, address: str, config: dict, folder: Path, operator: Path):
         super().__init__(config, folder, environment={"RYESTACK_OPERATOR": str(operator)})
         self.control = address
@@ -49,6 +51,12 @@
         return None
 
 
+class ScaleRelay(RelayProcess):
+    """A real relay, which has to fetch its scope from busy machines before it serves."""
+
+    ready_within = READY_WITHIN
+
+
 class HostProcess:
     """A host of hollow relays, told by lines of JSON on its standard input, answering on its output."""
 
