--- a/ryestack/lab/scale_changes.py
+++ b/ryestack/lab/scale_changes.py
@@ -14,11 +14,12 @@
 from .scale_plan import REGIONS, ScalePlan
 from .trial import TrialFailed
 
-BATCH = 400  # entries in one change while the run is being set up
+BATCH = 1000  # entries in one change while the run is being set up
 BATCHES_AT_ONCE = 4
 SETUP_WITHIN = 120.0  # seconds for one batch, over all tries
 PATIENCE = 5.0  # seconds for the answer to one try of a change
 TRIES = 4  # of a change, each at another machine
+BAD_REQUEST = 400
 PAUSE = 0.2  # seconds between tries
 SETTINGS = 16  # shared keys that changes go round
 CHANGED_DESTINATIONS = 64  # destinations that changes go round; no load goes to them
@@ -52,6 +53,13 @@
     return {"region": region, "endpoints": endpoints}
 
 
+class _Told(msgspec.Struct):
+    """A machine's answer: the version, or where the leader is."""
+
+    version: int = 0
+    address: str = ""
+
+
 class Changes:
     """Hands changes to control machines and keeps what was answered.
 
@@ -152,22 +160,35 @@
 
     # -- the wire ---------------------------------------------------------------------------------------
 
-    async def post(self, rows: list[tuple[str, dict | None]]) -> int:
-        """The version that holds these entries; raises NotAnswered.
+    async def post(self, rows: list[tuple[str, dict]]) -> int:
+        """The version that holds these values by key; raises NotAnswered.
 
         A try without an answer may hold too: then the same values hold by two versions.
         """
-        body = msgspec.json.encode({"entries": [{"key": key, "value": value} for key, value in rows]})
+        body = msgspec.json.encode({"changes": [{"key": key, "value": value} for key, value in rows]})
         for _ in range(TRIES):
-            address = self.order[0]
-            with suppress(aiohttp.ClientError, OSError, TimeoutError, ValueError):
-                limit = aiohttp.ClientTimeout(total=PATIENCE)
-                url = f"http://{address}/control/changes"
-                async with self.session.post(url, data=body, timeout=limit) as answer:
-                    told = msgspec.json.decode(await answer.read(), type=dict)
-                    if answer.status == 200:
-                        return told["version"]
+            told = await self._try(body)
+            if told.version:
+                return told.version
             self.tried_again += 1
-            self.order.append(self.order.pop(0))
+            self._turn_to(told.address)
             await asyncio.sleep(PAUSE)
         raise NotAnswered
+
+    async def _try(self, body: bytes) -> _Told:
+        limit, url = aiohttp.ClientTimeout(total=PATIENCE), f"http://{self.order[0]}/control/changes"
+        with suppress(aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+            async with self.session.post(url, data=body, timeout=limit) as answer:
+                text = await answer.read()
+                if answer.status == BAD_REQUEST:
+                    raise TrialFailed(f"a change was refused: {text.decode(errors='replace')}")
+                return msgspec.json.decode(text, type=_Told)
+        return _Told()
+
+    def _turn_to(self, address: str) -> None:
+        """The next try goes to the leader, where that was told, else to the next machine."""
+        if address in self.order and address != self.order[0]:
+            self.order.remove(address)
+            self.order.insert(0, address)
+        else:
+            self.order.append(self.order.pop(0))
