Scale run: a short run of processes as a test

150 relays, three of them real, five stories, every rule; and a run cancelled in the middle leaves no process.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ryestack.lab import scale_plan
+from ryestack.lab.scale import ScaleRun
 from ryestack.lab.scale_book import BookWriter, digest, read_book, read_log, value_digest
 from ryestack.lab.scale_judge import (
     Change,
@@ -22,7 +23,8 @@
 from ryestack.lab.scale_plan import DoesNotFit, Limits, largest, make_plan
 from ryestack.lab.scale_processes import Children
 from ryestack.lab.scale_report import beside, control_cpu, delays
-from ryestack.lab.scale_usage import runs, usage
+from ryestack.lab.scale_stories import Lengths
+from ryestack.lab.scale_usage import limits, runs, usage
 
 from .test_cli import call
 
@@ -57,7 +59,7 @@
 
 
 @pytest.mark.parametrize(
-    "limits, said",
+    "found, said",
     [
         (Limits(2_000_000_000, 65_536, 60_000), "bytes of memory"),
         (Limits(64_000_000_000, 256, 60_000), "descriptors"),
@@ -65,18 +67,18 @@
         (Limits(64_000_000_000, 65_536, 60_000, processes=10), "processes"),
     ],
 )
-def test_what_does_not_fit_is_refused_with_the_need_and_the_limit(limits, said):
+def test_what_does_not_fit_is_refused_with_the_need_and_the_limit(found, said):
     with pytest.raises(DoesNotFit, match=f"needs [0-9,]+ {said}.*allowed"):
-        make_plan(1_000, 20, 8, limits)
+        make_plan(1_000, 20, 8, found)
 
 
 def test_the_largest_that_fits_does_and_the_next_does_not():
-    limits = Limits(memory=8_000_000_000, descriptors=20_000, ports=28_000)
-    most = largest(20, 8, limits)
+    found = Limits(memory=8_000_000_000, descriptors=20_000, ports=28_000)
+    most = largest(20, 8, found)
     assert 300 <= most < 12_000
-    make_plan(most, 20, 8, limits)
+    make_plan(most, 20, 8, found)
     with pytest.raises(DoesNotFit):
-        make_plan(most + 100, 20, 8, limits)
+        make_plan(most + 100, 20, 8, found)
 
 
 def test_the_command_refuses_with_status_2_before_anything_is_started(monkeypatch):
@@ -215,3 +217,33 @@
 
 def test_destinations_at_full_size_are_those_of_the_letter():
     assert abs(scale_plan.DESTINATIONS_PER_RELAY * scale_plan.MOST_RELAYS - 860_000) < 5_000
+
+
+# -- a short run of processes -------------------------------------------------------------------------------
+
+
+def test_a_short_run_keeps_every_rule_and_leaves_no_process(tmp_path):
+    plan = make_plan(150, 3, 1, limits())
+    stories = ["ordinary", "burst", "tenth_restarted", "leader_killed", "link_cut_one_way"]
+    run = ScaleRun(tmp_path, plan, 1, Lengths(ordinary=3.0, fault=3.0, parted=3.0), print, hold=2.0)
+    told = asyncio.run(run.run(stories))
+    assert [story.story for story in told.stories if not story.caught_up] == []
+    assert [(s.story, s.shared.never, s.scoped.never) for s in told.stories] == [(s, 0, 0) for s in stories]
+    assert (told.older_after_newer.lines, told.lost_changes.lines, told.left_behind.lines) == ([], [], [])
+    assert told.changes > 100 and told.notifications["taken"] > 0
+    assert told.notifications["good"], told.notifications["broken"]
+
+
+def test_a_run_that_is_cancelled_leaves_no_process(tmp_path):
+    plan = make_plan(40, 1, 1, limits())
+    run = ScaleRun(tmp_path, plan, 1, Lengths(), print)
+
+    async def play():
+        task = asyncio.ensure_future(run.run(["ordinary"]))
+        while len(run.children.ids) < len(plan.machines):
+            await asyncio.sleep(0.05)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(play())
+    assert left_behind(run.children.ids, runs).count == 0
