--- a/ryestack/lab/scale.py
+++ b/ryestack/lab/scale.py
@@ -36,7 +36,7 @@
 
 
 class ScaleRun:
-    """One run of a plan. `say` is told how it goes, a line a step."""
+    """One run of a plan, made within a running loop. `say` is told how it goes, a line a step."""
 
     def __init__(
         self,
--- a/ryestack/lab/scale_load.py
+++ b/ryestack/lab/scale_load.py
@@ -29,7 +29,7 @@
 
 
 class Outside:
-    """Partners and platform, with their books, and the load."""
+    """Partners and platform, with their books, and the load; made and used within one running loop."""
 
     def __init__(self, seed: int):
         self.seed, self.partner, self.platform = seed, Partner(stage(seed)), None
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -225,8 +225,12 @@
 def test_a_short_run_keeps_every_rule_and_leaves_no_process(tmp_path):
     plan = make_plan(150, 3, 1, limits())
     stories = ["ordinary", "burst", "tenth_restarted", "leader_killed", "link_cut_one_way"]
-    run = ScaleRun(tmp_path, plan, 1, Lengths(ordinary=3.0, fault=3.0, parted=3.0), print, hold=2.0)
-    told = asyncio.run(run.run(stories))
+
+    async def play():
+        lengths = Lengths(ordinary=3.0, fault=3.0, parted=3.0)
+        return await ScaleRun(tmp_path, plan, 1, lengths, print, hold=2.0).run(stories)
+
+    told = asyncio.run(play())
     assert [story.story for story in told.stories if not story.caught_up] == []
     assert [(s.story, s.shared.never, s.scoped.never) for s in told.stories] == [(s, 0, 0) for s in stories]
     assert (told.older_after_newer.lines, told.lost_changes.lines, told.left_behind.lines) == ([], [], [])
@@ -236,14 +240,15 @@
 
 def test_a_run_that_is_cancelled_leaves_no_process(tmp_path):
     plan = make_plan(40, 1, 1, limits())
-    run = ScaleRun(tmp_path, plan, 1, Lengths(), print)
 
     async def play():
+        run = ScaleRun(tmp_path, plan, 1, Lengths(), print)
         task = asyncio.ensure_future(run.run(["ordinary"]))
         while len(run.children.ids) < len(plan.machines):
             await asyncio.sleep(0.05)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
+        return run.children.ids
 
-    asyncio.run(play())
-    assert left_behind(run.children.ids, runs).count == 0
+    ids = asyncio.run(play())
+    assert len(ids) >= len(plan.machines) and left_behind(ids, runs).count == 0
