Scale run: plain relays that hold as much, what real relays held, memory beside an empty host

Plain relays get as many destinations now, in a list that is never asked for again. At the end the real relays' state folders are judged like the hollow ones' holdings.

--- a/ryestack/cli/scale.py
+++ b/ryestack/cli/scale.py
@@ -1,6 +1,7 @@
 """ryestack try --scale: hollow relays beside real ones, control machines, faults between them, judged."""
 
 import asyncio
+import logging
 import signal
 import tempfile
 from pathlib import Path
@@ -50,6 +51,7 @@
 
 
 async def _run(folder: Path, plan: ScalePlan, seed: int, seconds: float) -> ScaleResult:
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)  # killed relays hang up on the stand-ins
     task, loop = asyncio.current_task(), asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, task.cancel)  # so that no child is left
@@ -62,15 +64,15 @@
 def _show(result: ScaleResult) -> None:
     rows = [
         [
-            story.story, story.changes, story.unanswered, *_delays(story.shared), *_delays(story.scoped),
-            *_delays(story.restarted), "yes" if story.caught_up else "NO",
+            story.story, story.changes, story.unanswered, _delays(story.shared), _delays(story.scoped),
+            _delays(story.restarted), story.shared.never + story.scoped.never + story.restarted.never,
+            "yes" if story.caught_up else "NO",
         ]
         for story in result.stories
     ]  # fmt: skip
-    parts = ["p50", "p99", "worst", "never"]
-    columns = ["story", "changes", "unanswered"]
-    columns += [f"{of} {part}" for of in ("shared", "scoped", "restarted") for part in parts] + ["caught up"]
-    table(f"seconds until in force, {result.relays} relays ({result.real} real)", columns, rows)
+    columns = ["story", "changes", "unanswered", "shared", "scoped", "restarted", "never", "caught up"]
+    title = f"{result.relays} relays ({result.real} real): seconds until in force, p50 / p99 / worst"
+    table(title, columns, rows)
     rows = [
         [name, f"{c.hollow:.4g}", f"{c.real:.4g}", "" if c.ratio is None else f"{c.ratio:.3f}",
          "" if c.spread is None else f"{c.spread:.2g}", "proven" if c.proven else "unproven"]
@@ -99,6 +101,6 @@
     return f"{use.cpu_mean:.4f}, {use.cpu_most:.4f}"
 
 
-def _delays(found) -> list[str]:
-    values = ["-" if value is None else f"{value:.2f}" for value in (found.p50, found.p99, found.worst)]
-    return [*values, str(found.never)]
+def _delays(found) -> str:
+    values = (found.p50, found.p99, found.worst)
+    return " / ".join("-" if value is None else f"{value:.2f}" for value in values)
--- a/ryestack/lab/scale.py
+++ b/ryestack/lab/scale.py
@@ -11,9 +11,9 @@
 
 from . import hollow_messages as hollow
 from .load import figures
-from .scale_book import read_book, read_log
+from .scale_book import read_book, read_log, read_state_folder
 from .scale_changes import CHANGED_DESTINATIONS, Changes, destination_key, region_of
-from .scale_fleet import REPLICAS, Fleet
+from .scale_fleet import CLUSTER, REPLICAS, Fleet
 from .scale_judge import Line, left_behind
 from .scale_load import Outside, served_by
 from .scale_operations import Operations
@@ -94,6 +94,8 @@
     async def _join(self) -> None:
         began, fleet = time.monotonic(), self.fleet
         await self.operations.start_children([*fleet.hosts, *fleet.relays, *fleet.plain])
+        await self.operations.tell_all(hollow.Tell())  # they listen now
+        self.operations.measure_empty_hosts()
         await self.operations.tell_all(hollow.Start(over=len(self.operations.hollow_names) / JOINS_A_SECOND))
         if not await self._caught_up(JOINS_WITHIN):
             raise TrialFailed(f"not all relays had their scope within {JOINS_WITHIN:g} s: {self._laggards()}")
@@ -163,13 +165,14 @@
         self.loading = self.outside.begin(served, LOAD_RATE, seconds)
 
     async def _close_books(self) -> set[str]:
-        """The hollow relays that run at the end; their books hold what they serve."""
+        """The relays that run at the end; their books, or their state folders, hold what they serve."""
         await self._caught_up(CATCHES_UP_WITHIN)
         reports = await self.operations.tell_all(hollow.Tell())
         if sum(report.running for report in reports) != len(self.operations.hollow_names):
             raise TrialFailed("not all hollow relays run at the end")
         await self.operations.tell_all(hollow.Close())
-        return set(self.operations.hollow_names)
+        await self.operations.stop_real()
+        return set(self.operations.hollow_names) | set(self.operations.real_names)
 
     async def _end(self) -> None:
         await self.children.end_all()
@@ -189,6 +192,7 @@
         for name in self.operations.real_names:
             mine = [line for line in self.operations.lines if line.relay == name]
             yield from sorted(chain(mine, self._log_lines(name)), key=lambda line: line.at)
+            yield from read_state_folder(self.fleet.relays[name].folder / "state", CLUSTER, name)
 
     def scope_of_key(self) -> Callable[[int], set[str]]:
         """Digest of a changed destination's key to the relays that serve it."""
--- a/ryestack/lab/scale_book.py
+++ b/ryestack/lab/scale_book.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ..store import scope_file
 from .scale_judge import Kind, Line
 
 RECORD = struct.Struct("<IIQdQQ")  # relay's number, kind, version, time, key, value
@@ -55,6 +56,13 @@
                 yield Line(names[number], Kind(kind), version, at, key, value)
 
 
+def read_state_folder(folder: Path, cluster: str, relay: str) -> Iterator[Line]:
+    """What a real relay's state folder says that it held at its end; nothing where that can't be read."""
+    saved = scope_file.load(str(folder), cluster, relay)
+    for entry in saved.kept.entries if saved else ():
+        yield Line(relay, Kind.HELD, entry.version, 0.0, digest(entry.key), value_digest(entry.value))
+
+
 def read_log(path: Path, relay: str, event: str, wall_to_clock: float) -> Iterator[Line]:
     """A real relay's applied versions, from its log's lines `<time> ... <event> version=N ...`.
 
--- a/ryestack/lab/scale_fleet.py
+++ b/ryestack/lab/scale_fleet.py
@@ -9,9 +9,10 @@
 
 from ..operator.schema import ControlMachine
 from .hollow_messages import HollowPlace, Specification
+from .scale_changes import destination_value
 from .scale_links import Roads
 from .scale_load import TOPICS, Outside
-from .scale_plan import Place, ScalePlan
+from .scale_plan import DESTINATIONS_PER_RELAY, Place, ScalePlan
 from .scale_processes import HostProcess, MachineProcess, ScaleRelay
 from .trial import RelayProcess, TrialFailed, platform_config
 
@@ -62,8 +63,7 @@
         for place in self.plan.real:
             self.relays[place.name] = await self._relay(place)
         for name in self.plan.plain:
-            folder = self._folder(name)
-            self.plain[name] = ScaleRelay(self._config(name), folder)
+            self.plain[name] = self._plain_relay(name)
         sample = self._sample()
         for number, places in enumerate(self.plan.hosts):
             name = f"host{number}"
@@ -85,6 +85,21 @@
         environment = {"RYESTACK_OPERATOR": str(operator)}
         return ScaleRelay(self._config(place.name), operator.parent, environment=environment)
 
+    def _plain_relay(self, name: str) -> RelayProcess:
+        """Without control: as many destinations as a scope has, in a list that is never asked for again."""
+        folder = self._folder(name)
+        operator = folder / "operator.toml"
+        operator.write_text(tomli_w.dumps({"format": 1, "directory": {"source": "fixed"}}))
+        numbers = range(DESTINATIONS_PER_RELAY * REPLICAS)
+        rows = [
+            {**endpoint, "group": number, "since_ms": 0}
+            for number in numbers
+            for endpoint in destination_value(number, self.outside.partner_addresses)["endpoints"]
+        ]
+        known = {"index": 1, "snapshot": True, "endpoints": rows}
+        config = {**self._config(name), "known": known}
+        return ScaleRelay(config, folder, environment={"RYESTACK_OPERATOR": str(operator)})
+
     async def _host(self, name: str, places: list[Place], sample: set[str]) -> Specification:
         tables, relays = {}, []
         for place in places:
--- a/ryestack/lab/scale_operations.py
+++ b/ryestack/lab/scale_operations.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import time
 from contextlib import suppress
 
@@ -17,6 +18,7 @@
 from .trial import TrialFailed
 
 LEADS_WITHIN = 40.0  # seconds until a machine has to say that it leads
+STOPS_WITHIN = 30.0  # seconds that a real relay may take to end by SIGTERM
 LOOK = 0.2
 
 
@@ -32,6 +34,7 @@
         self.host_of = {p.name: f"host{n}" for n, host in enumerate(fleet.plan.hosts) for p in host}
         self.lines: list[Line] = []
         self.measures: Measured | None = None
+        self.empty_hosts: dict[str, Usage] = {}  # before any hollow relay
 
     # -- control machines and real relays ---------------------------------------------------------------
 
@@ -56,6 +59,17 @@
         await asyncio.gather(*(self.children.kill(name) for name in names))
         self._note(names, Kind.STOPPED)
 
+    async def stop_real(self) -> None:
+        """By SIGTERM, so that their state folders tell what they served at the end; raises TrialFailed."""
+        for name in self.real_names:
+            self.children.signal(name, signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOPS_WITHIN):
+                await asyncio.gather(*(self.fleet.relays[name].process.wait() for name in self.real_names))
+        except TimeoutError:
+            raise TrialFailed(f"a relay did not end within {STOPS_WITHIN:g} s of SIGTERM") from None
+        self._note(self.real_names, Kind.STOPPED)
+
     def _note(self, names: list[str], kind: Kind) -> None:
         now = time.monotonic()
         self.lines += [Line(name, kind, 0, now) for name in names if name in self.fleet.relays]
@@ -88,6 +102,9 @@
         length = time.monotonic() - began
         self.measures = Measured(length, before, self._usages(), traffic, self._traffic())
 
+    def measure_empty_hosts(self) -> None:
+        self.empty_hosts = {name: usage(self.children.process_id(name)) for name in self.fleet.hosts}
+
     def _usages(self) -> dict[str, Usage]:
         found = {}
         for name in self.children.started:
--- a/ryestack/lab/scale_report.py
+++ b/ryestack/lab/scale_report.py
@@ -106,7 +106,8 @@
 
 
 class ScaleResult(msgspec.Struct, frozen=True):
-    """All of a run."""
+    """All of a run. Memories are bytes resident; a hollow relay's is its part of what its host takes more than
+    an empty one."""
 
     relays: int
     real: int
@@ -143,7 +144,7 @@
     force = in_force(made, run.lines(), scope)
     starts = caught_up(made, run.lines())
     hollow_count = len(run.operations.hollow_names)
-    host_memory = _mean_memory(measures, fleet.hosts) * len(fleet.hosts)
+    empty = run.operations.empty_hosts
     return ScaleResult(
         relays=len(plan.relays), real=len(plan.real), hollow=hollow_count, machines=len(plan.machines),
         voters=sum(machine.voter for machine in plan.machines), destinations=plan.destinations, seed=run.seed,
