--- a/ryestack/lab/scale_report.py
+++ b/ryestack/lab/scale_report.py
@@ -106,8 +106,8 @@
 
 
 class ScaleResult(msgspec.Struct, frozen=True):
-    """All of a run. Memories are bytes resident; a hollow relay's is its part of what its host takes more than
-    an empty one."""
+    """All of a run. Memories are bytes resident; a hollow relay's is its part of what its host takes
+    more than an empty one."""
 
     relays: int
     real: int
@@ -145,6 +145,8 @@
     starts = caught_up(made, run.lines())
     hollow_count = len(run.operations.hollow_names)
     empty = run.operations.empty_hosts
+    after = measures.after if measures else empty
+    host_memory = sum(after[name].memory - empty[name].memory for name in fleet.hosts)
     return ScaleResult(
         relays=len(plan.relays), real=len(plan.real), hollow=hollow_count, machines=len(plan.machines),
         voters=sum(machine.voter for machine in plan.machines), destinations=plan.destinations, seed=run.seed,
