Scale run: a change is tried for 20 s, and its answer is a figure

The trial counted 33 changes unanswered in all: four tries 0.2 s apart are over before an election, and each change that was tried twice stood in the list twice. Earlier tries are kept apart now (they may hold), and the time from the first try to the answer is told.

--- a/ryestack/cli/scale.py
+++ b/ryestack/cli/scale.py
@@ -12,7 +12,7 @@
 from ..lab.scale import ScaleRun
 from ..lab.scale_plan import DoesNotFit, ScalePlan, largest, make_plan
 from ..lab.scale_processes import write_json
-from ..lab.scale_report import NOTIFICATION_RULES, ScaleResult
+from ..lab.scale_report import NOTIFICATION_RULES, ScaleResult, StoryResult
 from ..lab.scale_stories import STORIES, Lengths
 from ..lab.scale_usage import limits
 from ..lab.trial import TrialFailed
@@ -62,16 +62,21 @@
 
 
 def _show(result: ScaleResult) -> None:
-    rows = [
-        [
-            story.story, story.changes, story.unanswered, _delays(story.shared), _delays(story.scoped),
-            _delays(story.restarted), story.shared.never + story.scoped.never + story.restarted.never,
-            "yes" if story.caught_up else "NO",
-        ]
-        for story in result.stories
-    ]  # fmt: skip
-    columns = ["story", "changes", "unanswered", "shared", "scoped", "restarted", "never", "caught up"]
-    title = f"{result.relays} relays ({result.real} real): seconds until in force, p50 / p99 / worst"
+    rows = [_story_row(story) for story in result.stories]
+    columns = [
+        "story",
+        "changes",
+        "unanswered",
+        "answered",
+        "shared",
+        "scoped",
+        "restarted",
+        "never",
+        "caught up",
+    ]
+    title = (
+        f"{result.relays} relays ({result.real} real): seconds until answered, in force, p50 / p99 / worst"
+    )
     table(title, columns, rows)
     rows = [
         [name, f"{c.hollow:.4g}", f"{c.real:.4g}", "" if c.ratio is None else f"{c.ratio:.3f}",
@@ -93,6 +98,13 @@
     say("\n".join(result.notifications["broken"][:10]))
 
 
+def _story_row(story: StoryResult) -> list:
+    delays = (story.answered, story.shared, story.scoped, story.restarted)
+    never = sum(each.never for each in delays)
+    told = "yes" if story.caught_up else "NO"
+    return [story.story, story.changes, story.unanswered, *map(_delays, delays), never, told]
+
+
 def _pair(result: ScaleResult) -> str:
     return f"{result.real_memory / 1e3:.0f}, {result.plain_memory / 1e3:.0f}"
 
--- a/ryestack/lab/scale_changes.py
+++ b/ryestack/lab/scale_changes.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from contextlib import suppress
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from random import Random
 
 import aiohttp
@@ -18,7 +18,7 @@
 BATCHES_AT_ONCE = 4
 SETUP_WITHIN = 120.0  # seconds for one batch, over all tries
 PATIENCE = 5.0  # seconds for the answer to one try of a change
-TRIES = 4  # of a change, each at another machine
+ANSWERED_WITHIN = 20.0  # seconds for a change, over all tries
 BAD_REQUEST = 400
 PAUSE = 0.2  # seconds between tries
 SETTINGS = 16  # shared keys that changes go round
@@ -53,6 +53,14 @@
     return {"region": region, "endpoints": endpoints}
 
 
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """The version that holds a change, and how many tries it took."""
+
+    version: int
+    tries: int
+
+
 class _Told(msgspec.Struct):
     """A machine's answer: the version, or where the leader is."""
 
@@ -68,8 +76,10 @@
 
     def __init__(self, plan: ScalePlan, addresses: dict[str, str], partners: list[str], seed: int):
         self.plan, self.addresses, self.partners = plan, addresses, partners
-        self.random, self.made, self.order = Random(f"{seed} changes"), [], list(addresses.values())
-        self.count, self.newest, self.newest_shared, self.tried_again = 0, 0, 0, 0
+        self.random, self.order = Random(f"{seed} changes"), list(addresses.values())
+        self.made: list[Change] = []
+        self.doubtful: list[Change] = []  # earlier tries of changes: they may hold, behind a later change too
+        self.count, self.newest, self.newest_shared = 0, 0, 0
         self.session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
@@ -100,7 +110,8 @@
                 until = time.monotonic() + SETUP_WITHIN
                 while time.monotonic() < until:
                     with suppress(NotAnswered):
-                        self.newest = max(self.newest, await self.post(rows[begin : begin + BATCH]))
+                        taken = await self.post(rows[begin : begin + BATCH])
+                        self.newest = max(self.newest, taken.version)
                         return
                 raise TrialFailed(f"no control machine took {BATCH} entries within {SETUP_WITHIN:g} s")
 
@@ -123,16 +134,17 @@
     async def one(self) -> Change:
         """Hands in the next change and enters what came of it."""
         key, value, shared = self.draw()
-        asked, version, tried_again = time.monotonic(), 0, self.tried_again
+        asked, taken = time.monotonic(), Taken(0, 0)
         with suppress(NotAnswered):
-            version = await self.post([(key, value)])
+            taken = await self.post([(key, value)])
+        version = taken.version
         made = Change(
             key=digest(key), value=value_digest(msgspec.json.encode(value)), shared=shared, asked=asked,
             answered=time.monotonic(), version=version,
         )  # fmt: skip
         self.made.append(made)
-        if version and self.tried_again > tried_again:
-            self.made.append(replace(made, version=0))  # an earlier try may hold behind a later change
+        if version and taken.tries > 1:
+            self.doubtful.append(replace(made, version=0))
         self.newest = max(self.newest, version)
         self.newest_shared = max(self.newest_shared, version if shared else 0)
         return made
@@ -148,7 +160,7 @@
                 await asyncio.sleep(1.0 / rate)
         finally:
             if tasks:
-                await asyncio.wait(tasks, timeout=PATIENCE * TRIES)
+                await asyncio.wait(tasks, timeout=PATIENCE + ANSWERED_WITHIN)
 
     async def burst(self, count: int, seconds: float) -> None:
         """So many changes, evenly over some seconds, whatever is answered meanwhile."""
@@ -160,17 +172,17 @@
 
     # -- the wire ---------------------------------------------------------------------------------------
 
-    async def post(self, rows: list[tuple[str, dict]]) -> int:
-        """The version that holds these values by key; raises NotAnswered.
+    async def post(self, rows: list[tuple[str, dict]]) -> Taken:
+        """Hands in values by key; raises NotAnswered.
 
         A try without an answer may hold too: then the same values hold by two versions.
         """
         body = msgspec.json.encode({"changes": [{"key": key, "value": value} for key, value in rows]})
-        for _ in range(TRIES):
-            told = await self._try(body)
+        until, tries = time.monotonic() + ANSWERED_WITHIN, 0
+        while time.monotonic() < until:
+            told, tries = await self._try(body), tries + 1
             if told.version:
-                return told.version
-            self.tried_again += 1
+                return Taken(told.version, tries)
             self._turn_to(told.address)
             await asyncio.sleep(PAUSE)
         raise NotAnswered
--- a/ryestack/lab/scale_report.py
+++ b/ryestack/lab/scale_report.py
@@ -67,7 +67,8 @@
 class StoryResult(msgspec.Struct, frozen=True):
     """What a story did to changes asked for in it.
 
-    unanswered: changes that no machine answered; shared, scoped: until in force at all relays concerned;
+    unanswered: changes that no machine took in all tries; answered: from the first try to the answer; shared,
+    scoped: from the answer until in force at all relays concerned;
     restarted: from a relay's start until it is current; caught_up: whether all were, a while after the story.
     """
 
@@ -77,6 +78,7 @@
     caught_up_after: float
     changes: int
     unanswered: int
+    answered: Delays
     shared: Delays
     scoped: Delays
     restarted: Delays
@@ -157,7 +159,7 @@
         real_memory=_mean_memory(measures, fleet.relays), plain_memory=_mean_memory(measures, fleet.plain),
         machine=machine_use(measures, fleet.machines) if measures else None,
         changes=len(made), older_after_newer=older_after_newer(run.lines()),
-        lost_changes=lost_changes(made, run.lines(), alive, scope), left_behind=left,
+        lost_changes=lost_changes(made + run.changes.doubtful, run.lines(), alive, scope), left_behind=left,
         notifications=notifications,
     )  # fmt: skip
 
@@ -174,6 +176,7 @@
         story=window.story, seconds=round(window.ended - window.began, 2), caught_up=window.whole,
         caught_up_after=round(window.settled - window.ended, 2), changes=len(asked),
         unanswered=sum(not change.version for change in asked),
+        answered=delays([change.answered - change.asked for change in asked if change.version]),
         shared=delays([each.seconds for each in mine if each.change.shared]),
         scoped=delays([each.seconds for each in mine if not each.change.shared]),
         restarted=delays(restarted), slowest=slowest.slowest if slowest else "",
