--- a/ryestack/lab/scale_report.py
+++ b/ryestack/lab/scale_report.py
@@ -108,8 +108,8 @@
 
 
 class ScaleResult(msgspec.Struct, frozen=True):
-    """All of a run. Memories are bytes resident; a hollow relay's is its part of what its host takes
-    more than an empty one."""
+    """All of a run. real_cpu, plain_cpu: parts of a core of idle relays with and without control. Memories
+    are bytes resident; a hollow relay's is its part of what its host takes more than an empty one."""
 
     relays: int
     real: int
@@ -126,6 +126,8 @@
     hollow_memory: float
     real_memory: float
     plain_memory: float
+    real_cpu: float
+    plain_cpu: float
     machine: MachineUse | None
     changes: int
     older_after_newer: Faults
@@ -157,6 +159,7 @@
         compared=compared(measures, run.operations) if measures else {},
         hollow_memory=host_memory / max(1, hollow_count),
         real_memory=_mean_memory(measures, fleet.relays), plain_memory=_mean_memory(measures, fleet.plain),
+        real_cpu=_mean_cpu(measures, fleet.relays), plain_cpu=_mean_cpu(measures, fleet.plain),
         machine=machine_use(measures, fleet.machines) if measures else None,
         changes=len(made), older_after_newer=older_after_newer(run.lines()),
         lost_changes=lost_changes(made + run.changes.doubtful, run.lines(), alive, scope), left_behind=left,
@@ -231,6 +234,11 @@
     return sum((value - mean) ** 2 for value in values) / max(1, len(values) - 1)
 
 
+def _mean_cpu(measures: Measured | None, names: Iterable[str]) -> float:
+    found = [measures.cpu(name) for name in names] if measures else []
+    return sum(found) / len(found) if found else 0.0
+
+
 def _mean_memory(measures: Measured | None, names: Iterable[str]) -> float:
     found = [measures.after[name].memory for name in names] if measures else []
     return sum(found) / len(found) if found else 0.0
