--- a/ryestack/lab/scale_changes.py
+++ b/ryestack/lab/scale_changes.py
@@ -1,9 +1,10 @@
 """Destinations and changes of a scale run: what is handed to control machines, and what they answered."""
 
 import asyncio
+import itertools
 import time
 from contextlib import suppress
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from random import Random
 
 import aiohttp
@@ -14,12 +15,14 @@
 from .scale_plan import REGIONS, ScalePlan
 from .trial import TrialFailed
 
-BATCH = 400  # entries in one change while the run is being set up
+BATCH = 1000  # entries in one change while the run is being set up
 BATCHES_AT_ONCE = 4
 SETUP_WITHIN = 120.0  # seconds for one batch, over all tries
 PATIENCE = 5.0  # seconds for the answer to one try of a change
-TRIES = 4  # of a change, each at another machine
+ANSWERED_WITHIN = 20.0  # seconds for a change, over all tries
+BAD_REQUEST = 400
 PAUSE = 0.2  # seconds between tries
+SHARED_EVERY = 4  # one in so many of the steady changes is shared by all relays
 SETTINGS = 16  # shared keys that changes go round
 CHANGED_DESTINATIONS = 64  # destinations that changes go round; no load goes to them
 LAST_LOADED = "setting/scale-loaded"  # shared: who has it has all that was loaded before
@@ -52,6 +55,21 @@
     return {"region": region, "endpoints": endpoints}
 
 
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """The version that holds a change, and how many tries it took."""
+
+    version: int
+    tries: int
+
+
+class _Told(msgspec.Struct):
+    """A machine's answer: the version, or where the leader is."""
+
+    version: int = 0
+    address: str = ""
+
+
 class Changes:
     """Hands changes to control machines and keeps what was answered.
 
@@ -60,8 +78,11 @@
 
     def __init__(self, plan: ScalePlan, addresses: dict[str, str], partners: list[str], seed: int):
         self.plan, self.addresses, self.partners = plan, addresses, partners
-        self.random, self.made, self.order = Random(f"{seed} changes"), [], list(addresses.values())
-        self.count, self.newest, self.newest_shared, self.tried_again = 0, 0, 0, 0
+        self.random, self.order = Random(f"{seed} changes"), list(addresses.values())
+        self.made: list[Change] = []
+        self.doubtful: list[Change] = []  # earlier tries of changes: they may hold, behind a later change too
+        self.counts = {True: 0, False: 0}  # of changes, by whether all relays share them
+        self.newest, self.newest_shared = 0, 0
         self.session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
@@ -92,7 +113,8 @@
                 until = time.monotonic() + SETUP_WITHIN
                 while time.monotonic() < until:
                     with suppress(NotAnswered):
-                        self.newest = max(self.newest, await self.post(rows[begin : begin + BATCH]))
+                        taken = await self.post(rows[begin : begin + BATCH])
+                        self.newest = max(self.newest, taken.version)
                         return
                 raise TrialFailed(f"no control machine took {BATCH} entries within {SETUP_WITHIN:g} s")
 
@@ -102,29 +124,30 @@
 
     # -- what is measured -------------------------------------------------------------------------------
 
-    def draw(self) -> tuple[str, dict, bool]:
-        """(key, value, whether all relays share it) of the next change: shared and scoped in turn."""
-        self.count += 1
-        if self.count % 2:
-            number = self.count // 2 % SETTINGS
-            return f"setting/scale-{number}", {"number": self.count, "note": "x" * 60}, True
-        destination = self.count // 2 % min(CHANGED_DESTINATIONS, self.plan.destinations)
-        weight = WEIGHT + self.count / 1000.0
-        return destination_key(destination), destination_value(destination, self.partners, weight), False
-
-    async def one(self) -> Change:
-        """Hands in the next change and enters what came of it."""
-        key, value, shared = self.draw()
-        asked, version, tried_again = time.monotonic(), 0, self.tried_again
+    def draw(self, shared: bool) -> tuple[str, dict]:
+        """Key and value of the next change; each kind goes round its keys."""
+        self.counts[shared] += 1
+        count = self.counts[shared]
+        if shared:
+            return f"setting/scale-{count % SETTINGS}", {"number": count, "note": "x" * 60}
+        destination = count % min(CHANGED_DESTINATIONS, self.plan.destinations)
+        weight = WEIGHT + count / 1000.0
+        return destination_key(destination), destination_value(destination, self.partners, weight)
+
+    async def one(self, shared: bool) -> Change:
+        """Hands in the next change and enters what came of it; shared: whether all relays have it."""
+        key, value = self.draw(shared)
+        asked, taken = time.monotonic(), Taken(0, 0)
         with suppress(NotAnswered):
-            version = await self.post([(key, value)])
+            taken = await self.post([(key, value)])
+        version = taken.version
         made = Change(
             key=digest(key), value=value_digest(msgspec.json.encode(value)), shared=shared, asked=asked,
             answered=time.monotonic(), version=version,
         )  # fmt: skip
         self.made.append(made)
-        if version and self.tried_again > tried_again:
-            self.made.append(replace(made, version=0))  # an earlier try may hold behind a later change
+        if version and taken.tries > 1:
+            self.doubtful.append(replace(made, version=0))
         self.newest = max(self.newest, version)
         self.newest_shared = max(self.newest_shared, version if shared else 0)
         return made
@@ -133,41 +156,54 @@
         """Changes at a rate a second until it is cancelled; those on their way are waited for."""
         tasks: set[asyncio.Task] = set()
         try:
-            while True:
-                task = asyncio.ensure_future(self.one())
+            for number in itertools.count():
+                task = asyncio.ensure_future(self.one(number % SHARED_EVERY == 0))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
                 await asyncio.sleep(1.0 / rate)
         finally:
             if tasks:
-                await asyncio.wait(tasks, timeout=PATIENCE * TRIES)
+                await asyncio.wait(tasks, timeout=PATIENCE + ANSWERED_WITHIN)
 
     async def burst(self, count: int, seconds: float) -> None:
-        """So many changes, evenly over some seconds, whatever is answered meanwhile."""
+        """So many changes, evenly over some seconds, whatever is answered meanwhile; half are shared."""
         tasks = []
-        for _ in range(count):
-            tasks.append(asyncio.ensure_future(self.one()))
+        for number in range(count):
+            tasks.append(asyncio.ensure_future(self.one(number % 2 == 0)))
             await asyncio.sleep(seconds / count)
         await asyncio.wait(tasks)
 
     # -- the wire ---------------------------------------------------------------------------------------
 
-    async def post(self, rows: list[tuple[str, dict | None]]) -> int:
-        """The version that holds these entries; raises NotAnswered.
+    async def post(self, rows: list[tuple[str, dict]]) -> Taken:
+        """Hands in values by key; raises NotAnswered.
 
         A try without an answer may hold too: then the same values hold by two versions.
         """
-        body = msgspec.json.encode({"entries": [{"key": key, "value": value} for key, value in rows]})
-        for _ in range(TRIES):
-            address = self.order[0]
-            with suppress(aiohttp.ClientError, OSError, TimeoutError, ValueError):
-                limit = aiohttp.ClientTimeout(total=PATIENCE)
-                url = f"http://{address}/control/changes"
-                async with self.session.post(url, data=body, timeout=limit) as answer:
-                    told = msgspec.json.decode(await answer.read(), type=dict)
-                    if answer.status == 200:
-                        return told["version"]
-            self.tried_again += 1
-            self.order.append(self.order.pop(0))
+        body = msgspec.json.encode({"changes": [{"key": key, "value": value} for key, value in rows]})
+        until, tries = time.monotonic() + ANSWERED_WITHIN, 0
+        while time.monotonic() < until:
+            told, tries = await self._try(body), tries + 1
+            if told.version:
+                return Taken(told.version, tries)
+            self._turn_to(told.address)
             await asyncio.sleep(PAUSE)
         raise NotAnswered
+
+    async def _try(self, body: bytes) -> _Told:
+        limit, url = aiohttp.ClientTimeout(total=PATIENCE), f"http://{self.order[0]}/control/changes"
+        with suppress(aiohttp.ClientError, OSError, TimeoutError, msgspec.MsgspecError):
+            async with self.session.post(url, data=body, timeout=limit) as answer:
+                text = await answer.read()
+                if answer.status == BAD_REQUEST:
+                    raise TrialFailed(f"a change was refused: {text.decode(errors='replace')}")
+                return msgspec.json.decode(text, type=_Told)
+        return _Told()
+
+    def _turn_to(self, address: str) -> None:
+        """The next try goes to the leader, where that was told, else to the next machine."""
+        if address in self.order and address != self.order[0]:
+            self.order.remove(address)
+            self.order.insert(0, address)
+        else:
+            self.order.append(self.order.pop(0))
