--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from .registry_control import CONTROL_ROWS
+from . import registry_control, registry_machine
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +50,7 @@
         "what else has changed holds from the next start",
         "restart when it suits",
     ),
-    *CONTROL_ROWS,
+    *registry_control.CONTROL_ROWS,
     (
         "ends.blocked",
         "WARNING",
@@ -68,6 +68,7 @@
         "more relays, or more descriptors",
         "*",
     ),
+    ("front.stale", "DEBUG", "waited", "a hand-in that its client had given up was answered 503 unparsed"),
     ("front.open", "INFO", "protocol address", "clients are served at this address"),
     (
         "journal.adopted",
@@ -75,6 +76,7 @@
         "file owed",
         "what a process that is gone left in a file of its own is this one's now",
     ),
+    *registry_machine.MACHINE_ROWS,
     (
         "journal.blocked",
         "ERROR",
