--- a/ryestack/control/subscriber.py
+++ b/ryestack/control/subscriber.py
@@ -26,7 +26,6 @@
 from .staging import MAX_STAGED_BYTES, BadAnswer, Staging, TooLarge
 from .subscription import TABLE, Ask, Identity, Input, State
 
-ANSWER_SECONDS = 2.0  # for an answer, beside what the poll may be held
 LEAST_HOLD = 0.8  # part of the time that a poll is held that is not left to chance
 START_SECONDS = 0.3  # that the first polls of relays that start together spread over
 OVERSIZE_REST_SECONDS = 60.0  # before a scope that was too large is looked at again
@@ -107,12 +106,12 @@
         try:
             if isinstance(answer, Piece) and isinstance(asked, Fetch):
                 staging.add_piece(asked.shards, answer)
-                return Input.MORE
+                return Input.CHANGED if staging.complete() else Input.MORE
             if isinstance(asked, Fetch):
                 return Input.FAILED
             if isinstance(answer, Scope) and answer.shards and set(answer.shards) != staging.shards:
                 staging.retarget(answer.shards)
-                return Input.MORE
+                return Input.CHANGED if staging.complete() else Input.MORE
             if isinstance(answer, TooOld) and staging.shards:
                 staging.refetch()
                 return Input.MORE
@@ -142,7 +141,7 @@
         request = self._fetch(shards) if shards else self._poll()
         hold = request.hold if isinstance(request, Poll) else 0.0
         self._number += 1
-        self._out = Ask(self._number, machine, request, hold + ANSWER_SECONDS)
+        self._out = Ask(self._number, machine, request, hold + self._failover.patience())
         self._least_at = now + hold / 2.0  # a machine that can hold no more polls answers at once
         self.wake_at = inf
 
--- a/ryestack/lab/scale_report.py
+++ b/ryestack/lab/scale_report.py
@@ -67,7 +67,8 @@
 class StoryResult(msgspec.Struct, frozen=True):
     """What a story did to changes asked for in it.
 
-    unanswered: changes that no machine answered; shared, scoped: until in force at all relays concerned;
+    unanswered: changes that no machine took in all tries; answered: from the first try to the answer; shared,
+    scoped: from the answer until in force at all relays concerned;
     restarted: from a relay's start until it is current; caught_up: whether all were, a while after the story.
     """
 
@@ -77,6 +78,7 @@
     caught_up_after: float
     changes: int
     unanswered: int
+    answered: Delays
     shared: Delays
     scoped: Delays
     restarted: Delays
@@ -106,7 +108,8 @@
 
 
 class ScaleResult(msgspec.Struct, frozen=True):
-    """All of a run."""
+    """All of a run. real_cpu, plain_cpu: parts of a core of idle relays with and without control. Memories
+    are bytes resident; a hollow relay's is its part of what its host takes more than an empty one."""
 
     relays: int
     real: int
@@ -123,6 +126,8 @@
     hollow_memory: float
     real_memory: float
     plain_memory: float
+    real_cpu: float
+    plain_cpu: float
     machine: MachineUse | None
     changes: int
     older_after_newer: Faults
@@ -143,7 +148,9 @@
     force = in_force(made, run.lines(), scope)
     starts = caught_up(made, run.lines())
     hollow_count = len(run.operations.hollow_names)
-    host_memory = _mean_memory(measures, fleet.hosts) * len(fleet.hosts)
+    empty = run.operations.empty_hosts
+    after = measures.after if measures else empty
+    host_memory = sum(after[name].memory - empty[name].memory for name in fleet.hosts)
     return ScaleResult(
         relays=len(plan.relays), real=len(plan.real), hollow=hollow_count, machines=len(plan.machines),
         voters=sum(machine.voter for machine in plan.machines), destinations=plan.destinations, seed=run.seed,
@@ -152,9 +159,10 @@
         compared=compared(measures, run.operations) if measures else {},
         hollow_memory=host_memory / max(1, hollow_count),
         real_memory=_mean_memory(measures, fleet.relays), plain_memory=_mean_memory(measures, fleet.plain),
+        real_cpu=_mean_cpu(measures, fleet.relays), plain_cpu=_mean_cpu(measures, fleet.plain),
         machine=machine_use(measures, fleet.machines) if measures else None,
         changes=len(made), older_after_newer=older_after_newer(run.lines()),
-        lost_changes=lost_changes(made, run.lines(), alive, scope), left_behind=left,
+        lost_changes=lost_changes(made + run.changes.doubtful, run.lines(), alive, scope), left_behind=left,
         notifications=notifications,
     )  # fmt: skip
 
@@ -171,6 +179,7 @@
         story=window.story, seconds=round(window.ended - window.began, 2), caught_up=window.whole,
         caught_up_after=round(window.settled - window.ended, 2), changes=len(asked),
         unanswered=sum(not change.version for change in asked),
+        answered=delays([change.answered - change.asked for change in asked if change.version]),
         shared=delays([each.seconds for each in mine if each.change.shared]),
         scoped=delays([each.seconds for each in mine if not each.change.shared]),
         restarted=delays(restarted), slowest=slowest.slowest if slowest else "",
@@ -225,6 +234,11 @@
     return sum((value - mean) ** 2 for value in values) / max(1, len(values) - 1)
 
 
+def _mean_cpu(measures: Measured | None, names: Iterable[str]) -> float:
+    found = [measures.cpu(name) for name in names] if measures else []
+    return sum(found) / len(found) if found else 0.0
+
+
 def _mean_memory(measures: Measured | None, names: Iterable[str]) -> float:
     found = [measures.after[name].memory for name in names] if measures else []
     return sum(found) / len(found) if found else 0.0
