--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -57,7 +57,7 @@
 
 
 @pytest.mark.parametrize(
-    "limits, said",
+    "found, said",
     [
         (Limits(2_000_000_000, 65_536, 60_000), "bytes of memory"),
         (Limits(64_000_000_000, 256, 60_000), "descriptors"),
@@ -65,18 +65,18 @@
         (Limits(64_000_000_000, 65_536, 60_000, processes=10), "processes"),
     ],
 )
-def test_what_does_not_fit_is_refused_with_the_need_and_the_limit(limits, said):
+def test_what_does_not_fit_is_refused_with_the_need_and_the_limit(found, said):
     with pytest.raises(DoesNotFit, match=f"needs [0-9,]+ {said}.*allowed"):
-        make_plan(1_000, 20, 8, limits)
+        make_plan(1_000, 20, 8, found)
 
 
 def test_the_largest_that_fits_does_and_the_next_does_not():
-    limits = Limits(memory=8_000_000_000, descriptors=20_000, ports=28_000)
-    most = largest(20, 8, limits)
+    found = Limits(memory=8_000_000_000, descriptors=20_000, ports=28_000)
+    most = largest(20, 8, found)
     assert 300 <= most < 12_000
-    make_plan(most, 20, 8, limits)
+    make_plan(most, 20, 8, found)
     with pytest.raises(DoesNotFit):
-        make_plan(most + 100, 20, 8, limits)
+        make_plan(most + 100, 20, 8, found)
 
 
 def test_the_command_refuses_with_status_2_before_anything_is_started(monkeypatch):
