Benchmark: relays that follow a control machine, as processes, idle and with changes

One machine that knows 12,000 relays, so that a scope has as many shards as at the size; 1 to 32 real relays behind a link that counts bytes.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -25,6 +25,7 @@
 sys.path.insert(0, str(ROOT))
 
 import capacity_control as control  # noqa: E402
+import capacity_control_idle as control_idle  # noqa: E402
 import capacity_peers as guards  # noqa: E402
 import capacity_processes as processes  # noqa: E402
 import capacity_state as state  # noqa: E402
@@ -102,7 +103,7 @@
         control.publisher_by_destinations,
         DESTINATIONS,
         "destinations",
-        "2 endpoints each, 1,200 relays in 7 regions, one poll held, no sockets",
+        "2 endpoints each, 12,000 relays in 7 regions, one poll held, no sockets",
     ),
     "subscriber": Probe(
         control.subscriber_by_entries,
@@ -116,6 +117,12 @@
         "changes",
         "3 voters in one process, a folder each on one disk, one change at a time",
     ),
+    "control": Probe(
+        control_idle.control_by_relays,
+        (1, 3, 10, 32),
+        "relays",
+        "one machine that knows 12,000 relays and 5,000 destinations, polls held 5 s",
+    ),
     "message": Probe(
         processes.message_by_rate,
         (4, 15, 50, 180),
--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -25,7 +25,7 @@
 
 REGIONS = [f"region-{number}" for number in range(7)]
 ZONES = [(REGIONS[number % 7], f"zone-{number:02}") for number in range(16)]
-RELAYS = 1200  # of the publisher's scopes, where destinations are counted
+RELAYS = 12_000  # of the publisher's scopes, where destinations are counted
 REPLICAS = 3
 SCOPE_SHARDS = 15  # of a relay at the size: 7 regions x 8,192 shards x 3 replicas / 12,000 relays
 HOLD = 5.0  # seconds, the default of [control]
