--- a/ryestack/lab/trial.py
+++ b/ryestack/lab/trial.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
 
 import aiohttp
@@ -192,38 +193,41 @@
         platform = Platform(partner.stage, addresses)
         await platform.start()
         listen = f"127.0.0.1:{free_port()}"
-        config = platform_config(listen, platform.address, platform.listing(), TOPICS, seed)
-        relay = RelayProcess(config, folder)
+        relay = RelayProcess(
+            platform_config(listen, platform.address, platform.listing(), TOPICS, seed), folder
+        )
         first = await relay.start()
         say(f"relay on {listen}, platform on {platform.address}, {len(addresses)} endpoints of 3 partners")
         plan = Plan(TOPICS, [1, 2, 3], ["acme"], rate=rate, seconds=seconds, seed=seed, window=WINDOW)
         load = Load(plan, [listen], note)
         partner.began = platform.began = time.monotonic()  # the timeline begins with the load
-        sending = asyncio.ensure_future(load.run())
-        try:
-            relay, more = await story(relay, say)
-            await sending
-        finally:
-            sending.cancel()
-
-        async def collect():
-            books = partner.books, platform.books
-            return books[0].runs, books[1].notices, books[0].whole and books[1].whole
-
-        told = await settled(load, collect, max(t.ttl for t in TOPICS) + 2.0)
+        relay, more = await under_load(load, story(relay, say))
+        told = await settled(load, partial(entries, partner, platform), max(t.ttl for t in TOPICS) + 2.0)
         status = await relay.kill(signal.SIGTERM)
         say(f"stopped the relay by SIGTERM: status {status}")
-        refused = sum(n for what, n in partner.books.calls.items() if what.endswith(" full"))
-        facts = {
-            "start_s": first,
-            **more,
-            "turned_away_by_partners": refused,
-            "stop_status": status,
-        }
-        return told, facts
+        return told, {"start_s": first, **more, **facts_of(partner, status)}
+    finally:
+        for part in (relay, partner, platform):
+            if part:
+                await part.close()
+
+
+async def under_load(load: Load, story):
+    """What the story returns, once all is handed in; nothing is handed in any more if it fails."""
+    sending = asyncio.ensure_future(load.run())
+    try:
+        told = await story
+        await sending
     finally:
-        if relay:
-            await relay.close()
-        await partner.close()
-        if platform:
-            await platform.close()
+        sending.cancel()
+    return told
+
+
+async def entries(partner: Partner, platform: Platform) -> tuple[list, list, bool]:
+    """The books' effects and notices, and whether both books are whole."""
+    return partner.books.runs, platform.books.notices, partner.books.whole and platform.books.whole
+
+
+def facts_of(partner: Partner, status: int) -> dict:
+    refused = sum(count for what, count in partner.books.calls.items() if what.endswith(" full"))
+    return {"turned_away_by_partners": refused, "stop_status": status}
