Control: an assignment in progress holds up no change and no heartbeat

Change: polls.py lets a thread work it out; one task at a time has the publisher; committed changes reach it by a task of their own, and are acknowledged before that. Test: with an assignment of 2 s in progress a change is answered within 1 s; fails without the thread.

--- a/ryestack/control/change_log.py
+++ b/ryestack/control/change_log.py
@@ -1,10 +1,12 @@
 """A voter at work: its replica of the change log, its disk, its way to the others, and the state they give.
 
-One task (`run`) does all that follows from what came: records to disk, then messages out, then committed
-changes into the publisher. What comes while the disk is at work shares the next fsync.
+One task does all that follows from what came: records to disk, then messages out, then answers to changes.
+What comes while the disk is at work shares the next fsync. Another brings committed changes to the relays'
+side, which may take its time.
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -15,6 +17,7 @@
 from .consensus import Overloaded, Replica
 from .consensus_messages import LogEntry, Message
 from .consensus_state import Ready, Record, Role
+from .polls import Polls
 from .publisher import Publisher
 from .storage import Storage
 from .storage_errors import StorageFull
@@ -35,7 +38,7 @@
 
 
 class ChangeLog:
-    """on_applied: called when the publisher has taken changes; blocked: why the disk takes nothing, or ""."""
+    """blocked: why the disk takes nothing, or ""; polls: where committed changes go; publisher: theirs."""
 
     def __init__(
         self,
@@ -43,27 +46,32 @@
         storage: Storage,
         transport: Transport,
         publisher: Publisher,
+        polls: Polls,
         clock: Callable[[], float],
-        on_applied: Callable[[], None],
     ):
-        self.replica, self.publisher, self.blocked = replica, publisher, ""
+        self.replica, self.blocked = replica, ""
+        self._publisher, self._polls = publisher, polls
         self._storage, self._transport, self._clock = storage, transport, clock
-        self._on_applied = on_applied
         self._disk = ThreadPoolExecutor(1, "disk")
         self._compaction = Compaction(replica, storage, publisher)
-        self._work = asyncio.Event()
+        self._work, self._committed = asyncio.Event(), asyncio.Event()
+        self._to_apply: deque[LogEntry | None] = deque()  # None: the snapshot that stands
         self._waiting: dict[int, tuple[LogEntry, asyncio.Future]] = {}
         self._told = (Role.FOLLOWER, "")
 
     async def run(self) -> None:
         """Ends by cancellation, or with the OSError or BadStorage of a disk that can't be used."""
+        applying = asyncio.ensure_future(self._apply_committed())
         try:
-            await self._work_on()
+            await self._work_on(applying)
         finally:
+            applying.cancel()
             self._give_up("the machine ends")
 
-    async def _work_on(self) -> None:
+    async def _work_on(self, applying: asyncio.Task) -> None:
         while True:
+            if applying.done():
+                applying.result()
             self.replica.tick(self._clock())
             while ready := self.replica.take():
                 await self._finish(ready)
@@ -119,11 +127,13 @@
             await self._store(ready.records)
         self._transport.send(ready.messages)
         if ready.restored:
-            await self._restore()
+            self._to_apply.append(None)
+            self._give_up("another leader's snapshot came")
         for entry in ready.committed:
-            self._apply(entry)
-        if ready.restored or ready.committed:
-            self._on_applied()
+            self._acknowledge(entry)
+        self._to_apply.extend(ready.committed)
+        if self._to_apply:
+            self._committed.set()
         self.replica.persisted(ready, self._clock())
 
     async def _store(self, records: list[Record]) -> None:
@@ -141,14 +151,20 @@
             self.blocked = ""
             event("machine.unblocked")
 
-    async def _restore(self) -> None:
-        """A leader's snapshot has taken the state's place."""
-        catalogue = await self._on_disk(lambda: read_catalogue(self._storage.read_snapshot()))
-        self.publisher.load(catalogue)
-        self._give_up("another leader's snapshot came")
-
-    def _apply(self, entry: LogEntry) -> None:
-        self.publisher.apply(entry.position, entries_of(entry.payload, entry.position), self._clock())
+    async def _apply_committed(self) -> None:
+        """Bring what is committed to the relays' side, in order."""
+        while True:
+            if not self._to_apply:
+                self._committed.clear()
+                await self._committed.wait()
+            entry = self._to_apply.popleft()
+            if entry is None:
+                parts = self._storage.read_snapshot()
+                await self._polls.load(await asyncio.to_thread(read_catalogue, parts))
+            elif entry.position > self._publisher.catalogue.version:  # else a newer snapshot had it
+                await self._polls.apply(entry.position, entries_of(entry.payload, entry.position))
+
+    def _acknowledge(self, entry: LogEntry) -> None:
         mine, future = self._waiting.pop(entry.position, (None, None))
         if future is None or future.done():
             return
--- a/ryestack/control/compaction.py
+++ b/ryestack/control/compaction.py
@@ -22,7 +22,7 @@
 
 
 class Compaction:
-    """`step` is called between two steps of the change log, when all that is committed is applied."""
+    """`step` is called between two steps of the change log."""
 
     def __init__(self, replica: Replica, storage: Storage, publisher: Publisher):
         self._replica, self._storage, self._publisher = replica, storage, publisher
@@ -53,9 +53,11 @@
         self._writer.shutdown()
 
     def _begin(self) -> None:
-        state = self._replica.state
-        self._position, self._term = state.applied, state.log.term_at(state.applied)
         snapshot = self._publisher.catalogue.snapshot()
+        term = self._replica.state.log.term_at(snapshot.version)
+        if term is None:
+            return  # a leader's snapshot stands on disk and is not applied yet
+        self._position, self._term = snapshot.version, term
         self._writing = self._writer.submit(
             self._storage.prepare_snapshot, self._position, self._term, parts_of(snapshot)
         )
--- a/ryestack/control/follower.py
+++ b/ryestack/control/follower.py
@@ -13,7 +13,7 @@
 from .machine_client import LOST, NoAnswer, post
 from .messages import PATH, BadMessage, Delta, Fetch
 from .order import Failover, Machine, machine_order
-from .publisher import Publisher
+from .polls import Polls
 
 ANSWER_SECONDS = 5.0  # for an answer, beside what it may be held
 
@@ -26,15 +26,13 @@
         machine: Machine,
         cluster: str,
         voters: list[Machine],
-        publisher: Publisher,
+        polls: Polls,
         session: aiohttp.ClientSession,
         hold: float,
         clock: Callable[[], float],
         chance: Random,
-        on_applied: Callable[[], None],
     ):
-        self._publisher, self._session, self._clock = publisher, session, clock
-        self._on_applied = on_applied
+        self._polls, self._session, self._clock = polls, session, clock
         self._gathering = Gathering(cluster, machine.name, hold)
         self._failover = Failover(machine_order(machine.name, machine.region, voters), chance)
         self._hold = hold
@@ -61,14 +59,13 @@
         gathered = self._gathering.hear(answer)
         self._failover.answered()
         if gathered:
-            self._apply(gathered)
+            await self._apply(gathered)
         if isinstance(answer, Delta) and not answer.more:
             self.confirmed_at = self._clock()
 
-    def _apply(self, gathered: Gathered) -> None:
+    async def _apply(self, gathered: Gathered) -> None:
         if gathered.catalogue is not None:
-            self._publisher.load(gathered.catalogue)
+            await self._polls.load(gathered.catalogue)
         else:
-            self._publisher.apply(gathered.version, gathered.entries, self._clock())
+            await self._polls.apply(gathered.version, gathered.entries)
         self._gathering.applied(gathered)
-        self._on_applied()
--- a/ryestack/control/machine.py
+++ b/ryestack/control/machine.py
@@ -165,27 +165,20 @@
             self._storage.read_piece,
             self._clock(),
         )
-        return ChangeLog(
-            replica, self._storage, self._transport, self._publisher, self._clock, self._on_applied
-        )
+        return ChangeLog(replica, self._storage, self._transport, self._publisher, self.polls, self._clock)
 
     def _make_follower(self) -> Follower:
         return Follower(
             self._places[self.name],
             self.cluster,
             [self._places[name] for name in self.voters],
-            self._publisher,
+            self.polls,
             self._session,
             self._hold,
             self._clock,
             self._chance,
-            self._on_applied,
         )
 
-    def _on_applied(self) -> None:
-        self._publisher.ready = self._publisher.catalogue.version > 0
-        self.polls.look()
-
     def _stale(self) -> str:
         """Why this machine may be behind all others, "" while it is not."""
         now = self._clock()
--- a/ryestack/control/polls.py
+++ b/ryestack/control/polls.py
@@ -1,12 +1,18 @@
-"""Requests of relays and followers that wait at a publisher: a future each, and one timer for all."""
+"""A publisher within an event loop: requests that wait have a future each, and one timer wakes them all.
+
+An assignment over all relays takes seconds of processor time, so it is worked out by a thread; whatever else
+needs the publisher waits for it, and the change log and its heartbeats do not.
+"""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
 from math import inf
 
 import msgspec
 
-from .messages import Answer, Delta, Fetch, Poll, Request, Unavailable
+from .catalogue import Catalogue
+from .messages import Answer, Delta, Entry, Fetch, Poll, Request, Unavailable
 from .publisher import Publisher
 
 NOBODY = 0  # the token of a request that is not to be held
@@ -19,53 +25,98 @@
     def __init__(self, publisher: Publisher, clock: Callable[[], float], stale: Callable[[], str]):
         self._publisher, self._clock, self._stale = publisher, clock, stale
         self._waiting: dict[int, asyncio.Future] = {}
-        self._tokens = 0
+        self._gone: list[int] = []  # tokens to be released once the publisher is free
+        self._tokens = NOBODY
+        self._turn = asyncio.Lock()
+        self._assigner = ThreadPoolExecutor(1, "assignment")
         self._timer: asyncio.TimerHandle | None = None
+        self._look: asyncio.Task | None = None
 
     async def answer(self, request: Request) -> Answer:
         """Raises publisher.Refused."""
-        if not isinstance(request, Fetch) and (reason := self._stale()):
-            return self._answer_while_stale(request, reason)
-        self._tokens += 1
-        token = self._tokens
-        answer = self._publisher.hear(request, self._clock(), token)
-        self.look()
+        if self._publisher.wake_at <= self._clock():
+            await asyncio.shield(self._begin_look())  # goes on where this asker leaves
+        async with self._turn:
+            if not isinstance(request, Fetch) and (reason := self._stale()):
+                return self._answer_while_stale(request, reason)
+            self._tokens += 1
+            token = self._tokens
+            answer = self._publisher.hear(request, self._clock(), token)
+            if answer is None:
+                self._waiting[token] = asyncio.get_running_loop().create_future()
+            self._set_timer()
         return await self._wait(token) if answer is None else answer
 
-    def look(self) -> None:
-        """What is due may have changed: answer it, and set the timer for the rest."""
-        if self._timer:
-            self._timer.cancel()
-            self._timer = None
-        now = self._clock()
-        if self._publisher.wake_at <= now:
-            for token, answer in self._publisher.due(now):
-                future = self._waiting.get(token)
-                if future and not future.done():
-                    future.set_result(answer)
-        if (wake_at := self._publisher.wake_at) < inf:
-            wait = max(LEAST_WAIT_SECONDS, wake_at - now)
-            self._timer = asyncio.get_running_loop().call_later(wait, self.look)
+    async def apply(self, version: int, entries: Sequence[Entry]) -> None:
+        """Take changes, as Publisher.apply."""
+        async with self._turn:
+            self._publisher.apply(version, entries, self._clock())
+            self._publisher.ready = version > 0
+            self._set_timer()
+
+    async def load(self, catalogue: Catalogue) -> None:
+        """Another catalogue holds, as Publisher.load."""
+        async with self._turn:
+            await self._in_thread(self._publisher.load, catalogue)
+            self._publisher.ready = catalogue.version > 0
+            self._set_timer()
 
     def close(self) -> None:
         if self._timer:
             self._timer.cancel()
+        if self._look:
+            self._look.cancel()
         for future in self._waiting.values():
             future.cancel()
+        self._assigner.shutdown()
+
+    async def _answer_due(self) -> None:
+        async with self._turn:
+            await self._settle()
+            self._set_timer()
+
+    async def _settle(self) -> None:
+        """Answer what is due. The publisher has to be this task's."""
+        for token in self._gone:
+            self._publisher.release(token)
+        self._gone.clear()
+        now = self._clock()
+        if self._publisher.wake_at > now:
+            return
+        if self._publisher.scopes.due_at <= now:
+            answers = await self._in_thread(self._publisher.due, now)
+        else:
+            answers = self._publisher.due(now)
+        for token, answer in answers:
+            future = self._waiting.get(token)
+            if future and not future.done():
+                future.set_result(answer)
+
+    def _set_timer(self) -> None:
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        if (wake_at := self._publisher.wake_at) < inf:
+            wait = max(LEAST_WAIT_SECONDS, wake_at - self._clock())
+            self._timer = asyncio.get_running_loop().call_later(wait, self._begin_look)
+
+    def _begin_look(self) -> asyncio.Task:
+        if self._look is None or self._look.done():
+            self._look = asyncio.ensure_future(self._answer_due())
+        return self._look
 
     async def _wait(self, token: int) -> Answer:
-        future = self._waiting[token] = asyncio.get_running_loop().create_future()
         try:
-            return await future
+            return await self._waiting[token]
         finally:
             del self._waiting[token]
-            self._publisher.release(token)
+            self._gone.append(token)
 
     def _answer_while_stale(self, request: Request, reason: str) -> Answer:
         """Whoever lies behind is helped, everybody else should ask another machine."""
         asked = msgspec.structs.replace(request, hold=0.0)
         answer = self._publisher.hear(asked, self._clock(), NOBODY)
-        self.look()
+        self._set_timer()
         if answer is None:  # a change of the relays' set is being worked in
             self._publisher.release(NOBODY)
             return Unavailable(self._publisher.catalogue.version, reason)
@@ -74,3 +125,6 @@
         if has_all and answer.version <= max(newest, request.version):
             return Unavailable(answer.version, reason)
         return answer
+
+    def _in_thread(self, call: Callable, *arguments) -> asyncio.Future:
+        return asyncio.get_running_loop().run_in_executor(self._assigner, call, *arguments)
--- a/tests/test_control_change_log.py
+++ b/tests/test_control_change_log.py
@@ -5,6 +5,7 @@
 import os
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
@@ -12,7 +13,9 @@
 from ryestack.control.change_log import DiskBlocked, Unconfirmed
 from ryestack.control.changes import Change, encode
 from ryestack.control.machine import ControlMachine
+from ryestack.control.messages import Poll, Scope
 from ryestack.control.order import Machine
+from ryestack.control.scopes import Scopes
 
 from .control_machines import ROOT, free_ports
 
@@ -117,6 +120,38 @@
     asyncio.run(play())
 
 
+def test_an_assignment_that_takes_long_holds_up_no_change(tmp_path, monkeypatch):
+    refresh, taken = Scopes.refresh, []
+
+    def slow(self, now):
+        if now >= self.due_at and now > 0.0:
+            taken.append(threading.current_thread() is not threading.main_thread())
+            time.sleep(2.0)
+        return refresh(self, now)
+
+    monkeypatch.setattr(Scopes, "refresh", slow)
+
+    async def change(machine):
+        await machine.change_log.propose(encode([Change("relay/r", b'{"region":"eu","zone":"z"}')]))
+        while not taken:
+            await asyncio.sleep(0.02)
+        began = time.monotonic()
+        version = await propose(machine, "setting/meanwhile")
+        poll = Poll("c", "r", 1, "eu", "z", 0, "", 0.0)
+        gone = asyncio.ensure_future(machine.polls.answer(poll))
+        await asyncio.sleep(0.1)
+        gone.cancel()  # must not let anybody else at the publisher
+        assert time.monotonic() - began < 1.0
+        answer = await machine.polls.answer(poll)
+        assert isinstance(answer, Scope) and answer.version <= version and len(answer.shards) == 8193
+        assert taken == [True] and machine.leads()
+
+    async def play():
+        await running(lone_voter(tmp_path), change)
+
+    asyncio.run(play())
+
+
 def test_a_relay_without_control_loads_none_of_it():
     code = "import sys, ryestack.lifecycle.service; print([m for m in sys.modules if '.control' in m])"
     told = subprocess.run(
