Control: a burst of changes that all share is told over the spread too

A poll that is due within the spread stays as it is. The test of the spread plays a burst of 100 and fails with the rule taken out.

--- a/ryestack/control/publisher.py
+++ b/ryestack/control/publisher.py
@@ -119,9 +119,7 @@
         self.scopes.hear(entries, now)
         for shard in touched:
             if shard == SHARED_SHARD:
-                for relay in self._relays.askers():
-                    wait = GATHER_SECONDS + self._chance.uniform(0.0, SPREAD_SECONDS)
-                    self._relays.hasten(relay, now + wait)
+                self._wake_all(now + GATHER_SECONDS)
             else:
                 for relay in self.scopes.relays_of(shard):
                     self._relays.hasten(relay, now + GATHER_SECONDS)
@@ -233,6 +231,12 @@
         part = self.catalogue.piece(fetch.shards, fetch.after, MAX_BATCH_BYTES)
         return Piece(part.shard, self.catalogue.version, part.entries, part.done)
 
+    def _wake_all(self, begin: float) -> None:
+        """Each within the spread; one that is due in it stays, else a burst would end the spread."""
+        for poll in self._relays.polls():
+            if poll.due > begin + SPREAD_SECONDS:
+                self._relays.hasten(poll.asker, begin + self._chance.uniform(0.0, SPREAD_SECONDS))
+
     def _wake_rescoped(self, now: float) -> None:
         """Polls of relays whose scope is another one now; many may be, so they are spread."""
         for poll in self._relays.polls():
--- a/tests/test_control_publisher.py
+++ b/tests/test_control_publisher.py
@@ -61,10 +61,12 @@
     assert made.wake_at >= 6.0 and made.held() == RELAYS - 2
 
 
-def test_what_all_hold_is_told_over_a_spread():
+@pytest.mark.parametrize("changes", [1, 100])
+def test_what_all_hold_is_told_over_a_spread(changes):
     made = publisher()
     hold_all(made)
-    made.apply(3, [Entry("setting/settings", 3, "*", b"2")], 2.0)
+    for number in range(changes):
+        made.apply(3 + number, [Entry("setting/settings", 3 + number, "*", b"2")], 2.0 + number / 1000.0)
     times = []
     while made.held():
         now = made.wake_at
