--- a/ryestack/control/subscriber.py
+++ b/ryestack/control/subscriber.py
@@ -26,7 +26,6 @@
 from .staging import MAX_STAGED_BYTES, BadAnswer, Staging, TooLarge
 from .subscription import TABLE, Ask, Identity, Input, State
 
-ANSWER_SECONDS = 2.0  # for an answer, beside what the poll may be held
 LEAST_HOLD = 0.8  # part of the time that a poll is held that is not left to chance
 START_SECONDS = 0.3  # that the first polls of relays that start together spread over
 OVERSIZE_REST_SECONDS = 60.0  # before a scope that was too large is looked at again
@@ -55,7 +54,7 @@
         self.state, self.sure_at = State.WAITING, -inf
         self.wake_at = now + (chance.uniform(0.0, START_SECONDS) if kept else 0.0)
         self.rejected: Rejection | None = None
-        self._number, self._asked_at = 0, now
+        self._number, self._least_at = 0, now
         self._out: Ask | None = None
         self._update: Update | None = None
 
@@ -107,12 +106,12 @@
         try:
             if isinstance(answer, Piece) and isinstance(asked, Fetch):
                 staging.add_piece(asked.shards, answer)
-                return Input.MORE
+                return Input.CHANGED if staging.complete() else Input.MORE
             if isinstance(asked, Fetch):
                 return Input.FAILED
             if isinstance(answer, Scope) and answer.shards and set(answer.shards) != staging.shards:
                 staging.retarget(answer.shards)
-                return Input.MORE
+                return Input.CHANGED if staging.complete() else Input.MORE
             if isinstance(answer, TooOld) and staging.shards:
                 staging.refetch()
                 return Input.MORE
@@ -132,8 +131,7 @@
             return Input.MORE
         if not self._staging.complete():
             return Input.BEHIND
-        news = self._staging.differs() and self._staging.unoffered
-        return Input.CHANGED if news else Input.CURRENT
+        return Input.CHANGED if self._staging.differs() else Input.CURRENT
 
     # -- effects ----------------------------------------------------------------------------------
 
@@ -143,8 +141,9 @@
         request = self._fetch(shards) if shards else self._poll()
         hold = request.hold if isinstance(request, Poll) else 0.0
         self._number += 1
-        self._out = Ask(self._number, machine, request, hold + ANSWER_SECONDS)
-        self._asked_at, self.wake_at = now, inf
+        self._out = Ask(self._number, machine, request, hold + self._failover.patience())
+        self._least_at = now + hold / 2.0  # a machine that can hold no more polls answers at once
+        self.wake_at = inf
 
     def _fetch(self, shards: list[str]) -> Fetch:
         return Fetch(self.identity.cluster, self.identity.relay, shards, self._staging.after)
@@ -163,14 +162,10 @@
         self._out, self.wake_at = None, now
 
     def _confirm(self, now: float) -> None:
-        hold = self._out.request.hold
         self._go_on(now)
-        self.wake_at = max(
-            now, self._asked_at + hold / 2.0
-        )  # a machine that holds no more polls answers at once
-        if not self._staging.differs():
-            self.holdings.version = self._staging.position
-            self.rejected, self.sure_at = None, now
+        self.wake_at = max(now, self._least_at)
+        self.holdings.version = self._staging.position
+        self.rejected, self.sure_at = None, now
 
     def _offer(self, now: float) -> None:
         self._go_on(now)
@@ -183,9 +178,9 @@
         self.sure_at = self.wake_at = now
 
     def _keep(self, now: float) -> None:
-        """The staged version stays, so that a later change of the key can mend it."""
-        self._staging.unoffered = False
-        self._update, self.wake_at = None, now
+        """The staged version stays, so that a later change of the key can mend it; after each further poll
+        it is offered again, for what kept it from being used may have been the relay's own."""
+        self._update, self.wake_at = None, max(now, self._least_at)
 
     def _fail_over(self, now: float) -> None:
         self._out, self.wake_at = None, self._failover.failed(now)
--- a/ryestack/wire/client_connection.py
+++ b/ryestack/wire/client_connection.py
@@ -10,11 +10,14 @@
 
 from aiohttp import web
 
-from .sockets import unread
+from ..observe.log import event
+from .sockets import unread, waited
 
 IDLE = 2.2  # seconds: a connection with no open request may end after 2, and a bad client must hear within 3
 QUIET_FOR = 0.3  # seconds that one which is let go has said nothing
 BODY = 2.6  # seconds for a first request from its connection on, for a later one from its head on
+GONE = 0.4  # seconds after which a client has given its request up
+HAND_IN = b"POST /api"
 LINGER = 0.5  # seconds for a client to end its side: it does so as it reads our end, or has gone
 MOST_THROWN = 256 * 1024  # bytes thrown away meanwhile: a request has less; a flood is cut off
 MOST_ENDING = 8  # connections past the bound that linger, and that are told so: half of the spare descriptors
@@ -59,7 +62,7 @@
 
     def __init__(self, manager, *, loop, **more):
         super().__init__(manager, loop=loop, **more)
-        self.since = self.heard_at = loop.time()
+        self.since = self.heard_at = self.came_at = loop.time()  # came_at: when its last bytes got here
         self.spoilt, self.ending, self.whole = False, None, None  # whole: the transport itself
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -85,6 +88,12 @@
         if self.spoilt:
             return
         self.heard_at = self._loop.time()
+        self.came_at = self.heard_at - waited(self.whole)
+        if self.given_up(data):
+            event("front.stale", waited=round(self.heard_at - self.came_at, 3))
+            self.whole.write(REFUSED)
+            self.force_close()
+            return
         super().data_received(data)
         if self._messages and not hasattr(self._messages[-1][0], "headers"):  # the parser's own error
             self.spoilt = True
@@ -93,6 +102,10 @@
             elif self.transport is not None:
                 self.transport.pause_reading()
 
+    def given_up(self, data: bytes) -> bool:
+        """Whether a hand-in begins whose client has gone: under overload all work would be for such."""
+        return self.heard_at > self.came_at + GONE and data.startswith(HAND_IN) and self.idle()
+
     def _process_keepalive(self) -> None:
         """The library's end of an idle connection: not over a request that has come and is not read yet."""
         if self.ending is None and self.idle() and self.transport is not None and unread(self.whole):
