--- a/ryestack/control/change_log.py
+++ b/ryestack/control/change_log.py
@@ -26,6 +26,8 @@
 TICK_SECONDS = 0.1
 FULL_REST_SECONDS = 0.5  # until a full disk is tried again
 CHANGE_SECONDS = 4.0  # that a change waits for a majority
+APPLY_REST_SECONDS = 0.05  # between two batches for the relays' side: what comes in it is one
+MAX_BATCH_ENTRIES = 10_000
 MAX_WAITING = 1000  # changes at once
 
 
@@ -157,12 +159,24 @@
             if not self._to_apply:
                 self._committed.clear()
                 await self._committed.wait()
-            entry = self._to_apply.popleft()
-            if entry is None:
+            if self._to_apply[0] is None:
+                self._to_apply.popleft()
                 parts = self._storage.read_snapshot()
                 await self._polls.load(await asyncio.to_thread(read_catalogue, parts))
-            elif entry.position > self._publisher.catalogue.version:  # else a newer snapshot had it
-                await self._polls.apply(entry.position, entries_of(entry.payload, entry.position))
+            else:
+                await self._apply_batch()
+
+    async def _apply_batch(self) -> None:
+        """Bring all that waits to the relays' side at once: each time costs work for every relay."""
+        version, entries = self._publisher.catalogue.version, []
+        while self._to_apply and self._to_apply[0] is not None and len(entries) < MAX_BATCH_ENTRIES:
+            entry = self._to_apply.popleft()
+            if entry.position > version:  # else a newer snapshot had it
+                version = entry.position
+                entries += entries_of(entry.payload, version)
+        if version > self._publisher.catalogue.version:
+            await self._polls.apply(version, entries)
+            await asyncio.sleep(APPLY_REST_SECONDS)
 
     def _acknowledge(self, entry: LogEntry) -> None:
         mine, future = self._waiting.pop(entry.position, (None, None))
