--- a/ryestack/lab/capacity_page.py
+++ b/ryestack/lab/capacity_page.py
@@ -22,8 +22,8 @@
 SCALE_RUN = """## The scale run
 
 Real control machines, 20 real relays and hollow ones beside them, one run a size
-([studies/scale.json](studies/scale.json)). Three sizes over one decade are fewer than a slope needs: nothing is
-extrapolated from them.
+([studies/scale.json](studies/scale.json)). Three sizes over one decade are fewer than a slope needs:
+nothing is extrapolated from them.
 """
 STEPS = ((1e9, "G"), (1e6, "M"), (1e3, "k"), (1.0, ""), (1e-3, "m"), (1e-6, "u"), (1e-9, "n"))
 
