--- a/benchmarks/capacity_inputs.py
+++ b/benchmarks/capacity_inputs.py
@@ -1,6 +1,7 @@
 """Takes measured slopes into docs/capacity.toml.
 
     python benchmarks/capacity_inputs.py RESULT.json [...] [--rename members.has=members.has.before]
+    python benchmarks/capacity_inputs.py --scale     # what docs/studies/scale.json tells, into each [[observed]]
 
 For each quantity of the results that the file has a [[slope]] of, its points, fit, command and commit are
 written in place of the old ones; quantities that the file doesn't name are told and left out.
@@ -15,6 +16,7 @@
 import typer
 
 INPUTS = Path(__file__).resolve().parent.parent / "docs" / "capacity.toml"
+SCALE = INPUTS.parent / "studies" / "scale.json"
 MEASURED = (
     "points",
     "exponent",
@@ -56,15 +58,39 @@
     return text[: entry.start()] + entry[1] + "\n".join([*kept, *lines]) + text[entry.end() :], True
 
 
-def main(results: list[Path], rename: Annotated[list[str] | None, typer.Option()] = None) -> None:
+def value_at(run: dict, path: str) -> float:
+    """The value at a dotted path of a scale run; a story goes by its name."""
+    found = run
+    for key in path.split("."):
+        found = {one["story"]: one for one in found}[key] if isinstance(found, list) else found[key]
+    return found
+
+
+def observed(text: str, runs: list[dict]) -> str:
+    """The file with each [[observed]] entry's values as the runs tell them."""
+
+    def renewed(entry: re.Match) -> str:
+        points = ", ".join(f"[{run['relays']}, {value_at(run, entry[2]):.{DIGITS}g}]" for run in runs)
+        return f"{entry[1]}values = [{points}]"
+
+    return re.sub(r'(path = "([^"]+)"\n(?:\w+ = "[^"]*"\n)*)values = .*', renewed, text)
+
+
+def main(
+    results: Annotated[list[Path] | None, typer.Argument()] = None,
+    rename: Annotated[list[str] | None, typer.Option()] = None,
+    scale: bool = False,
+) -> None:
     names = dict(pair.split("=") for pair in rename or [])
     text = INPUTS.read_text()
-    for path in results:
+    for path in results or []:
         result = json.loads(path.read_text())
         for quantity in result["slopes"]:
             name = names.get(quantity, quantity)
             text, there = replaced(text, name, lines_of(result, quantity))
             print(f"{name}: {'taken' if there else 'the file has no such slope'}", file=sys.stderr)
+    if scale:
+        text = observed(text, json.loads(SCALE.read_text()))
     INPUTS.write_text(text)
 
 
