--- a/benchmarks/capacity_inputs.py
+++ b/benchmarks/capacity_inputs.py
@@ -1,7 +1,7 @@
 """Takes measured slopes into docs/capacity.toml.
 
     python benchmarks/capacity_inputs.py RESULT.json [...] [--rename members.has=members.has.before]
-    python benchmarks/capacity_inputs.py --scale     # what docs/studies/scale.json tells, into each [[observed]]
+    python benchmarks/capacity_inputs.py --scale  # docs/studies/scale.json into each [[observed]]
 
 For each quantity of the results that the file has a [[slope]] of, its points, fit, command and commit are
 written in place of the old ones; quantities that the file doesn't name are told and left out.
