--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -144,6 +144,11 @@
     assert [(at, round(seconds, 3)) for at, seconds in caught_up([change(5)], lines)] == [(13.0, 0.7)]
 
 
+def test_a_relay_that_starts_after_the_answer_is_not_waited_for():
+    found = in_force([change(5)], started("a", at=10.5) + applied("a", 4, at=10.7), nobody)[0]
+    assert (found.seconds, found.relays) == (0.0, 0)
+
+
 def test_a_child_left_behind_is_found():
     here = {"me": os.getpid()}
     assert left_behind(here, runs).count == 1
