Soak test: real processes under overlapping troubles, judged by invariants

Change: ryestack soak starts some three dozen processes (relays under an LD_PRELOAD library that fails calls as Linux documents and steps the wall clock, partners, a proxy before each, the registry, a client a relay on raw sockets); a schedule drawn from a seed keeps up to three troubles going at once; pure invariants judge from books of all outside. Stand-ins write down each arrival. The first find on the way: ryestack standin partner and platform ended at their start (no running event loop); they are built within the loop now, with a test.

--- a/ryestack/cli/app.py
+++ b/ryestack/cli/app.py
@@ -2,7 +2,7 @@
 
 import typer
 
-from . import check, config, journal, lab, load, pages, serve, standin, trial, version
+from . import check, config, journal, lab, load, pages, serve, soak, standin, trial, version
 
 HELP = """A relay that owes other firms' systems their messages and delivers them.
 
@@ -26,5 +26,6 @@
 app.add_typer(lab.app, name="lab", help="The emulator: days in simulated time, sweeps, hunts, reports.")
 app.command("load")(load.load)
 app.command("try")(trial.trial)
+app.command("soak")(soak.soak)
 app.command("version")(version.version)
 app.command("pages", hidden=True)(pages.pages)
--- /dev/null
+++ b/ryestack/cli/soak.py
@@ -0,0 +1,68 @@
+"""ryestack soak: real processes on loopback under overlapping troubles, judged by invariants."""
+
+import asyncio
+import signal
+import tempfile
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from ..lab.soak.fault_control import NoCompiler
+from ..lab.soak.invariants import Verdict, judge_soak
+from ..lab.soak.scenario import Scenario, SoakPlan
+from ..lab.trial import TrialFailed
+from .output import FOUND, Json, Seed, print_json, say, unusable
+
+SHOWN = 12  # findings of a seed that are printed
+
+
+async def _play(plan: SoakPlan, folder: Path, line) -> tuple[Verdict, dict]:
+    task, loop = asyncio.current_task(), asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    scenario = Scenario(plan, folder, line)
+    verdict = judge_soak(await scenario.play())
+    return verdict, scenario.injected
+
+
+def _row(plan: SoakPlan, verdict: Verdict, injected: dict) -> dict:
+    findings = [{"rule": f.rule, "subject": f.subject, "what": f.what} for f in verdict.findings]
+    return {"seed": plan.seed, "counts": dict(verdict.counts), "injected": injected, "findings": findings}
+
+
+def soak(
+    seed: Seed = 1,
+    seeds: Annotated[int, typer.Option(min=1, max=1000, help="So many, one after another.")] = 1,
+    seconds: Annotated[float, typer.Option(min=5, max=3600, help="Of hand-ins, for each seed.")] = 30.0,
+    relays: Annotated[int, typer.Option(min=1, max=64, help="Relays, each a process.")] = 8,
+    partners: Annotated[int, typer.Option(min=1, max=64, help="Partners, each two processes.")] = 8,
+    rate: Annotated[float, typer.Option(min=0.1, max=200, help="Requests a second at a relay.")] = 12.0,
+    keep: Annotated[str | None, typer.Option(help="A folder for all logs, books and journals.")] = None,
+    as_json: Json = False,
+) -> None:
+    """Many processes, two or three troubles at once: restarts, faults of system calls, partners, clients."""
+    rows, bad = [], 0
+    with tempfile.TemporaryDirectory(prefix="ryestack-soak-") as made:
+        for each in range(seed, seed + seeds):
+            folder = Path(keep or made) / f"seed-{each}"
+            folder.mkdir(parents=True)
+            plan = SoakPlan(each, relays, partners, rate, seconds)
+            try:
+                verdict, injected = asyncio.run(_play(plan, folder, say if not as_json else lambda _: None))
+            except asyncio.CancelledError:
+                raise typer.Exit(130) from None
+            except (TrialFailed, NoCompiler, OSError) as problem:
+                raise unusable(str(problem)) from None
+            rows.append(_row(plan, verdict, injected))
+            bad += bool(verdict.findings)
+            for finding in verdict.findings[:SHOWN] if not as_json else ():
+                say(f"seed {each}: {finding.rule}: {finding.subject}: {finding.what}")
+            counts = verdict.counts
+            told = f"{counts['handed']} handed in, {counts['taken']} taken, {len(verdict.findings)} findings"
+            say(f"seed {each}: {told}, injected {injected}")
+    if as_json:
+        print_json({"seeds": rows})
+    else:
+        say(f"{len(rows)} seeds, {bad} with findings")
+    raise typer.Exit(FOUND if bad else 0)
--- a/ryestack/cli/standin.py
+++ b/ryestack/cli/standin.py
@@ -22,21 +22,22 @@
         raise unusable(str(bad)) from None
 
 
-async def _until_stopped(part, tell) -> None:
-    stopped, loop = asyncio.Event(), asyncio.get_running_loop()
+async def _until_stopped(make, tell) -> None:
+    """make: builds the part within the running loop, which its servers need."""
+    part, stopped, loop = make(), asyncio.Event(), asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stopped.set)
     try:
         await part.start()
-        tell()
+        tell(part)
         await stopped.wait()
     finally:
         await part.close()
 
 
-def _run(part, tell) -> None:
+def _run(make, tell) -> None:
     try:
-        asyncio.run(_until_stopped(part, tell))
+        asyncio.run(_until_stopped(make, tell))
     except OSError as problem:
         raise unusable(str(problem)) from None
 
@@ -44,21 +45,25 @@
 @app.command()
 def partner(stage: File) -> None:
     """All endpoints of a stage, until Ctrl-C. Its control takes POST /behave, GET /state and GET /books."""
-    part = Partner(_stage(stage))
+    told = _stage(stage)
 
-    def tell() -> None:
+    def tell(part: Partner) -> None:
         for name, place in part.places.items():
             say(f"endpoint {name} at {place.address}, destination {place.endpoint.destination}")
         say(f"control at {part.address}; stop with Ctrl-C")
 
-    _run(part, tell)
+    _run(lambda: Partner(told), tell)
 
 
 @app.command()
 def platform(stage: File) -> None:
     """The list and the notices for a stage, until Ctrl-C; its endpoints need ports of their own."""
-    part = Platform(_stage(stage))
-    _run(part, lambda: say(f"platform at {part.address}, control at {part.control}; stop with Ctrl-C"))
+    told = _stage(stage)
+
+    def tell(part: Platform) -> None:
+        say(f"platform at {part.address}, control at {part.control}; stop with Ctrl-C")
+
+    _run(lambda: Platform(told), tell)
 
 
 @app.command()
--- /dev/null
+++ b/ryestack/lab/soak/proxy.py
@@ -0,0 +1,32 @@
+"""Proxies as one process, a Link for each target: `python -m ryestack.lab.soak.proxy SEED HOST:PORT ...`.
+
+It prints the addresses of its links in one line, then reads modes from standard input, a line each, and turns
+all of them at once.
+"""
+
+import asyncio
+import sys
+
+from ...standins.links import Link
+
+
+async def serve(seed: int, targets: list[str]) -> None:
+    links = []
+    for number, target in enumerate(targets):
+        host, _, port = target.rpartition(":")
+        link = Link((host, int(port)), seed + number)
+        await link.start()
+        links.append(link)
+    print(" ".join(link.address for link in links), flush=True)
+    reader = asyncio.StreamReader()
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        for link in links:
+            link.turn(line.decode().strip())
+    for link in links:
+        await link.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(int(sys.argv[1]), sys.argv[2:]))
--- /dev/null
+++ b/ryestack/lab/soak/scenario.py
@@ -0,0 +1,320 @@
+"""Plays one soak test: starts all processes, lets the schedule's troubles happen, collects the evidence."""
+
+import asyncio
+import errno
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from ...standins.books import Books
+from ...standins.stage import Endpoint, Pace, Platform, Stage
+from ..load import Topic
+from ..trial import free_port, platform_config
+from .fault_control import Fault, build
+from .http_client import ClientPlan, ClientTopic
+from .invariants import Evidence
+from .model import Attempt, Drained, Kind, Returned, Trouble
+from .processes import ClientProcess, Proxy, SoakRelay, StandIn
+from .schedule import draw
+
+TOPICS = [
+    Topic("balance", "repeatable", 6.0),
+    Topic("points", "collapsible", 6.0),
+    Topic("charge", "once-only", 6.0),
+]
+WINDOW = 3.0
+CUSTOMER = "acme"
+ENDPOINTS = 2  # of each partner
+COLD = {"cold_time": 3.0, "cold_share": 0.3, "fall_factor": 1.5, "fall_time": 1.0}
+SETTLE = 9.0  # seconds after the last hand-in: the longest time, and a restart's margin
+TOLD_WAIT = 0.8  # seconds that a partner over its limit tells
+ERRNOS = {
+    Kind.DISK_FAILS: (errno.ENOSPC, errno.EIO),
+    Kind.ACCEPT_FAILS: (errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EMFILE),
+    Kind.CONNECT_FAILS: (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS),
+    Kind.CONNECTIONS_BREAK: (errno.ETIMEDOUT, errno.EHOSTUNREACH),
+}
+PARTNER_MODES = {
+    Kind.PARTNER_HANGS: {"mode": "silent"},
+    Kind.PARTNER_RESETS: {"mode": "reset-after", "part": 0.5},
+    Kind.PARTNER_LIMITS: {"mode": "full", "wait": TOLD_WAIT},
+    Kind.PARTNER_ERRORS: {"mode": "error", "part": 0.5},
+}
+LINK_MODES = {Kind.LINK_LOST: "hole", Kind.LINK_RESETS: "reset", Kind.LINK_LATE: "late"}
+
+
+class SoakPlan(msgspec.Struct, frozen=True):
+    """relays, partners: how many; rate: requests a second at each relay; seconds: of hand-ins."""
+
+    seed: int
+    relays: int = 8
+    partners: int = 8
+    rate: float = 12.0
+    seconds: float = 30.0
+    weight: float = 60.0
+
+
+class Scenario:
+    """All processes of one soak test. troubles: played instead of the seed's own."""
+
+    def __init__(self, plan: SoakPlan, folder: Path, say: Callable[[str], None], troubles=None):
+        self.plan, self.folder, self.say = plan, folder, say
+        drawn = draw(plan.seed, plan.seconds, plan.relays, plan.partners)
+        self.troubles: list[Trouble] = drawn if troubles is None else troubles
+        self.chance = Random(f"scenario {plan.seed}")
+        self.relays: list[SoakRelay] = []
+        self.partners: list[StandIn] = []
+        self.proxies: list[Proxy] = []
+        self.clients: list[ClientProcess] = []
+        self.platform: StandIn | None = None
+        self.endpoints: dict[str, Endpoint] = {}
+        self.drained: list[Drained] = []
+        self.returned: list[Returned] = []
+        self.injected: dict[str, int] = {}
+
+    async def play(self) -> Evidence:
+        try:
+            await self.start()
+            begin = time.time() + 0.5
+            await self.start_clients(begin)
+            self.say(f"{len(self.all())} processes, {len(self.troubles)} troubles")
+            await asyncio.gather(*(self.strike(trouble, begin) for trouble in self.troubles))
+            await asyncio.gather(*(client.process.wait() for client in self.clients))
+            for relay in self.relays:
+                relay.faults.clear()
+            await asyncio.sleep(SETTLE)
+            return await self.evidence()
+        finally:
+            await asyncio.gather(*(each.close() for each in self.all()), return_exceptions=True)
+
+    def all(self) -> list:
+        standing = [self.platform] if self.platform else []
+        return [*self.clients, *self.relays, *self.proxies, *self.partners, *standing]
+
+    # -- the start --------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        library = build(self.folder)
+        listed = []
+        for number in range(self.plan.partners):
+            listed += await self.start_partner(number)
+        stage = Stage(
+            endpoint=listed, platform=Platform(self.address(), self.address()), control=self.address()
+        )
+        table = msgspec.to_builtins(stage)
+        self.platform = StandIn("platform", table, stage.platform.control, self.folder, "platform")
+        await self.platform.start()
+        known = {"index": 1, "snapshot": True, "endpoints": [self.row(each) for each in listed]}
+        for number in range(self.plan.relays):
+            config = self.config(number, stage.platform.address, known)
+            self.relays.append(SoakRelay(number, config, self.folder / f"relay-{number}", library))
+        await asyncio.gather(*(relay.start() for relay in self.relays))
+
+    def address(self) -> str:
+        return f"127.0.0.1:{free_port()}"
+
+    @staticmethod
+    def row(endpoint: Endpoint) -> dict:
+        return {
+            "name": endpoint.name, "address": endpoint.address, "zone": endpoint.zone, "type": endpoint.kind,
+            "group": endpoint.destination, "status": "up", "weight": endpoint.weight, "since_ms": 0,
+        }  # fmt: skip
+
+    async def start_partner(self, number: int) -> list[Endpoint]:
+        """Its endpoints as relays see them: at the addresses of the links before them."""
+        made = [
+            Endpoint(
+                f"p{number}-{each}", number + 1, self.address(), weight=self.plan.weight, slots=64,
+                pace=Pace(mean=0.04), **COLD,
+            )
+            for each in range(ENDPOINTS)
+        ]  # fmt: skip
+        stage = Stage(endpoint=made, control=self.address(), seed=self.plan.seed)
+        partner = StandIn(
+            "partner", msgspec.to_builtins(stage), stage.control, self.folder, f"partner-{number}"
+        )
+        await partner.start()
+        proxy = Proxy(
+            self.plan.seed * 100 + number, [e.address for e in made], self.folder, f"proxy-{number}"
+        )
+        await proxy.start()
+        self.partners.append(partner)
+        self.proxies.append(proxy)
+        self.endpoints |= {endpoint.name: endpoint for endpoint in made}
+        return [
+            msgspec.structs.replace(endpoint, address=address)
+            for endpoint, address in zip(made, proxy.addresses, strict=True)
+        ]
+
+    def config(self, number: int, discovery: str, known: dict) -> dict:
+        made = platform_config(self.address(), discovery, known, TOPICS, self.plan.seed * 100 + number)
+        made["name"] = f"r{number}"
+        settings = made["settings"]
+        settings["balancers"] = self.plan.relays
+        settings["grades"] = [{**grade, "windowMs": WINDOW * 1000.0} for grade in settings["grades"]]
+        settings["rules"] = {
+            "coldShare": COLD["cold_share"], "coldMs": COLD["cold_time"] * 1000.0,
+            "overloadFactor": COLD["fall_factor"], "fallMs": COLD["fall_time"] * 1000.0,
+        }  # fmt: skip
+        return made
+
+    async def start_clients(self, begin: float) -> None:
+        topics = [ClientTopic(t.name, t.effect, t.ttl) for t in TOPICS]
+        destinations = list(range(1, self.plan.partners + 1))
+        for relay in self.relays:
+            report = str(self.folder / f"client-{relay.number}.jsonl")
+            plan = ClientPlan(
+                relay.number, relay.config["listen"], self.plan.rate, begin, self.plan.seconds,
+                self.plan.seed, topics, destinations, CUSTOMER, report,
+            )  # fmt: skip
+            self.clients.append(ClientProcess(plan, self.folder))
+        await asyncio.gather(*(client.start() for client in self.clients))
+
+    # -- troubles ---------------------------------------------------------------------------------------
+
+    async def strike(self, trouble: Trouble, begin: float) -> None:
+        await asyncio.sleep(max(0.0, begin + trouble.begin - time.time()))
+        told = f"{trouble.kind.value}, {trouble.target}, {trouble.seconds:.1f} s, {trouble.amount:.2f}"
+        self.say(f"{trouble.begin:6.2f} {told}")
+        await self.handler(trouble)(trouble)
+
+    def handler(self, trouble: Trouble) -> Callable[[Trouble], Awaitable[None]]:
+        for kinds, play in (
+            (ERRNOS, self.fail_calls), (PARTNER_MODES, self.change_partner), (LINK_MODES, self.change_link),
+        ):  # fmt: skip
+            if trouble.kind in kinds:
+                return play
+        return {
+            Kind.KILL: self.kill, Kind.STOP: self.stop, Kind.UPGRADE: self.upgrade, Kind.RELOAD: self.reload,
+            Kind.PAUSE: self.pause, Kind.CLOCK_STEP: self.step_clock, Kind.DISK_SHORT: self.write_short,
+            Kind.SOCKET_IO: self.move_in_pieces, Kind.PARTNER_OUTAGE: self.partner_outage,
+            Kind.REGISTRY_SILENT: self.silence_registry, Kind.DRAIN: self.drain,
+        }[trouble.kind]  # fmt: skip
+
+    async def kill(self, trouble: Trouble) -> None:
+        await self.relays[trouble.target].kill()
+
+    async def stop(self, trouble: Trouble) -> None:
+        await self.relays[trouble.target].stop()
+
+    async def upgrade(self, trouble: Trouble) -> None:
+        await self.relays[trouble.target].upgrade()
+
+    async def reload(self, trouble: Trouble) -> None:
+        relay = self.relays[trouble.target]
+        most = relay.config["settings"]["allowed"]["maxAttempts"]
+
+        def changed(turn: int) -> dict:
+            allowed = {**relay.config["settings"]["allowed"], "maxAttempts": most - turn % 2}
+            return {**relay.config, "settings": {**relay.config["settings"], "allowed": allowed}}
+
+        await relay.reload(1 + int(trouble.seconds / 0.15), changed)
+
+    async def pause(self, trouble: Trouble) -> None:
+        until = time.monotonic() + trouble.seconds
+        while time.monotonic() < until:
+            await self.relays[trouble.target].pause(trouble.amount)
+            await asyncio.sleep(self.chance.uniform(0.05, 0.3))
+
+    async def step_clock(self, trouble: Trouble) -> None:
+        relay = self.relays[trouble.target]
+        relay.clock_offset += trouble.amount
+        relay.faults.step_wall_clock(relay.clock_offset)
+
+    async def fail_calls(self, trouble: Trouble) -> None:
+        faults = {
+            Kind.DISK_FAILS: (Fault.WRITE_FAILS, Fault.TRUNCATE_FAILS, Fault.RENAME_FAILS, Fault.OPEN_FAILS),
+            Kind.ACCEPT_FAILS: (Fault.ACCEPT_FAILS,),
+            Kind.CONNECT_FAILS: (Fault.CONNECT_FAILS, Fault.SOCKET_FAILS),
+            Kind.CONNECTIONS_BREAK: (Fault.RECEIVE_FAILS,),
+        }[trouble.kind]
+        await self.for_a_while(trouble, faults, self.chance.choice(ERRNOS[trouble.kind]))
+
+    async def write_short(self, trouble: Trouble) -> None:
+        await self.for_a_while(trouble, (Fault.WRITE_SHORT, Fault.TRUNCATE_FAILS), errno.EIO)
+
+    async def move_in_pieces(self, trouble: Trouble) -> None:
+        faults = Fault.SEND_SHORT, Fault.RECEIVE_SHORT, Fault.WAIT_INTERRUPTED
+        await self.for_a_while(trouble, faults, 0)
+
+    async def for_a_while(self, trouble: Trouble, faults: tuple[Fault, ...], error: int) -> None:
+        control = self.relays[trouble.target].faults
+        for fault in faults:
+            control.set(fault, trouble.amount, error)
+        await asyncio.sleep(trouble.seconds)
+        for fault in faults:
+            control.set(fault, 0.0)
+
+    def names(self, trouble: Trouble) -> list[str]:
+        return [f"p{trouble.target}-{each}" for each in range(ENDPOINTS)]
+
+    async def partner_outage(self, trouble: Trouble) -> None:
+        partner = self.partners[trouble.target]
+        await partner.tell({"mode": "refuse"})
+        await asyncio.sleep(trouble.seconds)
+        at = time.time()
+        await partner.tell({"mode": "cold"})
+        self.returned += [Returned(name, at) for name in self.names(trouble)]
+
+    async def change_partner(self, trouble: Trouble) -> None:
+        partner = self.partners[trouble.target]
+        await partner.tell(PARTNER_MODES[trouble.kind])
+        await asyncio.sleep(trouble.seconds)
+        await partner.tell({"mode": "ok"})
+
+    async def change_link(self, trouble: Trouble) -> None:
+        proxy = self.proxies[trouble.target]
+        await proxy.turn(LINK_MODES[trouble.kind])
+        await asyncio.sleep(trouble.seconds)
+        await proxy.turn("ok")
+
+    async def silence_registry(self, trouble: Trouble) -> None:
+        await self.platform.tell({"silence": "list"})
+        await asyncio.sleep(trouble.seconds)
+        await self.platform.tell({"silence": "none"})
+
+    async def drain(self, trouble: Trouble) -> None:
+        name, begin = self.names(trouble)[0], time.time()
+        await self.platform.tell({"endpoint": name, "listed": "draining"})
+        await asyncio.sleep(trouble.seconds)
+        await self.platform.tell({"endpoint": name, "listed": "up"})
+        self.drained.append(Drained(name, begin, time.time()))
+
+    # -- the end ----------------------------------------------------------------------------------------
+
+    async def evidence(self) -> Evidence:
+        books = Books()
+        for each in [*self.partners, self.platform]:
+            found = await each.books()
+            books.runs += found.runs
+            books.notices += found.notices
+            books.arrivals += found.arrivals
+            books.whole = books.whole and found.whole
+        problems = []
+        for relay in self.relays:
+            await relay.count_violations()
+            problems += relay.problems
+            problems += [
+                f"relay {relay.number}: {name} {count:g}" for name, count in relay.violations.items()
+            ]
+            if not relay.alive():
+                problems.append(f"relay {relay.number} is gone: status {relay.current.process.returncode}")
+            for name, count in relay.faults.injected().items():
+                self.injected[name] = self.injected.get(name, 0) + count
+        away = [each for relay in self.relays for each in relay.away]
+        logs = {relay.number: relay.log() for relay in self.relays}
+        return Evidence(
+            self.attempts(), books, self.endpoints, away, self.drained, self.returned, logs, problems, WINDOW,
+            time.time(),
+        )  # fmt: skip
+
+    def attempts(self) -> list[Attempt]:
+        found = []
+        for relay in self.relays:
+            path = self.folder / f"client-{relay.number}.jsonl"
+            lines = path.read_bytes().splitlines() if path.exists() else []
+            found += [msgspec.json.decode(line, type=Attempt) for line in lines]
+        return found
--- a/ryestack/standins/books.py
+++ b/ryestack/standins/books.py
@@ -18,6 +18,17 @@
     size: int = 0
 
 
+class Arrival(msgspec.Struct, array_like=True):
+    """One call that came whole, whatever it met. id: of its first notification; how: as a desk's reception;
+    wait: seconds told with the answer, 0 if none. Seconds of the wall clock."""
+
+    id: str
+    endpoint: str
+    at: float
+    how: str
+    wait: float = 0.0
+
+
 class Notice(msgspec.Struct, array_like=True):
     """One final answer at the platform. after: seconds to stay away, 0 if none was told."""
 
@@ -42,6 +53,7 @@
     runs: list[Run] = []
     notices: list[Notice] = []
     lines: list[Line] = []
+    arrivals: list[Arrival] = []
     calls: dict[str, int] = {}
     whole: bool = True
 
--- a/ryestack/standins/endpoint_server.py
+++ b/ryestack/standins/endpoint_server.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from .behaviour import Desk, Reception
-from .books import Books, Line, Run
+from .books import Arrival, Books, Line, Run
 from .control import serve
 from .parts import PATHS, Part, read_parts
 from .stage import Endpoint
@@ -95,7 +95,9 @@
         if len(parts) > self.endpoint.many:
             return web.Response(status=413)
         came = time.time()
-        met = self.desk.arrive(time.time())
+        met = self.desk.arrive(came)
+        arrival = Arrival(parts[0].id, self.endpoint.name, came, met.how, met.wait)
+        self.books.add(self.books.arrivals, arrival)
         if met.how == "queue":
             met = await self.wait_for_slot()
         self.books.count(self.endpoint.name, met.how)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,7 +1,11 @@
 import asyncio
 import json
+import signal
+import sys
+import tempfile
 import time
 import unittest
+from pathlib import Path
 from random import Random
 
 import aiohttp
@@ -194,5 +198,35 @@
             await self.session.post(url, data=good)
 
 
+class Programs(unittest.IsolatedAsyncioTestCase):
+    async def test_each_serves_as_a_program_until_it_is_told_to_stop(self):
+        for kind in ("partner", "platform"):
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "stage.toml"
+                path.write_text(STAGE)
+                command = [sys.executable, "-m", "ryestack", "standin", kind, str(path)]
+                pipe = asyncio.subprocess.PIPE
+                process = await asyncio.create_subprocess_exec(*command, stderr=pipe)
+                said = b""
+                async with asyncio.timeout(10.0):
+                    while b"stop with Ctrl-C" not in said:
+                        line = await process.stderr.readline()
+                        self.assertTrue(line, said.decode())
+                        said += line
+                process.send_signal(signal.SIGTERM)
+                self.assertEqual(await asyncio.wait_for(process.wait(), 5.0), 0)
+
+
+STAGE = """control = "127.0.0.1:0"
+[platform]
+address = "127.0.0.1:0"
+control = "127.0.0.1:0"
+[[endpoint]]
+name = "a"
+destination = 1
+address = "127.0.0.1:0"
+"""
+
+
 if __name__ == "__main__":
     unittest.main()
