--- a/ryestack/cli/journal.py
+++ b/ryestack/cli/journal.py
@@ -1,11 +1,11 @@
 """ryestack journal: show and verify."""
 
-import time
 from typing import Annotated
 
 import typer
 
 from ..store.inspect import Found, NoJournal, inspect, row
+from ..store.timeline import read_clock
 from .output import FOUND, Json, console, print_json, table, unusable
 
 app = typer.Typer(no_args_is_help=True)
@@ -51,9 +51,9 @@
 @app.command()
 def show(folder: Folder, as_json: Json = False) -> None:
     """What is owed, to whom, and what may have run; read-only. Keys and bodies are never shown."""
-    found, now = _found(folder), time.time()
-    rows = [{**row(o, now), "behind_damage": False} for f in found for o in f.owed.values()]
-    rows += [{**row(o, now), "behind_damage": True} for f in found for o in f.behind.values()]
+    found, clock = _found(folder), read_clock()
+    rows = [{**row(o, f.now(clock)), "behind_damage": False} for f in found for o in f.owed.values()]
+    rows += [{**row(o, f.now(clock)), "behind_damage": True} for f in found for o in f.behind.values()]
     if as_json:
         print_json({**_state(found[0]), "beside": [_state(f) for f in found[1:]], "notifications": rows})
         return
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -25,7 +25,7 @@
     def __init__(self, settings: it.Settings, seed: int, ledger: Ledger, clock, wall: float):
         super().__init__()
         self.settings, self.ledger, self.clock = settings, ledger, clock
-        self.wall = wall  # added to the clock, it gives the wall's time
+        self.wall = wall  # added to the clock, it gives times of the journal's timeline
         self.brain = Watched(settings, seed)
         self.brain.told_turn = partial(self.tell_siblings, "turn")
         self.queue, self.filled = [], asyncio.Event()
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -16,8 +16,9 @@
 from .config import BadConfig, Config, load
 from .phases import ACCEPT, LOOK, PHASES, READY, SHORT
 from .settings_taker import SettingsTaker
+from .starting import Starting
 from .state_saver import StateSaver
-from .upgrade.channel import PATIENCE, Channel, ChannelListener, connect
+from .upgrade.channel import Channel, ChannelListener, connect
 from .upgrade.handover import Handover
 from .upgrade.succession import Succession
 
@@ -25,7 +26,7 @@
 WORD = 0.3  # for the word of a process after us that it serves, where a stop comes first
 
 
-class Relay(Admin, Handover, StateSaver, SettingsTaker):
+class Relay(Starting, Admin, Handover, StateSaver, SettingsTaker):
     def __init__(self, config: Config):
         self.config, self.phase = config, "starting"
         loop = asyncio.get_running_loop()
@@ -88,35 +89,6 @@
         leaving = self.phase not in READY
         return any(listener.busy or (leaving and listener.connections()) for listener in self.parts.listeners)
 
-    async def recover(self) -> None:
-        learnt, out = await self.predecessor_state() if self.channel else (None, [])
-        self.ledger.recover()
-        beside = bool(self.ledger.journal.beside())
-        if learnt is None and not beside and not self.channel:
-            learnt = self.saved_state()
-        if beside or self.channel:
-            self.succession.predecessor_is("found")
-            self.share()
-        if self.parts.peering:
-            self.parts.peering.begin(sole=not beside and not self.channel)
-        try:
-            for endpoint, items in out:
-                self.owner.hear(self.channel, ["began", endpoint, items])
-        except (TypeError, ValueError, KeyError) as problem:
-            event("line.broken", why=f"the calls that it has out make no sense: {problem!r}")
-        known = [self.parts.directory.known(), *await self.parts.directory.fresh()]
-        self.owner.recover(known, learnt, beside)
-
-    async def predecessor_state(self) -> tuple[dict | None, list]:
-        await self.channel.open()
-        try:
-            async with asyncio.timeout(PATIENCE):
-                if (message := await self.channel.receive()) and message[0] == "learnt" and len(message) == 3:
-                    return message[1], message[2]
-        except TimeoutError:
-            event("line.broken", why="the process before us did not tell what it has learnt")
-        return None, []
-
     async def open_listeners(self) -> None:
         parts = self.parts
         lasting = [
--- a/ryestack/lifecycle/state_saver.py
+++ b/ryestack/lifecycle/state_saver.py
@@ -1,7 +1,6 @@
 """What is learnt, kept for the next life of this relay."""
 
 import asyncio
-import time
 import zlib
 
 from ..store import remembered
@@ -23,10 +22,12 @@
         """For the next life; while another process lives beside us, it is told on the channel."""
         if not self.channels:
             learnt = export(self.owner.brain)
-            remembered.save(self.config.state, learnt, self.settings_mark(), self.clock(), time.time())
+            mark, boot = self.settings_mark(), self.ledger.timeline.boot
+            remembered.save(self.config.state, learnt, mark, self.clock(), boot)
 
     def settings_mark(self) -> str:
         return str(zlib.crc32(repr((self.config.settings, KEPT)).encode()))
 
     def saved_state(self) -> dict | None:
-        return remembered.load(self.config.state, self.settings_mark(), self.clock(), time.time())
+        boot = self.ledger.timeline.boot
+        return remembered.load(self.config.state, self.settings_mark(), self.clock(), boot)
--- a/ryestack/store/inspect.py
+++ b/ryestack/store/inspect.py
@@ -12,6 +12,7 @@
 from .journal import FRAME, following, unframed
 from .ledger import Ledger
 from .owed import Owed
+from .timeline import MachineClock, Timeline
 
 
 class NoJournal(Exception):
@@ -39,6 +40,10 @@
     owed: dict[str, Owed] = field(default_factory=dict)
     behind: dict[str, Owed] = field(default_factory=dict)  # owed by records that a start would drop
     rewriting: bool = False  # a new file stands beside it
+    timeline: Timeline | None = None  # of its times; None: they are of the wall clock
+
+    def now(self, clock: MachineClock) -> float:
+        return self.timeline.now(clock) if self.timeline else clock.wall
 
     def sound(self) -> bool:
         """Whether no more is wrong than a kill within a write explains."""
@@ -72,6 +77,7 @@
             begin = following(data, at + 1)
             found.damage.append(Damage(at, begin - at, begin == len(data)))
             at = begin
+    found.timeline = ledger.timeline
     found.behind = {n: o for n, o in ledger.owed.items() if n not in found.owed}
     return found
 
@@ -105,7 +111,7 @@
 
 
 def row(owed: Owed, now: float) -> dict:
-    """One notification for people; no key and no body. now, and times told: seconds of the wall clock."""
+    """One notification for people; no key and no body. now, times told: seconds of its file's timeline."""
     first = owed.first_maybe()
     return {
         "id": owed.id,
--- a/ryestack/store/journal.py
+++ b/ryestack/store/journal.py
@@ -7,6 +7,7 @@
 import os
 import struct
 import zlib
+from contextlib import suppress
 from pathlib import Path
 from typing import NamedTuple
 
@@ -49,6 +50,18 @@
     return len(data)
 
 
+class FileIdentity(NamedTuple):
+    """A journal file by what it holds: its name, the bytes of its whole records, their checksum."""
+
+    name: str
+    size: int
+    checksum: int
+
+    @classmethod
+    def of(cls, path: Path, data: bytes, size: int) -> "FileIdentity":
+        return cls(path.name, size, zlib.crc32(data[:size]))
+
+
 class Torn(NamedTuple):
     """What a file holds: whole records, bytes behind them, whether that is more than a kill explains."""
 
@@ -70,6 +83,8 @@
     def __init__(self, folder: str, allowance: int):
         self.folder, self.path, self.allowance = Path(folder), Path(folder) / files.NAMES[0], allowance
         self.size, self.dropped, self.damaged = 0, 0, False
+        self.tail_left = False  # bytes behind our records that could not be taken away: no more may follow
+        self.identity = None  # of the file as this process found it
         self.file = None
         self.share(1)
 
@@ -78,18 +93,32 @@
         self.most = self.allowance // processes - SPARE
 
     def read(self) -> list[bytes]:
-        """All records of the file that is ours now; opens it for more."""
+        """All records of the file that is ours now; opens it for more. Raises OSError where there is none."""
         self.path, fd = files.own(self.folder)
         self.file = open(fd, "ab", buffering=0)  # noqa: SIM115 - open as long as the process
-        files.fresh(self.path).unlink(missing_ok=True)
-        found = torn(self.path.read_bytes())
+        with suppress(OSError):  # a rewrite begins it anew
+            files.fresh(self.path).unlink(missing_ok=True)
+        try:
+            data = self.path.read_bytes()
+        except OSError:
+            self.file.close()  # and with it the lock: it may be tried again
+            raise
+        found = torn(data)
         self.size, self.dropped, self.damaged = found.size, found.dropped, found.damaged
+        self.identity = FileIdentity.of(self.path, data, found.size)
         if self.damaged:
             self.size += found.dropped  # it stays until a rewrite takes its place: a kill must find it again
         elif self.dropped:
-            self.file.truncate(self.size)
+            self.cut_tail()
         return found.records
 
+    def cut_tail(self) -> None:
+        """Take away what stands behind our records; where the disk fails, only a rewrite goes on."""
+        try:
+            self.file.truncate(self.size)
+        except OSError:
+            self.tail_left = True
+
     def beside(self) -> list[Path]:
         """The files of other processes, dead or alive."""
         return files.others(self.folder, self.path)
@@ -99,10 +128,12 @@
         return self.size + more + live <= self.most
 
     def append(self, *payloads: bytes) -> None:
-        """All of them or none."""
+        """All of them or none; raises OSError for none."""
+        if self.tail_left:
+            raise OSError("the journal has to be written anew")
         data = b"".join(map(framed, payloads))
         if self.file.write(data) != len(data):  # a part of a record would hide all that follow it
-            self.file.truncate(self.size)
+            self.cut_tail()
             raise OSError("the journal took only a part of a record")
         self.size += len(data)
 
@@ -113,15 +144,17 @@
         try:
             if not files.grasp(fresh.fileno()):  # the name must never stand for a file without its lock
                 raise OSError("the new journal is held by another process")
+            fresh.truncate(0)  # what an earlier rewrite left, if the disk failed as it was to be removed
             if fresh.write(data) != len(data):
                 raise OSError("no room for a new journal")
             os.replace(beside, self.path)
         except OSError:
             fresh.close()
-            beside.unlink(missing_ok=True)
+            with suppress(OSError):
+                beside.unlink(missing_ok=True)
             raise
         self.file.close()
-        self.file, self.size = fresh, len(data)
+        self.file, self.size, self.tail_left = fresh, len(data), False
 
     def close(self) -> None:
         if self.file:
--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -1,35 +1,47 @@
 """The messages that this relay owes an end, in memory and in the journal alike.
 
 Each change is one record; the same code applies it when it is written and when it is read at a start.
-Times in records are of the wall clock, so that they hold over a restart.
+Times in records are of the file's timeline, so that they hold over a restart.
 """
 
 import json
 from math import inf
 
 from ..observe.log import event
-from . import files
-from .journal import FRAME, Journal, torn
+from .adoption import Adoption
+from .journal import FRAME, FileIdentity, Journal
 from .owed import Owed, record, terms_of
+from .timeline import Timeline, continued, read_clock
 
 LIVE_PART = 0.4  # of the allowance for what is owed: an old and a new file stand side by side at a rewrite
 DEAD, SMALL = 4, 100_000  # past so many times what is owed and so many bytes a file is slow to read
 DEAD_PART = 1 / 16  # of the allowance: fewer dead bytes are not worth the writing of all that lives
 UNUSED = 32  # terms that no message has any more: past so many a start leaves them out
-LONG_AGO = 0.0  # of the wall clock: past every window
+LONG_AGO = 0.0  # of any timeline: past every window
 HISTORY = 256  # bytes kept for a message's pushes in a rewritten file
 
 
-class Ledger:
-    def __init__(self, journal: Journal):
+class Ledger(Adoption):
+    """timeline: the axis of all times in it, from the recovery on; read: gives the machine's clocks."""
+
+    def __init__(self, journal: Journal, read=read_clock):
+        super().__init__()
         self.journal, self.owed, self.live, self.well = journal, {}, 0, True
-        self.stuck = False  # a file of a process that is gone could not be taken over yet
+        self.read_clock, self.timeline = read, None
+        self.timeline_written = False
         self.guests: set[str] = set()  # owed for another relay: its guards keep them, our file does not
         self.rules: list[list] = []  # those that the file names so far, by number
 
     def recover(self) -> None:
-        """Read what the lives before have left; a record that makes no sense is passed over."""
+        """Read what the lives before have left; a record that makes no sense is passed over.
+
+        Raises OSError where the folder gives no file at all.
+        """
         bad = self.read(self.journal.read())
+        found, now = self.timeline, self.read_clock()
+        self.timeline = continued(found or self.timeline_beside(), now)
+        self.timeline_written = found == self.timeline
+        self.from_own_file = set(self.owed)
         used = [rules for rules in self.rules if any(o.rules == rules for o in self.owed.values())]
         if unused := len(self.rules) - len(used) > UNUSED:
             self.rules = used
@@ -44,6 +56,7 @@
         if bad or self.journal.dropped:
             event("journal.torn", records=bad, bytes=self.journal.dropped)
         self.adopt()
+        self.from_own_file = set()
 
     def read(self, payloads: list[bytes]) -> int:
         """Apply what a file says; returns how many records make no sense."""
@@ -60,55 +73,6 @@
         for owed in self.owed.values():
             owed.maybe_at = min(owed.maybe_at, LONG_AGO)
 
-    def adopt(self) -> list[Owed]:
-        """Take over what processes that are gone have left in files of their own; returns it.
-
-        A file is copied whole behind ours, in one write, and only then taken away. A kill between the two
-        leaves both as they were: the same messages twice, which count once.
-        """
-        taken, self.stuck = [], False
-        for path in self.journal.beside():
-            fd = files.lock(path)
-            if fd is None:
-                continue  # its process lives
-            with open(fd, "rb") as file:
-                found, left = torn(file.read()), Ledger(None)
-                bad = left.read(found.records)
-                if found.damaged:
-                    left.doubt()
-                new = [owed for owed in left.owed.values() if owed.id not in self.owed]
-                try:
-                    self.copy(new)
-                except OSError as problem:  # it stays where it is, and is tried again
-                    event("journal.blocked", why=f"{path.name}: {problem}")
-                    self.stuck = True
-                    continue
-                path.unlink(missing_ok=True)
-                files.fresh(path).unlink(missing_ok=True)
-            if bad or found.dropped:
-                event("journal.torn", records=bad, bytes=found.dropped)
-            event("journal.adopted", file=path.name, owed=len(new))
-            taken += [self.owed[owed.id] for owed in new]
-        return taken
-
-    def copy(self, new: list[Owed]) -> None:
-        """Raises OSError where there is no room; then nothing of it is there."""
-        rules = [o.rules for o in new if o.rules and o.rules not in self.rules]
-        rules = [each for n, each in enumerate(rules) if each not in rules[:n]]
-        numbers = [*self.rules, *rules]
-        payloads = [record("rules", "", each) for each in rules]
-        payloads += [p for o in new for p in self.summary(o, numbers)]
-        if not payloads:
-            return
-        more = sum(len(p) + FRAME.size for p in payloads)
-        if not self.well or not self.journal.fits(more, self.live):
-            self.rewrite()
-            self.well = True
-        if self.journal.size + more > self.journal.most:
-            raise OSError("no room to adopt it")
-        self.journal.append(*payloads)
-        self.read(payloads)
-
     # -- promises: written first, and not made where there is no room --------------------------------
 
     def has_room(self, body: bytes) -> bool:
@@ -157,14 +121,16 @@
 
     def write(self, payload: bytes) -> bool:
         try:
-            size, more = self.journal.size, len(payload) + FRAME.size
+            payloads = [*self.head(), payload]
+            size, more = self.journal.size, sum(len(each) + FRAME.size for each in payloads)
             large = size > DEAD * self.live + SMALL or not self.journal.fits(more, self.live)
             # Where hardly any of it is dead, as once the allowance is halved, a rewrite wins nothing: one a
             # record is seconds in which nobody is heard. After a failure the file may lack what has happened.
             gains = size > self.live + DEAD_PART * self.journal.most or size + more > self.journal.most
-            if not self.well or (large and gains):
+            if self.must_rewrite() or (large and gains):
                 self.rewrite()
-            self.journal.append(payload)
+                payloads = [payload]
+            self.journal.append(*payloads)
         except OSError as problem:
             if self.well:
                 event("journal.blocked", why=str(problem))
@@ -173,13 +139,27 @@
         if not self.well:
             event("journal.flowing")
         self.well = True
-        self.apply(payload)
+        for each in payloads:
+            self.apply(each)
         return True
 
+    def must_rewrite(self) -> bool:
+        """Whether the file lacks what has happened, or can't go on as it stands."""
+        return not self.well or self.journal.tail_left
+
     def rewrite(self) -> None:
+        self.timeline_written = False
         named = [record("rules", "", each) for each in self.rules]
+        named += [record("adopted", *identity) for identity in sorted(self.adopted)]
         ours = (owed for owed in self.owed.values() if owed.id not in self.guests)
-        self.journal.rewrite([*named, *(p for owed in ours for p in self.summary(owed))])
+        self.journal.rewrite([*self.head(), *named, *(p for owed in ours for p in self.summary(owed))])
+        self.timeline_written = True
+
+    def head(self) -> list[bytes]:
+        """The record of our timeline, unless the file has it."""
+        if self.timeline_written or self.timeline is None:
+            return []
+        return [record("clock", "", self.timeline.boot, self.timeline.offset, self.timeline.began)]
 
     # -- records ----------------------------------------------------------------------------------
 
@@ -208,6 +188,14 @@
         self.owed[name] = owed
         self.resize(owed, len(body) + 2 * HISTORY)
 
+    def on_clock(self, _: str, rest: list, __: bytes) -> None:
+        boot, offset, began = rest
+        self.timeline, self.timeline_written = Timeline(str(boot), float(offset), float(began)), True
+
+    def on_adopted(self, name: str, rest: list, _: bytes) -> None:
+        size, checksum = rest
+        self.adopted.add(FileIdentity(name, int(size), int(checksum)))
+
     def on_rules(self, _: str, rest: list, __: bytes) -> None:
         terms_of("", rest[0])  # what cannot be read is no rule
         self.rules.append(rest[0])
@@ -240,6 +228,8 @@
         owed.size = size
 
     APPLY = {
+        "clock": on_clock,
+        "adopted": on_adopted,
         "rules": on_rules,
         "taken": on_taken,
         "push": on_push,
--- a/ryestack/store/owed.py
+++ b/ryestack/store/owed.py
@@ -38,6 +38,13 @@
         known = {topic.name: topic.effect for topic in settings.topic_types}
         return terms.effect if terms else known.get(self.topic, it.Effect.ONCE_ONLY)
 
+    def shift(self, seconds: float) -> None:
+        """Its times told on another timeline."""
+        self.due += seconds
+        self.maybe_at += seconds
+        self.busy += seconds if self.busy else 0.0
+        self.open = {push: at + seconds for push, at in self.open.items()}
+
     def join(self, other: "Owed") -> None:
         """The history that another copy has of it: the more that may have run, the more careful."""
         self.maybe_at = min(self.maybe_at, other.maybe_at)
--- a/ryestack/store/remembered.py
+++ b/ryestack/store/remembered.py
@@ -13,12 +13,12 @@
 NAME = "learnt"
 MOST = 256 * 1024  # bytes of the folder's allowance that it may take, with the new one beside the old
 OLD = 60.0  # seconds: what was learnt is of a minute at most, as an outage is remembered
-SAME = 1.0  # seconds between two clocks that began together: its times are of the machine's, since its start
 
 
-def save(folder: str, learnt: dict, under: str, clock: float, wall: float) -> None:
-    """under: a mark of the settings; clock: now, as the times in learnt are told; wall: the same moment."""
-    told = {"under": under, "clock": clock, "wall": wall, "learnt": learnt}
+def save(folder: str, learnt: dict, under: str, clock: float, boot: str) -> None:
+    """under: a mark of the settings; clock: now, as the times in learnt are told: the machine's monotonic
+    clock; boot: names the boot that it counts from. The wall clock is not asked: it may be stepped."""
+    told = {"under": under, "clock": clock, "boot": boot, "learnt": learnt}
     text = json.dumps(told, separators=(",", ":")).encode()
     data = b"%08x\n" % zlib.crc32(text) + text
     fresh = Path(folder) / f"{NAME}.new"
@@ -32,19 +32,15 @@
             fresh.unlink()
 
 
-def load(folder: str, under: str, clock: float, wall: float) -> dict | None:
-    """What the life before had learnt; None where there is none, or of another time, clock or settings."""
+def load(folder: str, under: str, clock: float, boot: str) -> dict | None:
+    """What the life before had learnt; None where there is none, or of another time, boot or settings."""
     try:
         mark, _, text = (Path(folder) / NAME).read_bytes().partition(b"\n")
         if int(mark, 16) != zlib.crc32(text):  # damaged: a module must not begin with it, start after start
             return None
         told = json.loads(text)
-        before, then, learnt = told["clock"], told["wall"], told["learnt"]
-        same = (
-            told["under"] == under
-            and abs((wall - clock) - (then - before)) < SAME
-            and 0.0 <= clock - before < OLD
-        )
+        before, learnt = told["clock"], told["learnt"]
+        same = (told["under"], told["boot"]) == (under, boot) and 0.0 <= clock - before < OLD
         return learnt if same and isinstance(learnt, dict) else None
     except (OSError, ValueError, TypeError, KeyError, RecursionError):
         return None
