A request that was read is answered, a start and accept ride out the system, a given-up call is reset

Change: spoilt connections answer what was read, then 400, then end; Acceptor and bound_socket take the place of asyncio's server, for clients and staff; what the other side has not confirmed is thrown away by a reset when a call is given up.

--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from . import registry_control, registry_machine
+from . import registry_control, registry_faults, registry_machine
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +27,7 @@
 
 
 EVENTS = _events(
+    *registry_faults.FAULT_ROWS,
     (
         "call.fault",
         "ERROR",
@@ -69,7 +70,6 @@
         "*",
     ),
     ("front.stale", "DEBUG", "waited", "a hand-in that its client had given up was answered 503 unparsed"),
-    ("front.open", "INFO", "protocol address", "clients are served at this address"),
     (
         "journal.adopted",
         "INFO",
--- a/ryestack/wire/client_connection.py
+++ b/ryestack/wire/client_connection.py
@@ -57,8 +57,8 @@
 
 
 class ClientConnection(web.RequestHandler):
-    """One client's connection. What cannot be read ends it: with an error if it comes first, behind an open
-    request at once, with all that waits."""
+    """One client's connection. What cannot be read ends it with an error, behind the answers to all requests
+    that were read before it."""
 
     def __init__(self, manager, *, loop, **more):
         super().__init__(manager, loop=loop, **more)
@@ -96,10 +96,8 @@
             return
         super().data_received(data)
         if self._messages and not hasattr(self._messages[-1][0], "headers"):  # the parser's own error
-            self.spoilt = True
-            if self._waiter is None or len(self._messages) > 1:  # none waits: a request is under way
-                self.force_close()
-            elif self.transport is not None:
+            self.spoilt = True  # requests before it are answered, then the error, then the connection ends
+            if self.transport is not None:
                 self.transport.pause_reading()
 
     def given_up(self, data: bytes) -> bool:
--- a/ryestack/wire/endpoint_connection.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -14,7 +14,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from .sockets import unread
+from .sockets import reset, unconfirmed, unread
 
 FIRST_LINE = re.compile(rb"HTTP/1\.[01] ([1-5]\d\d)(?: [^\r\n]*)?\r\n")
 END = b"\r\n\r\n"
@@ -99,8 +99,8 @@
     def end(self) -> None:
         """The library closes it. The end of our sending gives a call up; its answer may be on its way, and
         the wait in its head binds all the same: that is still read."""
-        if self.whole.get_write_buffer_size():  # what is given up must not go out later from our own buffer
-            self.whole.abort()
+        if self.whole.get_write_buffer_size() or (self.call is not None and unconfirmed(self.whole)):
+            reset(self.whole)  # what is given up must not go out later, from our buffer or the system's
         elif self.call is None or not self.call.begun or self.head is None:
             self.whole.close()
         elif self.given_up is None and not self.whole.is_closing():
@@ -146,7 +146,7 @@
     def take_back(self) -> bool:
         if self.transport is None or not self.transport.get_write_buffer_size():
             return False
-        self.transport.abort()
+        reset(self.whole)
         return True
 
     def start_timeout(self) -> None:
@@ -220,4 +220,4 @@
     def spoilt(self) -> None:
         """Close at once; what was read whole before stays as it is."""
         self.force_close()
-        self.whole.abort() if self.whole.get_write_buffer_size() else self.whole.close()
+        reset(self.whole) if self.whole.get_write_buffer_size() else self.whole.close()
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -13,13 +13,13 @@
 from ..observe.log import event
 from ..ports import HandIn, Verdict
 from . import forms
+from .acceptor import Acceptor
+from .binding import bound_socket
 from .client_connection import IDLE, QUIET, ClientConnection, ConnectionServer, Full
 
 EBB = 0.1  # seconds between looks at whom to let go
 UNREAD = 2 * 1024 * 1024  # bytes of bodies not yet whole, over all connections
 BUFFER = 16 * 1024  # bytes that the library reads ahead on a connection
-BATCH = 16  # connections accepted in one turn of the loop: what usual clients sent is read between
-BACKLOG = 512
 ANSWERED = 0.35  # seconds in which a request has to be taken on: its client goes after 0.4
 TAKEN, REFUSED, FAILED, MALFORMED, TOO_SLOW, TOO_LARGE = 202, 503, 500, 400, 408, 413
 
@@ -88,7 +88,7 @@
         self.ebbing = asyncio.get_running_loop().call_later(EBB, self.empty)
 
     def replaced(self) -> None:
-        self.listener.close()
+        self.listener.close(serve_queue=False)
         self.ready = True  # of the relay, which the other process is now, drained or not
         self.empty()
 
@@ -116,12 +116,9 @@
 
         Without it, beside another process, the address is shared; else it must be free, as ever.
         """
-        if listening_socket is None and not beside:
-            socket.create_server((host, port), backlog=1).close()
-        sock = listening_socket or socket.create_server((host, port), backlog=BACKLOG, reuse_port=True)
-        sock.setblocking(False)
-        self.listener = await asyncio.get_running_loop().create_server(self.accept, sock=sock, backlog=BATCH)
-        sock.listen(BACKLOG)  # the library knows one figure for both
+        if listening_socket is None:
+            listening_socket = await bound_socket(host, port, beside, reuse=True)
+        self.listener = Acceptor(listening_socket, self.accept)
 
     def accept(self) -> asyncio.Protocol:
         """At the bound the oldest idle connection makes room: silent ones must not keep others out."""
--- a/ryestack/wire/staff.py
+++ b/ryestack/wire/staff.py
@@ -4,12 +4,12 @@
 """
 
 import asyncio
-import socket
 
 from aiohttp import web
 
+from .acceptor import Acceptor
+from .binding import bound_socket
 from .client_connection import QUIET, ClientConnection, ConnectionServer
-from .server import BACKLOG
 
 MOST = (
     16  # connections; at the bound the oldest makes room: a call is whole within a moment of its connection
@@ -29,9 +29,8 @@
         )
 
     async def open(self) -> str:
-        sock = socket.create_server(self.at, backlog=BACKLOG)
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(self.accept, sock=sock, backlog=BACKLOG)
+        sock = await bound_socket(*self.at)
+        self.listener = Acceptor(sock, self.accept)
         host, port = sock.getsockname()[:2]
         return f"{host}:{port}"
 
