--- a/ryestack/brain/outcomes.py
+++ b/ryestack/brain/outcomes.py
@@ -3,7 +3,8 @@
 from math import inf
 
 from ..interface import Cancel, Result
-from .walk import MAY_STILL_RUN, NEVER_RAN, ONCE, Walk
+from .guard import ONCE
+from .walk import MAY_STILL_RUN, NEVER_RAN, Walk
 
 
 class Outcomes(Walk):
@@ -32,6 +33,7 @@
         if first:
             self.judge(route, call, o)
         ntf.out -= 1
+        ntf.pushes -= not o.made
         if ntf.key and o.result in MAY_STILL_RUN:
             self.keys[ntf.key][1] = self.now + self.set.rules.key_rest
             for other in self.keys[ntf.key][0].values():
--- a/ryestack/brain/rounds.py
+++ b/ryestack/brain/rounds.py
@@ -6,10 +6,11 @@
 from math import inf
 
 from .. import interface as it
+from .guard import AGAIN, ONCE
 from .measures import Habit, Times
 from .outcomes import Outcomes
 from .routes import Call
-from .walk import AGAIN, ONCE, Ntf
+from .walk import Ntf
 
 
 class Brain(Outcomes):
--- a/ryestack/brain/walk.py
+++ b/ryestack/brain/walk.py
@@ -1,11 +1,11 @@
-"""Notifications: how each is held, walks its routes and ends, a key's turns; pushes pass the rules' Guard."""
+"""Notifications: how each is held, walks its routes and ends, a key's turns; pushes pass the `guard`."""
 
 from math import inf
 
 from .. import interface as it
-from .routes import Circuits, Dest
+from .guard import AGAIN, Guard
+from .routes import Dest
 
-ONCE, AGAIN = it.Effect.ONCE_ONLY, it.Effect.REPEATABLE
 NEVER_RAN = {it.Result.FULL, it.Result.NO_CONNECTION, it.Result.NOT_SENT}  # proof that a push never ran
 MAY_STILL_RUN = {it.Result.TIMED_OUT, it.Result.BROKEN, it.Result.CANCELLED}  # its key rests after these
 
@@ -28,37 +28,9 @@
         self.maybe_zone, self.refused = "", False  # of its first that may have run; the last met a limit
 
 
-class Guard(Circuits):
-    def repeats(self, ntf, zone):  # rule 2, of one that may have run: may it go to that hall again?
-        if ntf.topic.effect is not it.Effect.COLLAPSIBLE:
-            return ntf.topic.effect is AGAIN
-        drops = ntf.topic.group == "all" or (ntf.topic.group == "zone" and zone == ntf.maybe_zone != "")
-        return drops and self.begin_in(ntf) > 0.0
-
-    def begin_in(self, ntf):  # a push that connects late must not begin after so long; a little early
-        return ntf.maybe_at - self.now + (inf if ntf.topic.effect is AGAIN else ntf.topic.window - self.EARLY)
-
-    def may_push(self, ntf, route):
-        if ntf.state != "parked" or ntf.out or self.now + self.EARLY >= ntf.due or ntf.pushes >= ntf.most:
-            return False  # rule 1, and no second copies
-        stale = self.now >= max(self.sure, route.good_at) + self.TOLD  # neither the list nor a delivery says
-        cut = self.now + ntf.dest.expected() >= self.leaves  # by a restart, and it may have run
-        if route.state == "draining" or stale or self.now < route.pacer.wait_until or cut:
-            return False  # rules 3, 6 and 2
-        if ntf.key:  # rule 5: the first of its key, after the rest
-            turns, rest = self.keys[ntf.key]
-            if next(iter(turns)) != ntf.id or (self.now < rest and not ntf.pushes):
-                return False
-        return ntf.maybe_at == inf or self.repeats(ntf, route.zone)
-
-    def may_throttle(self, ntf):
-        effect, never = ntf.topic.effect, ntf.maybe_at == inf
-        return never or effect is AGAIN or (effect is not ONCE and ntf.topic.group == "all")
-
-
 class Walk(Guard):
     WALK_REST, HOPS = 0.6, 2  # seconds before a walk begins anew: a few calls end there; hops in one walk
-    SHARE_SPAN, EARLY = 5.0, 0.05  # seconds of quota that a customer may run ahead; that we count late
+    SHARE_SPAN = 5.0  # seconds of quota that a customer may run ahead
     DOOR, LATE, PRICE = 0.95, 0.3, 0.3  # of our hold; an end before the last LATE of a time costs PRICE of it
 
     def step(self, ntf, heard):
--- a/ryestack/interface/words.py
+++ b/ryestack/interface/words.py
@@ -82,7 +82,8 @@
 
     ended: the notification has its final answer already; limit: the calls a second told, 0 if none; left: the
     share of it that is left, 1 if none is told; stale:
-    it broke on what was kept open from before, without a word, which tells nothing of the endpoint's health.
+    it broke on what was kept open from before, without a word, which tells nothing of the endpoint's health;
+    made: False for one that was never begun, nor written down: it does not count as a push.
     """
 
     id: str
@@ -95,6 +96,7 @@
     limit: float = 0.0
     stale: bool = False
     left: float = 1.0
+    made: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/ryestack/lab/soak/scenario.py
+++ b/ryestack/lab/soak/scenario.py
@@ -11,12 +11,13 @@
 from ...standins.books import Books
 from ...standins.stage import Endpoint, Pace, Platform, Stage
 from ..load import Topic
-from ..trial import free_port, platform_config
+from ..trial import platform_config
 from .fault_control import build
 from .http_client import ClientPlan, ClientTopic
 from .invariants import Evidence
 from .model import Attempt, Drained, Returned, Trouble
-from .processes import ClientProcess, Proxy, SoakRelay, StandIn
+from .processes import ClientProcess, Ports, Proxy, StandIn
+from .relay import SoakRelay
 from .schedule import draw
 from .troubles import ENDPOINTS, Troubles
 
@@ -50,6 +51,7 @@
         drawn = draw(plan.seed, plan.seconds, plan.relays, plan.partners)
         self.troubles: list[Trouble] = drawn if troubles is None else troubles
         self.chance = Random(f"scenario {plan.seed}")
+        self.ports = Ports()
         self.relays: list[SoakRelay] = []
         self.partners: list[StandIn] = []
         self.proxies: list[Proxy] = []
@@ -87,7 +89,9 @@
         for number in range(self.plan.partners):
             listed += await self.start_partner(number)
         stage = Stage(
-            endpoint=listed, platform=Platform(self.address(), self.address()), control=self.address()
+            endpoint=listed,
+            platform=Platform(self.ports.address(), self.ports.address()),
+            control=self.ports.address(),
         )
         table = msgspec.to_builtins(stage)
         self.platform = StandIn("platform", table, stage.platform.control, self.folder, "platform")
@@ -95,12 +99,11 @@
         known = {"index": 1, "snapshot": True, "endpoints": [self.row(each) for each in listed]}
         for number in range(self.plan.relays):
             config = self.config(number, stage.platform.address, known)
-            self.relays.append(SoakRelay(number, config, self.folder / f"relay-{number}", library))
+            self.relays.append(
+                SoakRelay(number, config, self.folder / f"relay-{number}", library, self.ports)
+            )
         await asyncio.gather(*(relay.start() for relay in self.relays))
 
-    def address(self) -> str:
-        return f"127.0.0.1:{free_port()}"
-
     @staticmethod
     def row(endpoint: Endpoint) -> dict:
         return {
@@ -112,12 +115,12 @@
         """Its endpoints as relays see them: at the addresses of the links before them."""
         made = [
             Endpoint(
-                f"p{number}-{each}", number + 1, self.address(), weight=self.plan.weight, slots=64,
+                f"p{number}-{each}", number + 1, self.ports.address(), weight=self.plan.weight, slots=64,
                 pace=Pace(mean=0.04), **COLD,
             )
             for each in range(ENDPOINTS)
         ]  # fmt: skip
-        stage = Stage(endpoint=made, control=self.address(), seed=self.plan.seed)
+        stage = Stage(endpoint=made, control=self.ports.address(), seed=self.plan.seed)
         partner = StandIn(
             "partner", msgspec.to_builtins(stage), stage.control, self.folder, f"partner-{number}"
         )
@@ -135,7 +138,7 @@
         ]
 
     def config(self, number: int, discovery: str, known: dict) -> dict:
-        made = platform_config(self.address(), discovery, known, TOPICS, self.plan.seed * 100 + number)
+        made = platform_config(self.ports.address(), discovery, known, TOPICS, self.plan.seed * 100 + number)
         made["name"] = f"r{number}"
         settings = made["settings"]
         settings["balancers"] = self.plan.relays
--- a/ryestack/lab/soak/troubles.py
+++ b/ryestack/lab/soak/troubles.py
@@ -8,7 +8,8 @@
 
 from .fault_control import Fault
 from .model import Drained, Kind, Returned, Trouble
-from .processes import Proxy, SoakRelay, StandIn
+from .processes import Proxy, StandIn
+from .relay import SoakRelay
 
 ENDPOINTS = 2  # of each partner
 TOLD_WAIT = 0.8  # seconds that a partner over its limit tells
--- a/ryestack/lifecycle/admin.py
+++ b/ryestack/lifecycle/admin.py
@@ -1,9 +1,14 @@
 """What staff ask of a relay at its second address, and a drain that they began."""
 
 import asyncio
+from collections import Counter
 
+from ..brain.invariants import Rule
 from ..observe import figures
+from ..ports import Closed
+from .admission import Refusal
 from .phases import ACCEPT, PHASES, READY, REFUSED
+from .pushing import Unsent
 
 TEXT = "text/plain; charset=utf-8"
 
@@ -28,7 +33,19 @@
         if parts.control:
             values |= parts.control.figures()
         topics = [topic.name for topic in owner.settings.topic_types]
-        return 200, figures.TYPE, figures.text(owner.ended, topics, values)
+        return 200, figures.TYPE, figures.text(owner.ended, topics, values, self.labelled())
+
+    def labelled(self) -> dict[str, dict[str, int]]:
+        """Counts with a reason each, also of those that have not been seen yet."""
+        owner = self.owner
+        closed = sum((listener.closed for listener in self.parts.listeners), Counter())
+        return {
+            "invariant_violations_total": {rule.value: owner.invariants.counts[rule] for rule in Rule},
+            "refused_total": {why.value: owner.refused[why] for why in Refusal},
+            "pushes_unsent_total": {why.value: owner.unsent[why] for why in Unsent},
+            "retries_total": {after or "a life before": count for after, count in owner.retries.items()},
+            "client_connections_closed_total": {why.value: closed[why] for why in Closed},
+        }
 
     async def asked(self, what: str) -> tuple[int, str, str]:
         if self.phase in REFUSED[what]:
--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -66,6 +66,7 @@
     at = (config.host, config.port)
     terms = Terms(settings)
     listener = Clients(settings, terms, members, clock, owner.hand_in, owner.withdraw, most, at)
+    listener.server.unanswered = owner.unanswered
     peering = None
     if operator.peers.cluster:
         from .replication.peering import Peering  # most relays have none
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -12,16 +12,17 @@
 from ..brain import NEVER_RAN
 from ..interface import Result
 from ..observe.log import detailed, event
-from ..ports import Directory, Dispatcher, HandIn, Item, NoticeSink, Verdict
+from ..ports import Directory, Dispatcher, HandIn, NoticeSink, Verdict
 from ..store.ledger import Ledger
-from ..store.owed import Owed, rules_of
+from .admission import Admission, Refusal
+from .pushing import Pushing
 from .recovery import Paused, Recovery
 from .replication.unreplicated import Unreplicated
 from .upgrade.siblings import RemoteEvent, Siblings
 from .watched import Watched
 
 
-class Owner(Recovery):
+class Owner(Admission, Pushing, Recovery):
     def __init__(self, settings: it.Settings, seed: int, ledger: Ledger, clock, wall: float):
         super().__init__()
         self.settings, self.ledger, self.clock = settings, ledger, clock
@@ -36,6 +37,7 @@
         self.replication = Unreplicated()
         self.emptied = False  # drained by staff: nothing new is taken
         self.counts = Counter()
+        self.retries: Counter[str] = Counter()  # pushes again, by how the one before ended
         self.ended: Counter[tuple[str, str]] = Counter()  # by topic type and how it ended
         self.fresh: dict[str, HandIn] = {}
 
@@ -89,8 +91,10 @@
     def round(self, events: list) -> None:
         self.fresh = {}
         heard = [h for h in (self.BEFORE.get(type(e), _as_is)(self, e) for e in events) if h]
-        asked = defaultdict(list)
-        for action in self.brain.round(self.clock(), heard):
+        asked, now = defaultdict(list), self.clock()
+        for told in heard:
+            self.invariants.hear(told, now)
+        for action in self.brain.round(now, heard):
             asked[type(action)].append(action)
         for action in asked[it.Throttle] + asked[it.Expire]:
             self.end(action)
@@ -110,30 +114,10 @@
         for action in asked[it.Wake]:
             asyncio.get_running_loop().call_later(action.after, self.put, [it.Woken()])
 
-    def before_hand_in(self, message: HandIn):
-        name = message.ntf.id
-        if name in self.ledger.owed or name in self.fresh:
-            message.verdict.set_result((Verdict.UNREADABLE, 0.0))
-        elif (away := self.replication.turned_away()) is not None:
-            self.turn_away(message, away)
-        elif self.full(message) or self.clock() > message.answer_by:
-            self.turn_away(message)
-        else:
-            self.fresh[name] = message
-            return message.ntf
-        return None
-
-    def full(self, message: HandIn) -> bool:
-        held = self.held_by_all() >= self.settings.max_open
-        return self.emptied or held or not self.ledger.has_room(message.body)
-
-    def held(self) -> int:
-        return len(self.ledger.owed) + len(self.fresh)
-
-    def held_by_all(self) -> int:
-        return self.held() + sum(self.held_by.values())
-
     def before_outcome(self, o: it.Outcome):
+        if not o.made:
+            return o
+        self.invariants.ended(o.id, o.push)
         self.tell_ended(o)
         self.counts[o.result.value] += 1
         if detailed():
@@ -145,8 +129,9 @@
             self.over(o.id)
         else:
             self.ledger.outcome(o.id, o.push, o.result in NEVER_RAN)
-            if o.id in self.ledger.owed:
-                self.replication.ended(self.ledger.owed[o.id], o.push, o.result in NEVER_RAN)
+            if owed := self.ledger.owed.get(o.id):
+                owed.last = o.result.value
+                self.replication.ended(owed, o.push, o.result in NEVER_RAN)
         return o
 
     def before_withdrawn(self, event: it.Withdrawn):
@@ -167,65 +152,18 @@
         message = self.fresh.pop(action.id, None)
         if message:
             self.ended[message.ntf.topic_type, how] += 1
+            self.count_refusal(message, Refusal.DECIDED)
             message.verdict.set_result((Verdict.THROTTLED if throttled else Verdict.EXPIRED, away))
-        elif action.id in self.ledger.owed:
-            self.ended[self.ledger.owed[action.id].topic, how] += 1
+        elif owed := self.ledger.owed.get(action.id):
+            if rule := self.invariants.check_end(owed):
+                self.violated(rule, action.id)
+                return
+            self.ended[owed.topic, how] += 1
             notice = {"state": "returned" if throttled else "failed"}
             if away > 0.0:
                 notice["after_ms"] = round(away * 1000.0)
             self.ledger.owe_notice(action.id, notice)
-            self.replication.told(self.ledger.owed[action.id], notice, self.notices.add)
-
-    def take(self, message: HandIn) -> None:
-        n = message.ntf
-        due = n.due + self.wall
-        rules = rules_of(n.terms, n.most) if n.terms else None
-        head = n.id, due, n.destination, n.topic_type, n.customer, n.key, message.key
-        owed = Owed(*head, message.body, rules)
-        if self.ledger.take(owed):
-            self.counts["taken"] += 1
-            self.told_taken(owed)
-            self.ledger.owed[n.id].heard = message.heard
-            self.replication.took(owed, message)
-        else:
-            self.turn_away(message)
-            self.put([it.Withdrawn(n.id)])
-
-    def told_taken(self, o: Owed) -> None:
-        if detailed():
-            event("ntf.taken", id=o.id, destination=o.dest, topic=o.topic, pushes=o.pushes)
-
-    def turn_away(self, message: HandIn, away: float = 0.0) -> None:
-        """For want of room or of guards, not by a decision: the hold or the journal is full."""
-        self.counts["turned away"] += 1
-        self.ended[message.ntf.topic_type, "throttled"] += 1
-        message.verdict.set_result((Verdict.THROTTLED, away))
-
-    def push(self, pushes: list[it.Push]) -> None:
-        calls, unsent = defaultdict(list), []
-        for p in pushes:
-            owed = self.ledger.owed.get(p.id)
-            if not owed:  # refused just now, for want of room in the journal
-                unsent.append(it.Outcome(p.id, 0, p.endpoint, Result.NOT_SENT, ended=True))
-                continue
-            number = owed.pushes
-            if not self.ledger.push(p.id, number, self.clock() + self.wall):
-                owed.pushes += 1  # as the module counts
-                unsent.append(it.Outcome(p.id, number, p.endpoint, Result.NOT_SENT))
-                continue
-            if (may := self.replication.begin(p, owed)) is None:
-                unsent.append(it.Outcome(p.id, number, p.endpoint, Result.NOT_SENT))
-                continue
-            self.counts["pushes"] += 1
-            calls[p.endpoint].append(Item(p.id, number, p.timeout, owed.key, owed.body, owed.heard, *may))
-        for endpoint, items in calls.items():
-            self.dispatcher.start(endpoint, items)
-            for i in items if detailed() else ():
-                dest = self.ledger.owed[i.id].dest
-                event("push.began", id=i.id, push=i.push, route=endpoint, destination=dest)
-            self.tell_began(endpoint, items)
-        if unsent:
-            self.put(unsent)
+            self.replication.told(owed, notice, self.notices.add)
 
     def in_progress(self) -> int:
         return sum(not owed.notice for owed in self.ledger.owed.values())
@@ -234,7 +172,7 @@
         return not self.queue and not self.ledger.owed
 
     BEFORE = {
-        HandIn: before_hand_in,
+        HandIn: Admission.before_hand_in,
         it.Outcome: before_outcome,
         it.WaitTold: Siblings.before_wait,
         RemoteEvent: Siblings.before_remote_event,
--- a/ryestack/lifecycle/upgrade/siblings.py
+++ b/ryestack/lifecycle/upgrade/siblings.py
@@ -19,6 +19,7 @@
     """The owner's side that hears other processes; what it makes of a message goes into the owner's queue."""
 
     def __init__(self):
+        super().__init__()
         self.siblings = []  # channels to the other processes of this relay: each hears of our calls
         self.remote_pushes: dict[tuple[str, int], tuple[object, str]] = {}  # whose, and to which endpoint
         self.turns: dict[tuple[str, str], object] = {}  # their keys in order and ids: whose
--- a/ryestack/observe/figures.py
+++ b/ryestack/observe/figures.py
@@ -19,6 +19,17 @@
     ("load_errors_total", "counter", "configuration files turned down at SIGHUP"),
 )
 
+LABELLED = (  # name, label, meaning
+    (
+        "invariant_violations_total",
+        "rule",
+        "rules that a decided action would have broken, which was not done",
+    ),
+    ("refused_total", "why", "hand-ins that were not taken on"),
+    ("pushes_unsent_total", "why", "pushes that were decided and not started"),
+    ("retries_total", "after", "pushes again, by how the one before ended"),
+    ("client_connections_closed_total", "why", "clients' connections by what ended them"),
+)
 CONTROL_FIGURES = (  # of relays that have control machines
     ("control_version", "gauge", "version of destinations and settings in force"),
     ("control_age_seconds", "gauge", "since a control machine last said that it is the newest"),
@@ -26,8 +37,14 @@
 )
 
 
-def text(handled: Counter, categories: Iterable[str], values: dict[str, float]) -> str:
-    """handled: by (topic type, how it ended); categories: the topic types to tell though none ended yet."""
+def text(
+    handled: Counter,
+    categories: Iterable[str],
+    values: dict[str, float],
+    labelled: dict[str, dict[str, int]] | None = None,
+) -> str:
+    """handled: by (topic type, how it ended); categories: the topic types to tell though none ended yet;
+    labelled: counts by label, for the names in LABELLED."""
     lines = _head("handled_total", "counter", "messages ended: delivered; refused or handed back; failed")
     for category in sorted({*categories, *(topic for topic, _ in handled)}):
         for end, word in OUTCOMES.items():
@@ -36,6 +53,10 @@
     scoped = CONTROL_FIGURES if "control_version" in values else ()
     for name, kind, meaning in (*FIGURES, *scoped):
         lines += [*_head(name, kind, meaning), f"{PREFIX}{name} {values[name]}"]
+    for name, label, meaning in LABELLED if labelled is not None else ():
+        lines += _head(name, "counter", meaning)
+        for value, count in sorted(labelled[name].items()):
+            lines.append(f'{PREFIX}{name}{{{label}="{_escaped(value)}"}} {count}')
     return "\n".join(lines) + "\n"
 
 
--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -143,13 +143,6 @@
         "a notification is taken, or goes on by its history after a start",
     ),
     ("ntf.ended", "DEBUG", "id how after", "a notification that is not delivered got its final answer"),
-    ("push.began", "DEBUG", "id push route destination", "a push was handed to the dispatcher"),
-    (
-        "push.ended",
-        "DEBUG",
-        "id push route result elapsed wait limit left",
-        "how a push ended, and what its answer told of waits and limits",
-    ),
     ("platform.moved", "INFO", "address", "watch and notices have moved to this address"),
     (
         "staff.open",
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -28,6 +29,17 @@
     UNREADABLE = "unreadable"  # it cannot be taken as it is: its id is in use
 
 
+class Closed(Enum):
+    """What ended a client's connection; the words are those of the counter and of the log."""
+
+    CLIENT = "its client"
+    IDLE = "idle for long"
+    ROOM = "room for another"
+    LEAVING = "a stop or a drain"
+    ANSWERED = "behind its last answer"
+    STALE = "a request that its client had given up"
+
+
 @dataclass(slots=True)
 class HandIn:
     """A notification that a client hands in.
@@ -71,6 +83,7 @@
     """Takes notifications from clients of one protocol; it calls `hand_in(HandIn)` and `withdraw(id)`."""
 
     busy: int  # requests under way
+    closed: Counter  # connections that have ended, by Closed
 
     async def open(self, listening_socket=None, beside: bool = False) -> str:
         """Listen; returns the address. From here on it serves.
--- a/ryestack/standins/links.py
+++ b/ryestack/standins/links.py
@@ -66,6 +66,8 @@
                     await asyncio.sleep(self.delay * self.random.uniform(0.5, 1.5))
                 while self.mode in ("hole", way):
                     await asyncio.sleep(LOOK)
+                    if reader.exception():  # its sender has reset the connection: nothing is sent again
+                        return
                 if self.mode == "reset":
                     writer.write(data[: len(data) // 2])
                     break
--- a/ryestack/store/owed.py
+++ b/ryestack/store/owed.py
@@ -27,6 +27,7 @@
     size: int = 0
     heard: object = None  # in the life that took it: whether its client was told
     busy: float = 0.0  # until when a push of another relay may be out, of the wall's clock
+    last: str = ""  # how its last push ended, in this life
     alone: bool = False  # no guard has heard of it, or ever will: nobody else acts on it
 
     def first_maybe(self) -> float:
--- a/ryestack/wire/client_connection.py
+++ b/ryestack/wire/client_connection.py
@@ -7,10 +7,12 @@
 
 import asyncio
 import logging
+from collections import Counter
 
 from aiohttp import web
 
-from ..observe.log import event
+from ..observe.log import detailed, event
+from ..ports import Closed
 from .sockets import unread, waited
 
 IDLE = 2.2  # seconds: a connection with no open request may end after 2, and a bad client must hear within 3
@@ -64,6 +66,7 @@
         super().__init__(manager, loop=loop, **more)
         self.since = self.heard_at = self.came_at = loop.time()  # came_at: when its last bytes got here
         self.spoilt, self.ending, self.whole = False, None, None  # whole: the transport itself
+        self.why = Closed.CLIENT
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         super().connection_made(transport)
@@ -72,10 +75,32 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         if self.ending:
             self.ending.timer.cancel()
+        if self._manager is not None:
+            self._manager.closed[self.why] += 1
+        if detailed():
+            event("client.closed", why=self.why.value, requests=self._request_count)
         super().connection_lost(exc)
 
+    def has_read_more(self) -> bool:
+        """Whether requests that were read wait behind the open one."""
+        return any(hasattr(message, "headers") for message, _ in self._messages)
+
+    def end_for(self, why: Closed) -> None:
+        """The one way in which we end it."""
+        if self.why is Closed.CLIENT:
+            self.why = why
+        self.force_close()
+
+    def is_owed_an_answer(self) -> bool:
+        """Whether a request was read that has no answer: then it may not be closed."""
+        return self._current_request is not None or self.has_read_more()
+
     def end(self) -> None:
         """Nothing that is read from here on is taken on."""
+        if self.why is Closed.CLIENT:
+            self.why = Closed.ANSWERED
+        if self.is_owed_an_answer() and not self.whole.is_closing():
+            self._manager.unanswered()
         self._force_close = True
         if self.ending is None and not self.whole.is_closing():
             self.ending = Ending(self.whole, self._loop)
@@ -92,7 +117,7 @@
         if self.given_up(data):
             event("front.stale", waited=round(self.heard_at - self.came_at, 3))
             self.whole.write(REFUSED)
-            self.force_close()
+            self.end_for(Closed.STALE)
             return
         super().data_received(data)
         if self._messages and not hasattr(self._messages[-1][0], "headers"):  # the parser's own error
@@ -110,6 +135,8 @@
             self._keepalive_handle = self._loop.call_soon(self._process_keepalive)
         else:
             super()._process_keepalive()
+            if self._force_close and self.why is Closed.ANSWERED:
+                self.why = Closed.IDLE
 
     def idle(self) -> bool:
         """Whether it waits for a request of which nothing whole has come."""
@@ -124,7 +151,7 @@
         if self.transport is None or not self.idle() or self._loop.time() < self.heard_at + since:
             return
         if not unread(self.whole):
-            self.force_close()
+            self.end_for(Closed.LEAVING)
 
     def until(self, now: float) -> float:
         """When the open request must have come whole."""
@@ -137,6 +164,8 @@
     def __init__(self, *args, **more):
         super().__init__(*args, **more)
         self.ending: dict[ClientConnection, None] = {}  # half-closed, the oldest first
+        self.closed: Counter[Closed] = Counter()
+        self.unanswered = lambda: None  # told where one is ended over a request that was read
 
     def __call__(self) -> ClientConnection:
         return ClientConnection(self, loop=self._loop, **self._kwargs)
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -5,17 +5,19 @@
 
 import asyncio
 import socket
+from collections import Counter
 
 import aiohttp
 from aiohttp import web
 
 from .. import interface as it
 from ..observe.log import event
-from ..ports import HandIn, Verdict
+from ..ports import Closed, HandIn, Verdict
 from . import forms
 from .acceptor import Acceptor
 from .binding import bound_socket
 from .client_connection import IDLE, QUIET, ClientConnection, ConnectionServer, Full
+from .hand_in import HandInReader, NotServed
 
 EBB = 0.1  # seconds between looks at whom to let go
 UNREAD = 2 * 1024 * 1024  # bytes of bodies not yet whole, over all connections
@@ -32,10 +34,6 @@
 }
 
 
-class NotServed(Exception):
-    """A destination that this relay does not serve, though another may."""
-
-
 class Clients:
     """Serves clients; hand_in and withdraw put into the queue of the task that owns the decisions."""
 
@@ -44,7 +42,7 @@
     def __init__(
         self, settings: it.Settings, terms, members, clock, hand_in, withdraw, most: int, at=("", 0)
     ):
-        self.terms = terms  # of(topic type, now) -> its terms and number of pushes, or None
+        self.reader = HandInReader(terms, members, clock)
         self.retune(settings)
         self.members, self.clock, self.hand_in, self.withdraw = members, clock, hand_in, withdraw
         self.whole, self.most, self.ready, self.last_answers, self.busy, self.unread = (
@@ -74,7 +72,7 @@
         return f"{host}:{port}"
 
     def retune(self, settings: it.Settings) -> None:
-        self.customers = {c.name for c in settings.customers}
+        self.reader.customers = {c.name for c in settings.customers}
 
     def leave(self) -> None:
         self.ready, self.last_answers = False, True
@@ -105,6 +103,10 @@
     def shut(self) -> None:
         self.stop_listening()
 
+    @property
+    def closed(self) -> Counter[Closed]:
+        return self.server.closed
+
     def connections(self) -> int:
         return len(self.server.connections)
 
@@ -127,7 +129,7 @@
             if oldest is None:
                 event("front.full", bound=self.most)
                 return Full()
-            oldest.force_close()
+            oldest.end_for(Closed.ROOM)
         return self.server()
 
     def stop_listening(self) -> None:
@@ -147,7 +149,8 @@
             method, serve = route
             if request.method != method:
                 return self.answer(405, f"{method} only", Allow=method)
-            return await serve(self, request)
+            answer = await serve(self, request)
+            return answer if answer.prepared else self.finished(request, answer)
         finally:
             self.busy -= 1
 
@@ -171,7 +174,7 @@
                         return self.answer(TOO_LARGE, f"{forms.MOST_BODY} bytes at most", last=True)
                     if self.unread > UNREAD:
                         return self.answer(REFUSED, "too much at once", last=True)
-            ntf, key = self.read(request.headers, request.protocol.came_at)
+            ntf, key = self.reader.read(request.headers, request.protocol.came_at)
         except forms.BadForm as bad:
             return self.answer(MALFORMED, str(bad))
         except NotServed as why:
@@ -204,6 +207,7 @@
     async def tell(self, request: web.BaseRequest, answer: web.Response) -> bool:
         if request.transport is None or request.transport.is_closing():
             return False
+        self.finished(request, answer)
         try:
             await answer.prepare(request)
             await answer.write_eof()
@@ -211,33 +215,15 @@
             return False
         return True
 
-    def read(self, headers, came_at: float) -> tuple[it.Notification, str]:
-        """came_at: when its last byte got here, from which its time runs, however late it is read."""
-        now = self.clock()
-        name = forms.token(headers.get("X-Request-Id", ""), "X-Request-Id")
-        topic, most = self.terms.of(headers.get("X-Class", ""), now)
-        if topic is None:
-            raise forms.BadForm("X-Class names no topic type")
-        customer = headers.get("X-Tenant", "")
-        if self.customers and customer not in self.customers:
-            raise forms.BadForm("X-Tenant names no customer")
-        span = forms.seconds(headers.get("X-Deadline", ""))
-        late = max(0.0, now - came_at)
-        dest = forms.destination(headers.get("X-Envelope", ""))
-        if not self.members.has(dest):
-            raise (NotServed if self.members.scoped else forms.BadForm)(f"no destination {dest}")
-        key = headers.get("Idempotency-Key", "")
-        if key or topic.effect is it.Effect.COLLAPSIBLE:
-            forms.token(key, "Idempotency-Key")
-        order_key = headers.get("X-Key", "")
-        if order_key:
-            forms.token(order_key, "X-Key")
-        told = {"terms": topic, "most": most, "late": late}
-        return it.Notification(name, came_at + span, dest, topic.name, customer, order_key, **told), key
-
     def answer(self, status: int, text: str, last: bool = False, **headers: str) -> web.Response:
         answer = web.Response(status=status, text=text and text + "\n", headers=headers)
-        if last or self.last_answers:
+        if last:
+            answer.force_close()
+        return answer
+
+    def finished(self, request: web.BaseRequest, answer: web.Response) -> web.Response:
+        """While we leave, an answer behind which no request that was read stands is the last one."""
+        if self.last_answers and not request.protocol.has_read_more():
             answer.force_close()
         return answer
 
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -143,13 +143,19 @@
             sock.close()
             await self.until(lambda: not self.clients.server.connections)
 
-    async def test_a_request_behind_the_last_answer_is_not_taken_on_and_the_answer_arrives(self):
+    async def test_while_it_leaves_all_that_was_read_is_answered_and_nothing_behind_that_read(self):
         self.clients.leave()
         sock = await self.connect()
+        [connection] = self.clients.server.connections
         await self.loop.sock_sendall(sock, WHOLE + ANOTHER)
+        await self.until(lambda: connection.ending)
+        sock.send(WHOLE.replace(b"X-Request-Id: n", b"X-Request-Id: o"))
         said = await self.rest(sock)
-        self.assertEqual((said[9:12], said.count(b"HTTP/1.1")), (b"202", 1))
-        self.assertEqual(self.got, ["n"])
+        answers = said.split(b"HTTP/1.1 ")[1:]
+        self.assertEqual([answer[:3] for answer in answers], [b"202", b"202"])
+        self.assertEqual([b"connection: close" in a.lower() for a in answers], [False, True])
+        await self.until(lambda: connection.ending.thrown)
+        self.assertEqual(self.got, ["n", "m"])
 
     async def test_a_client_that_neither_ends_nor_stops_is_cut_off(self):
         sock = await self.connect()
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -15,7 +15,9 @@
 from .helpers import Folder, settings, take
 
 
-class OwnerTask(Folder, unittest.IsolatedAsyncioTestCase):
+class OwnerMade(Folder):
+    """An owner in a folder, with a dispatcher and a sink that write down what they are given."""
+
     def owner(self, folder=None, allowance=100_000, **more):
         ledger = Ledger(Journal(folder or self.folder, allowance))
         ledger.recover()
@@ -48,6 +50,8 @@
         made.round([it.Woken()])
         return made
 
+
+class OwnerTask(OwnerMade, unittest.IsolatedAsyncioTestCase):
     async def test_a_failed_asking_is_followed_by_another_later_each_time_until_one_goes_well(self):
         o, asked, loop = self.owner(asks_for_list=True), [], asyncio.get_running_loop()
         o.directory = SimpleNamespace(ask=lambda: asked.append(self.now))
