--- a/ryestack/lab/soak/scenario.py
+++ b/ryestack/lab/soak/scenario.py
@@ -29,6 +29,7 @@
 WINDOW = 3.0
 CUSTOMER = "acme"
 COLD = {"cold_time": 3.0, "cold_share": 0.3, "fall_factor": 1.5, "fall_time": 1.0}
+NEVER_FALLS = 100.0  # a partner that fell would hide by how much it was pushed over: the judge counts
 SETTLE = 9.0  # seconds after the last hand-in: the longest time, and a restart's margin
 
 
@@ -120,7 +121,8 @@
             )
             for each in range(ENDPOINTS)
         ]  # fmt: skip
-        stage = Stage(endpoint=made, control=self.ports.address(), seed=self.plan.seed)
+        standing = [msgspec.structs.replace(each, fall_factor=NEVER_FALLS) for each in made]
+        stage = Stage(endpoint=standing, control=self.ports.address(), seed=self.plan.seed)
         partner = StandIn(
             "partner", msgspec.to_builtins(stage), stage.control, self.folder, f"partner-{number}"
         )
