--- a/ryestack/cli/soak.py
+++ b/ryestack/cli/soak.py
@@ -1,7 +1,6 @@
 """ryestack soak: real processes on loopback under overlapping troubles, judged by invariants."""
 
 import asyncio
-import signal
 import tempfile
 from pathlib import Path
 from typing import Annotated
@@ -12,15 +11,14 @@
 from ..lab.soak.invariants import Verdict, judge_soak
 from ..lab.soak.scenario import Scenario, SoakPlan
 from ..lab.trial import TrialFailed
+from .interrupts import end_from_within
 from .output import FOUND, Json, Seed, print_json, say, unusable
 
 SHOWN = 12  # findings of a seed that are printed
 
 
 async def _play(plan: SoakPlan, folder: Path, line) -> tuple[Verdict, dict]:
-    task, loop = asyncio.current_task(), asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, task.cancel)
+    end_from_within()
     scenario = Scenario(plan, folder, line)
     verdict = judge_soak(await scenario.play())
     return verdict, scenario.injected
