--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -12,9 +12,10 @@
 from ..brain import NEVER_RAN
 from ..interface import Result
 from ..observe.log import detailed, event
-from ..ports import Directory, Dispatcher, HandIn, NoticeSink, Verdict
+from ..ports import Directory, Dispatcher, HandIn, NoticeSink
 from ..store.ledger import Ledger
-from .admission import Admission, Refusal
+from .admission import Admission
+from .ending import Ending
 from .pushing import Pushing
 from .recovery import Paused, Recovery
 from .replication.unreplicated import Unreplicated
@@ -22,7 +23,7 @@
 from .watched import Watched
 
 
-class Owner(Admission, Pushing, Recovery):
+class Owner(Admission, Pushing, Ending, Recovery):
     def __init__(self, settings: it.Settings, seed: int, ledger: Ledger, clock, wall: float):
         super().__init__()
         self.settings, self.ledger, self.clock = settings, ledger, clock
@@ -143,30 +144,6 @@
     def before_paused(self, event: Paused):
         return it.Withdrawn(event.id)
 
-    def end(self, action: it.Throttle | it.Expire) -> None:
-        """An end at once answers the client; later it is a notice to the platform."""
-        throttled = isinstance(action, it.Throttle)
-        away = action.come_back if throttled else 0.0
-        how = "throttled" if throttled else "expired"
-        self.counts[how] += 1
-        if detailed():
-            event("ntf.ended", id=action.id, how=how, after=round(away, 3))
-        message = self.fresh.pop(action.id, None)
-        if message:
-            self.ended[message.ntf.topic_type, how] += 1
-            self.count_refusal(message, Refusal.DECIDED)
-            message.verdict.set_result((Verdict.THROTTLED if throttled else Verdict.EXPIRED, away))
-        elif owed := self.ledger.owed.get(action.id):
-            if rule := self.invariants.check_end(owed):
-                self.violated(rule, action.id)
-                return
-            self.ended[owed.topic, how] += 1
-            notice = {"state": "returned" if throttled else "failed"}
-            if away > 0.0:
-                notice["after_ms"] = round(away * 1000.0)
-            self.ledger.owe_notice(action.id, notice)
-            self.replication.told(owed, notice, self.notices.add)
-
     def in_progress(self) -> int:
         return sum(not owed.notice for owed in self.ledger.owed.values())
 
--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -4,24 +4,21 @@
 Times in records are of the file's timeline, so that they hold over a restart.
 """
 
-import json
-from math import inf
-
 from ..observe.log import event
 from .adoption import Adoption
-from .journal import FRAME, FileIdentity, Journal
-from .owed import Owed, record, terms_of
-from .timeline import Timeline, continued, read_clock
+from .journal import FRAME, Journal
+from .owed import Owed, record
+from .records import HISTORY, Records
+from .timeline import continued, read_clock
 
 LIVE_PART = 0.4  # of the allowance for what is owed: an old and a new file stand side by side at a rewrite
 DEAD, SMALL = 4, 100_000  # past so many times what is owed and so many bytes a file is slow to read
 DEAD_PART = 1 / 16  # of the allowance: fewer dead bytes are not worth the writing of all that lives
 UNUSED = 32  # terms that no message has any more: past so many a start leaves them out
 LONG_AGO = 0.0  # of any timeline: past every window
-HISTORY = 256  # bytes kept for a message's pushes in a rewritten file
 
 
-class Ledger(Adoption):
+class Ledger(Adoption, Records):
     """timeline: the axis of all times in it, from the recovery on; read: gives the machine's clocks."""
 
     def __init__(self, journal: Journal, read=read_clock):
@@ -109,15 +106,21 @@
     def outcome(self, name: str, push: int, never_ran: bool) -> None:
         self.note(name, record("outcome", name, push, never_ran))
 
-    def owe_notice(self, name: str, notice: dict) -> None:
-        self.note(name, record("notice", name, notice))
+    def owe_notice(self, name: str, notice: dict) -> bool:
+        """Whether it is written, or kept by others."""
+        return self.note(name, record("notice", name, notice))
 
     def over(self, name: str) -> None:
         self.note(name, record("over", name))
 
-    def note(self, name: str, payload: bytes) -> None:
-        if name in self.owed and (name in self.guests or not self.write(payload)):
-            self.apply(payload)
+    def note(self, name: str, payload: bytes) -> bool:
+        """Whether it is written, or need not be."""
+        if name not in self.owed:
+            return True
+        if name not in self.guests and self.write(payload):
+            return True
+        self.apply(payload)
+        return name in self.guests
 
     def write(self, payload: bytes) -> bool:
         try:
@@ -143,6 +146,18 @@
             self.apply(each)
         return True
 
+    def write_all(self) -> bool:
+        """Whether the file has all that has happened; it is written anew where it has not."""
+        if not self.must_rewrite():
+            return True
+        try:
+            self.rewrite()
+        except OSError:
+            return False
+        self.well = True
+        event("journal.flowing")
+        return True
+
     def must_rewrite(self) -> bool:
         """Whether the file lacks what has happened, or can't go on as it stands."""
         return not self.well or self.journal.tail_left
@@ -160,81 +175,3 @@
         if self.timeline_written or self.timeline is None:
             return []
         return [record("clock", "", self.timeline.boot, self.timeline.offset, self.timeline.began)]
-
-    # -- records ----------------------------------------------------------------------------------
-
-    def taken(self, o: Owed, numbers: list | None = None) -> bytes:
-        maybe = None if o.maybe_at == inf else o.maybe_at
-        before = o.pushes - len(o.open)
-        rules = (numbers or self.rules).index(o.rules) if o.rules else None
-        head = [o.id, o.due, o.dest, o.topic, o.customer, o.order_key, o.key, before, maybe, rules]
-        return record("taken", *head, body=o.body)
-
-    def summary(self, o: Owed, numbers: list | None = None) -> list[bytes]:
-        lines = [self.taken(o, numbers)] + [record("push", o.id, push, at) for push, at in o.open.items()]
-        lines += [record("alone", o.id)] if o.alone else []
-        return lines + ([record("notice", o.id, o.notice)] if o.notice else [])
-
-    def apply(self, payload: bytes) -> None:
-        head, _, body = payload.partition(b"\n")
-        kind, name, *rest = json.loads(head)
-        self.APPLY[kind](self, name, rest, body)
-
-    def on_taken(self, name: str, rest: list, body: bytes) -> None:
-        due, dest, topic, customer, order_key, key, pushes, maybe, *rules = rest  # none in an older file
-        rules = self.rules[rules[0]] if rules and rules[0] is not None else None
-        maybe = inf if maybe is None else maybe
-        owed = Owed(name, due, dest, topic, customer, order_key, key, body, rules, pushes, maybe)
-        self.owed[name] = owed
-        self.resize(owed, len(body) + 2 * HISTORY)
-
-    def on_clock(self, _: str, rest: list, __: bytes) -> None:
-        boot, offset, began = rest
-        self.timeline, self.timeline_written = Timeline(str(boot), float(offset), float(began)), True
-
-    def on_adopted(self, name: str, rest: list, _: bytes) -> None:
-        size, checksum = rest
-        self.adopted.add(FileIdentity(name, int(size), int(checksum)))
-
-    def on_rules(self, _: str, rest: list, __: bytes) -> None:
-        terms_of("", rest[0])  # what cannot be read is no rule
-        self.rules.append(rest[0])
-
-    def on_push(self, name: str, rest: list, _: bytes) -> None:
-        owed = self.owed[name]
-        owed.open[rest[0]] = rest[1]
-        owed.pushes += 1
-
-    def on_outcome(self, name: str, rest: list, _: bytes) -> None:
-        owed = self.owed[name]
-        sent = owed.open.pop(rest[0], inf)
-        if not rest[1]:
-            owed.maybe_at = min(owed.maybe_at, sent)
-
-    def on_notice(self, name: str, rest: list, _: bytes) -> None:
-        owed = self.owed[name]
-        owed.notice, owed.body = rest[0], b""
-        self.resize(owed, 2 * HISTORY)
-
-    def on_alone(self, name: str, rest: list, _: bytes) -> None:
-        self.owed[name].alone = True
-
-    def on_over(self, name: str, rest: list, _: bytes) -> None:
-        self.guests.discard(name)
-        self.resize(self.owed.pop(name), 0)
-
-    def resize(self, owed: Owed, size: int) -> None:
-        self.live += size - owed.size
-        owed.size = size
-
-    APPLY = {
-        "clock": on_clock,
-        "adopted": on_adopted,
-        "rules": on_rules,
-        "taken": on_taken,
-        "push": on_push,
-        "outcome": on_outcome,
-        "notice": on_notice,
-        "alone": on_alone,
-        "over": on_over,
-    }
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -14,6 +14,7 @@
 from .answers import Answer, bounded, milliseconds, of_many, of_one
 from .batch import Batch, request_of
 from .endpoint_connection import CALL, MOST_HEAD, EndpointConnection, Progress
+from .sockets import is_of_this_machine
 
 IDLE_PART = 0.95  # of the time after which the other side closes an idle connection; we do so earlier
 # Seconds that an answer may take after its first line, which mostly comes with it. After a 200 to one message
@@ -136,8 +137,8 @@
             broke = Result.CANCELLED
         except TimeoutError:
             broke = Result.BROKEN if progress.status else Result.TIMED_OUT
-        except (aiohttp.ClientError, OSError, ValueError):
-            pass
+        except (aiohttp.ClientError, OSError, ValueError) as problem:
+            progress.local_fault = is_of_this_machine(problem)
         except Exception:  # whatever it was, the message keeps its outcome
             fault("call.fault", endpoint=progress.endpoint)
         finally:
@@ -145,7 +146,7 @@
             if lapse:
                 lapse.cancel()
         if not progress.begun or progress.unsent:
-            broke = Result.NOT_SENT if progress.too_late else Result.NO_CONNECTION
+            broke = Result.NOT_SENT if progress.not_tried else Result.NO_CONNECTION
         self.conclude(progress, batch, answers, broke, self.clock() - began)
 
     def prepare(self, progress: Progress, batch: Batch, timeout: float) -> asyncio.TimerHandle | None:
--- a/ryestack/wire/endpoint_connection.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -44,6 +44,12 @@
     wait: float = 0.0
     begin: float = inf  # a time of the loop's clock: past it none of the call may go out
     too_late: bool = False
+    local_fault: bool = False  # this machine had no socket or port for it
+
+    @property
+    def not_tried(self) -> bool:
+        """Whether, if nothing of it went out, the endpoint had no part in that."""
+        return self.too_late or self.local_fault
 
     def call_back(self) -> bool:
         """Whether its last byte is not written, and never will be: an endpoint begins a call with that."""
--- a/ryestack/wire/sockets.py
+++ b/ryestack/wire/sockets.py
@@ -1,6 +1,7 @@
 """What a socket says that its transport does not."""
 
 import asyncio
+import errno
 import select
 import socket
 import struct
@@ -10,6 +11,10 @@
 LAST_DATA = slice(52, 56)  # of Linux's tcp_info: milliseconds since the last data came
 UNACKNOWLEDGED = slice(24, 28)  # segments that the other side has not confirmed
 NOT_SENT = slice(144, 148)  # bytes that wait for its window
+# What a connect or a socket lacks on this machine: no sign of the other side.
+OF_THIS_MACHINE = {
+    errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.ENETUNREACH,
+}  # fmt: skip
 RESET = struct.pack("ii", 1, 0)  # of SO_LINGER: a close throws away what the system still holds
 
 
@@ -46,6 +51,10 @@
     transport.abort()
 
 
+def is_of_this_machine(problem: Exception) -> bool:
+    return isinstance(problem, OSError) and problem.errno in OF_THIS_MACHINE
+
+
 def _tcp_info(transport: asyncio.Transport) -> bytes:
     """Linux's tcp_info of the connection, b"" where the system has none."""
     sock = transport.get_extra_info("socket")
--- /dev/null
+++ b/tests/test_notices_written.py
@@ -0,0 +1,72 @@
+"""A final answer is told once it is written down: a kill before that would let the next life go on."""
+
+import asyncio
+import errno
+import os
+import unittest
+from unittest import mock
+
+from ryestack import interface as it
+from ryestack.interface import Result
+
+from .helpers import called, http
+from .test_owner import OwnerMade
+
+
+class Unwritten(OwnerMade, unittest.IsolatedAsyncioTestCase):
+    def failing(self, owner):
+        """The folder takes nothing."""
+        full = OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        journal = owner.ledger.journal
+        return mock.patch.multiple(
+            journal, append=mock.Mock(side_effect=full), rewrite=mock.Mock(side_effect=full)
+        )
+
+    async def test_an_end_that_the_journal_cannot_take_is_told_once_it_can(self):
+        o = self.owner()
+        o.round([self.hand_in("n")])
+        with self.failing(o):
+            o.fresh = {}
+            o.end(it.Throttle("n", 1.0))
+            await asyncio.sleep(0.15)
+            self.assertEqual((self.told, o.ledger.owed["n"].notice["state"]), ([], "returned"))
+            self.assertFalse(o.settled())
+        await asyncio.sleep(0.25)
+        self.assertEqual([name for name, _ in self.told], ["n"])
+        again = self.again(1.0)
+        self.assertEqual((self.sent, [name for name, _ in self.told]), ([], ["n"]))
+        self.assertEqual(again.ledger.owed["n"].notice["state"], "returned")
+
+    async def test_once_its_time_is_up_it_is_told_though_it_cannot_be_written(self):
+        o = self.owner()
+        o.round([self.hand_in("n", due=30.0)])
+        with self.failing(o):
+            o.fresh = {}
+            o.end(it.Expire("n"))
+            await asyncio.sleep(0.15)
+            self.assertEqual(self.told, [])
+            self.now = 30.0
+            await asyncio.sleep(0.25)
+            self.assertEqual([name for name, _ in self.told], ["n"])
+
+
+class LocalFaults(unittest.IsolatedAsyncioTestCase):
+    async def test_what_this_machine_lacks_is_no_sign_of_the_endpoint(self):
+        loop = type(asyncio.get_running_loop())
+        for number, result in (
+            (errno.EMFILE, Result.NOT_SENT), (errno.ENFILE, Result.NOT_SENT),
+            (errno.ENOBUFS, Result.NOT_SENT),
+            (errno.EADDRNOTAVAIL, Result.NOT_SENT), (errno.ECONNREFUSED, Result.NO_CONNECTION),
+            (errno.EHOSTUNREACH, Result.NO_CONNECTION), (errno.ETIMEDOUT, Result.NO_CONNECTION),
+        ):
+
+            async def failing(sock, address, number=number):
+                raise OSError(number, os.strerror(number))
+
+            with mock.patch.object(loop, "sock_connect", lambda _, s, a, f=failing: f(s, a)):
+                outcomes, _ = await called(lambda *_: http(200))
+            self.assertEqual([o.result for o in outcomes], [result], errno.errorcode[number])
+
+
+if __name__ == "__main__":
+    unittest.main()
