--- a/ryestack/cli/soak.py
+++ b/ryestack/cli/soak.py
@@ -1,6 +1,7 @@
 """ryestack soak: real processes on loopback under overlapping troubles, judged by invariants."""
 
 import asyncio
+import json
 import tempfile
 from pathlib import Path
 from typing import Annotated
@@ -53,6 +54,7 @@
             except (TrialFailed, NoCompiler, OSError) as problem:
                 raise unusable(str(problem)) from None
             rows.append(_row(plan, verdict, injected))
+            (folder / "findings.json").write_text(json.dumps(rows[-1], indent=2))
             bad += bool(verdict.findings)
             for finding in verdict.findings[:SHOWN] if not as_json else ():
                 say(f"seed {each}: {finding.rule}: {finding.subject}: {finding.what}")
--- a/ryestack/lab/soak/scenario.py
+++ b/ryestack/lab/soak/scenario.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ...standins.books import Books
+from ...standins.books import Books, dump
 from ...standins.stage import Endpoint, Pace, Platform, Stage
 from ..load import Topic
 from ..trial import platform_config
@@ -184,6 +184,7 @@
                 problems.append(f"relay {relay.number} is gone: status {relay.current.process.returncode}")
             for name, count in relay.faults.injected().items():
                 self.injected[name] = self.injected.get(name, 0) + count
+        (self.folder / "books.json").write_bytes(dump(books))
         away = [each for relay in self.relays for each in relay.away]
         logs = {relay.number: relay.log() for relay in self.relays}
         return Evidence(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,7 +12,18 @@
 from ryestack.lab.soak import schedule
 from ryestack.lab.soak.fault_control import Fault, FaultControl, build
 from ryestack.lab.soak.invariants import Evidence, budget, judge_soak
-from ryestack.lab.soak.model import RESTARTS, Answer, Attempt, Away, Behaviour, Drained, Returned
+from ryestack.lab.soak.model import (
+    RESTARTS,
+    Answer,
+    Attempt,
+    Away,
+    Behaviour,
+    Drained,
+    Kind,
+    Returned,
+    Trouble,
+)
+from ryestack.lab.soak.scenario import Scenario, SoakPlan
 from ryestack.standins.books import Arrival, Books, Notice, Run
 from ryestack.standins.stage import Endpoint
 
@@ -185,5 +196,31 @@
         self.assertEqual(self.probe("create"), -errno.EIO)
 
 
+class Played(unittest.IsolatedAsyncioTestCase):
+    """A short test of real processes: the troubles that broke rules before, overlapping."""
+
+    TROUBLES = [
+        Trouble(Kind.DISK_SHORT, 1.0, 3.0, 0, 0.4),
+        Trouble(Kind.PARTNER_OUTAGE, 1.5, 2.5, 0),
+        Trouble(Kind.ACCEPT_FAILS, 1.5, 2.0, 1, 0.4),
+        Trouble(Kind.CLOCK_STEP, 2.0, 0.2, 0, 3600.0),
+        Trouble(Kind.UPGRADE, 2.2, 4.0, 1),
+        Trouble(Kind.KILL, 3.0, 0.7, 0),
+        Trouble(Kind.SOCKET_IO, 3.0, 2.0, 0, 0.5),
+        Trouble(Kind.CLOCK_STEP, 4.5, 0.2, 0, -3600.0),
+        Trouble(Kind.STOP, 5.0, 4.0, 0),
+        Trouble(Kind.LINK_LOST, 5.0, 2.0, 1),
+    ]
+
+    async def test_two_relays_under_ten_troubles_break_no_rule(self):
+        plan = SoakPlan(seed=3, relays=2, partners=2, rate=15.0, seconds=9.0, weight=30.0)
+        with tempfile.TemporaryDirectory() as folder:
+            scenario = Scenario(plan, Path(folder), lambda _: None, self.TROUBLES)
+            verdict = judge_soak(await scenario.play())
+        self.assertEqual([f"{f.rule}: {f.subject}: {f.what}" for f in verdict.findings], [])
+        self.assertGreater(verdict.counts["taken"], 100)
+        self.assertGreater(scenario.injected["WRITE_SHORT"], 0)
+
+
 if __name__ == "__main__":
     unittest.main()
