What a process left is ours while nothing can be written: its ends are due all the same

Change: where the copy cannot be written it is applied in memory; the next write that succeeds is of all, and only then is the file taken away. Pushes wait for it as ever, ends for their time (ending.py). Want of room in the allowance is told apart (NoRoom) and waits as before.

--- a/ryestack/store/adoption.py
+++ b/ryestack/store/adoption.py
@@ -17,6 +17,10 @@
 HEAD = 512  # bytes at the head of a file that hold its first record, which tells its timeline
 
 
+class NoRoom(OSError):
+    """The allowance does not hold what is to be adopted."""
+
+
 class Adoption:
     """The part of a ledger that adopts. adopted: files whose content is ours, as long as they are there;
     from_own_file: at a start, what our own file says is owed; stuck: a file of a process that is gone could
@@ -43,7 +47,7 @@
         return taken
 
     def adopt_file(self, path: Path, data: bytes) -> list[Owed]:
-        """Copy one file and take it away; raises OSError where neither could be, with nothing copied."""
+        """Copy one file, and take it away once that is written; raises NoRoom with nothing copied."""
         found, left = torn(data), type(self)(None)
         bad = left.read(found.records)
         identity, new = FileIdentity.of(path, data, found.size), []
@@ -52,7 +56,10 @@
             if bad or found.dropped:
                 event("journal.torn", records=bad, bytes=found.dropped)
             event("journal.adopted", file=path.name, owed=len(new))
-        self.take_away(path, identity)
+        if self.write_all():
+            self.take_away(path, identity)
+        else:
+            self.stuck = True
         return new
 
     def copy_from(self, left: "Adoption", found: Torn, identity: FileIdentity) -> list[Owed]:
@@ -89,7 +96,7 @@
 
     def copy(self, new: list[Owed], stale: list[str], identity: FileIdentity | None) -> None:
         """stale: names that our file has and another had taken over since; identity: of the file, if it owed
-        anything. Raises OSError where there is no room; then nothing of it is there."""
+        anything. Raises NoRoom; then nothing of it is there."""
         rules = [o.rules for o in new if o.rules and o.rules not in self.rules]
         rules = [each for n, each in enumerate(rules) if each not in rules[:n]]
         numbers = [*self.rules, *rules]
@@ -99,12 +106,23 @@
         payloads += [record("adopted", *identity)] if identity else []
         if not payloads:
             return
-        payloads = [*self.head(), *payloads]
+        try:
+            self.append_copy([*self.head(), *payloads])
+        except NoRoom:
+            raise
+        except OSError as problem:  # ours all the same: their ends are due; the next write is of all
+            event("journal.blocked", why=f"adopting: {problem}")
+            self.well = False
+        self.read(payloads)
+
+    def append_copy(self, payloads: list[bytes]) -> None:
         more = sum(len(p) + FRAME.size for p in payloads)
+        if self.live + more > self.journal.most:
+            raise NoRoom("no room to adopt it")
         if self.must_rewrite() or not self.journal.fits(more, self.live):
             self.rewrite()
             self.well = True
         if self.journal.size + more > self.journal.most:
-            raise OSError("no room to adopt it")
+            raise NoRoom("no room to adopt it")
         self.journal.append(*payloads)
-        self.read(payloads)
+        self.timeline_written = True
--- a/tests/test_disk_faults.py
+++ b/tests/test_disk_faults.py
@@ -137,6 +137,28 @@
             self.assertEqual({n: o.pushes for n, o in last.owed.items()}, {"owed still": 1})
             last.journal.close()
 
+    def test_while_nothing_can_be_written_what_a_process_left_is_ours_and_stays_in_its_file_too(self):
+        """Its ends are due all the same; a push waits until it is written, and so does the file's removal."""
+        full = OSError(errno.ENOSPC, "no space left")
+        for killed in (False, True):
+            ours = self.two()
+            with mock.patch.multiple(
+                ours.journal, append=mock.Mock(side_effect=full), rewrite=mock.Mock(side_effect=full)
+            ):
+                self.assertEqual([o.id for o in ours.adopt()], ["theirs"])
+                self.assertEqual((ours.adopt(), ours.push("theirs", 0, 41.0)), ([], False))
+                self.assertTrue(Path(self.folder, "owed.1").exists())
+            if not killed:
+                self.assertTrue(ours.push("theirs", 0, 42.0))
+                self.assertEqual((ours.adopt(), ours.journal.beside()), ([], []))
+            ours.journal.close()
+            last = self.again()
+            self.assertEqual(sorted(last.owed), ["mine", "theirs"])
+            self.assertEqual(last.owed["theirs"].pushes, 0 if killed else 1)
+            last.journal.close()
+            for name in os.listdir(self.folder):
+                os.unlink(f"{self.folder}/{name}")
+
     def test_what_an_earlier_rewrite_left_is_no_part_of_the_next(self):
         ours = self.two()
         file = Path(self.folder, "owed.new")
