Which routes fail has its own part of the folder's allowance

Change: 64 KB for it, with the new one beside the old; the last that began are kept where not all fit.

--- a/ryestack/store/remembered.py
+++ b/ryestack/store/remembered.py
@@ -13,7 +13,10 @@
 from pathlib import Path
 
 NAME, FAILING = "learnt", "failing"
-MOST = 256 * 1024  # bytes of the folder's allowance that it may take, with the new one beside the old
+# Bytes of the folder's allowance that each may take, with the new one beside the old.
+MOST_OF = {NAME: 256 * 1024, FAILING: 64 * 1024}
+MOST = sum(MOST_OF.values())
+OVERHEAD, ROW = 256, 32  # bytes of the file but its rows, and of a row but its name
 OLD = 60.0  # seconds: what was learnt is of a minute at most, as an outage is remembered
 
 
@@ -43,6 +46,14 @@
 
 
 def save_failing(folder: str, failing: dict[str, float], now: Moment) -> None:
+    """Those that began last, where not all fit: an outage of long ago is in what is learnt as well."""
+    room, kept = MOST_OF[FAILING] // 2 - OVERHEAD, {}
+    for name, at in sorted(failing.items(), key=lambda row: row[1], reverse=True):
+        room -= len(name) + ROW
+        if room < 0:
+            break
+        kept[name] = at
+    failing = kept
     _write(folder, FAILING, {"clock": now.clock, "boot": now.boot, "failing": failing})
 
 
@@ -62,7 +73,7 @@
     text = json.dumps(table, separators=(",", ":")).encode()
     data = b"%08x\n" % zlib.crc32(text) + text
     fresh = Path(folder) / f"{name}.new"
-    if len(data) > MOST // 2:
+    if len(data) > MOST_OF[name] // 2:
         return
     try:
         fresh.write_bytes(data)
--- a/tests/test_remembered.py
+++ b/tests/test_remembered.py
@@ -62,6 +62,17 @@
     assert not list(tmp_path.iterdir())
 
 
+def test_of_too_many_that_fail_the_last_ones_are_kept_within_the_allowance(tmp_path):
+    failing = {f"endpoint-{n}": 1_000_000.0 + n + 1 / 3 for n in range(5000)}
+    remembered.save_failing(str(tmp_path), failing, NOW)
+    size = (tmp_path / remembered.FAILING).stat().st_size
+    found = remembered.load(str(tmp_path), "s", SOON).failing
+    assert size <= remembered.MOST_OF[remembered.FAILING] // 2
+    assert 500 < len(found) < 5000 and min(found.values()) > max(
+        at for name, at in failing.items() if name not in found
+    )
+
+
 def test_what_fails_is_known_if_it_was_written_after_all_that_is_learnt(tmp_path):
     folder, failing = str(tmp_path), {"a": 9.5}
     remembered.save_failing(folder, failing, Moment(9.9, "boot"))
