Soak: what a silent or late link holds is lost once its sender has given up

Change: links of the soak test drop what they hold once the sender has closed; those of the peers' trials are as before.

--- a/ryestack/lab/soak/proxy.py
+++ b/ryestack/lab/soak/proxy.py
@@ -14,7 +14,7 @@
     links = []
     for number, target in enumerate(targets):
         host, _, port = target.rpartition(":")
-        link = Link((host, int(port)), seed + number)
+        link = Link((host, int(port)), seed + number, forgets=True)
         await link.start()
         links.append(link)
     print(" ".join(link.address for link in links), flush=True)
--- a/ryestack/standins/links.py
+++ b/ryestack/standins/links.py
@@ -21,8 +21,9 @@
     delay, half to one and a half of it; `slow` lets rate bytes a second through.
     """
 
-    def __init__(self, target: tuple[str, int], seed: int):
-        self.target, self.random = target, random.Random(seed)
+    def __init__(self, target: tuple[str, int], seed: int, forgets: bool = False):
+        """forgets: what it holds is lost once its sender has closed, like what a system has not confirmed."""
+        self.target, self.random, self.forgets = target, random.Random(seed), forgets
         self.mode, self.delay, self.rate = "ok", 0.5, 20_000.0
         self.server, self.address, self.writers, self.tasks = None, "", set(), set()
         self.carried, self.reads = 0, 0  # bytes let through, and in how many pieces
@@ -64,10 +65,11 @@
             while data := await reader.read(CHUNK):
                 if self.mode == "late":
                     await asyncio.sleep(self.delay * self.random.uniform(0.5, 1.5))
+                held = self.mode in ("hole", "late", way)
                 while self.mode in ("hole", way):
                     await asyncio.sleep(LOOK)
-                    if reader.exception():  # its sender has reset the connection: nothing is sent again
-                        return
+                if held and self.forgets and (reader.exception() or reader.at_eof()):
+                    break
                 if self.mode == "reset":
                     writer.write(data[: len(data) // 2])
                     break
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak test's own parts: what it draws, what its faults do, and that its judge sees each broken rule."""
 
+import asyncio
 import errno
 import os
 import subprocess
@@ -25,6 +26,7 @@
 )
 from ryestack.lab.soak.scenario import Scenario, SoakPlan
 from ryestack.standins.books import Arrival, Books, Notice, Run
+from ryestack.standins.links import Link
 from ryestack.standins.stage import Endpoint
 
 ENDPOINT = Endpoint(
@@ -196,6 +198,31 @@
         self.assertEqual(self.probe("create"), -errno.EIO)
 
 
+class Links(unittest.IsolatedAsyncioTestCase):
+    async def test_what_a_silent_link_holds_is_lost_once_its_sender_has_given_up(self):
+        for forgets in (True, False):
+            got = []
+
+            async def take(reader, writer, got=got):
+                got.append(await reader.read())
+                writer.close()
+
+            server = await asyncio.start_server(take, "127.0.0.1", 0)
+            link = Link(server.sockets[0].getsockname()[:2], 1, forgets)
+            host, _, port = (await link.start()).rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            link.turn("hole")
+            writer.write(b"held")
+            await asyncio.sleep(0.1)
+            writer.close()
+            await asyncio.sleep(0.2)
+            link.turn("ok")
+            await asyncio.sleep(0.2)
+            self.assertEqual(b"".join(got), b"" if forgets else b"held")
+            await link.close()
+            server.close()
+
+
 class Played(unittest.IsolatedAsyncioTestCase):
     """A short test of real processes: the troubles that broke rules before, overlapping."""
 
