The Ctrl-C test sets the signal for what it starts

Both were background jobs, which a shell starts with SIGINT ignored, and so was the child: begun as a background job alone it fails the same way, in the foreground it passes. Change: the child starts with the signal's default. The test asks for the same as before.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 import unittest
+from functools import partial
 from pathlib import Path
 from unittest import mock
 
@@ -164,7 +165,9 @@
         command = [sys.executable, "-m", "ryestack", "try", "--keep", self.folder]
         for patience in (0.1, 0.6, 2.5):  # while it loads, while it starts, while it hands in
             pipes = {"stdout": subprocess.PIPE, "stderr": subprocess.PIPE}
-            with subprocess.Popen(command, cwd=ROOT, **pipes) as process:
+            # A shell starts background jobs with the signal ignored, and so would be what we start.
+            heard = partial(signal.signal, signal.SIGINT, signal.SIG_DFL)
+            with subprocess.Popen(command, cwd=ROOT, preexec_fn=heard, **pipes) as process:
                 time.sleep(patience)
                 process.send_signal(signal.SIGINT)
                 _, err = process.communicate(timeout=20)
