--- a/ryestack/observe/registry_faults.py
+++ b/ryestack/observe/registry_faults.py
@@ -16,6 +16,7 @@
         "a decided push or end would have broken a rule of delivery, by what is written and told: it was not "
         "done; or a client's request was read and its connection ended with no answer",
         "keep the log and the folder, and tell the maintainers",
+        "rule",
     ),
     (
         "push.began",
