Faults that the event loop meets are events; a connection that breaks there is none of ours

A send was short, its rest went out after our half-close, and the client had reset: asyncio's shutdown fails with ENOTCONN in a callback (nothing follows: the connection ends by its timer).

--- a/ryestack/lifecycle/service.py
+++ b/ryestack/lifecycle/service.py
@@ -6,11 +6,13 @@
 import sys
 
 from ..observe import log
+from . import loop_errors
 from .config import BadConfig, Config, choose, load
 from .relay import Relay
 
 
 async def _serve(config: Config) -> None:
+    asyncio.get_running_loop().set_exception_handler(loop_errors.tell)
     relay = Relay(config)
     try:
         await relay.run()
--- a/ryestack/observe/log.py
+++ b/ryestack/observe/log.py
@@ -33,9 +33,9 @@
     return _least <= 10
 
 
-def fault(name: str, **fields) -> None:
-    """The same, with the traceback of the exception at hand; never kept back."""
-    _write(EVENTS[name], fields, 0, exception=True)
+def fault(name: str, problem: BaseException | None = None, **fields) -> None:
+    """The same, with the traceback of that exception, or of the one at hand; never kept back."""
+    _write(EVENTS[name], fields, 0, exception=problem or True)
 
 
 def flush(now: float | None = None) -> None:
--- a/ryestack/observe/registry_faults.py
+++ b/ryestack/observe/registry_faults.py
@@ -9,6 +9,19 @@
         "descriptors and memory of the machine, if it goes on",
         "why",
     ),
+    (
+        "loop.error",
+        "ERROR",
+        "why",
+        "a fault in a callback of the event loop, with its traceback; what it was for may not have happened",
+        "keep the log, and tell the maintainers",
+    ),
+    (
+        "loop.broken",
+        "DEBUG",
+        "why",
+        "a connection broke in the library's hands, where nothing of ours waited for it",
+    ),
     (
         "invariant.violated",
         "ERROR",
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -10,6 +10,8 @@
 
 from ryestack.interface import Result
 from ryestack.lab.soak.fault_control import Fault, FaultControl, build
+from ryestack.lifecycle import loop_errors
+from ryestack.observe import log
 from ryestack.ports import Item
 from ryestack.wire.calls import Calls
 from ryestack.wire.server import TAKEN
@@ -68,6 +70,29 @@
             self.assertEqual((await self.loop.sock_recv(sock, 4096))[9:12], b"202")
 
 
+class LoopErrors(unittest.IsolatedAsyncioTestCase):
+    async def test_a_connection_that_breaks_in_the_librarys_hands_is_no_fault_of_ours(self):
+        loop, lines = asyncio.get_running_loop(), []
+        loop.set_exception_handler(loop_errors.tell)
+        log.setup("r", level="DEBUG", sink=lines.append)
+        self.addCleanup(log.setup)
+
+        def broken():
+            raise OSError(errno.ENOTCONN, os.strerror(errno.ENOTCONN))
+
+        def wrong():
+            raise ValueError("a fault of ours")
+
+        loop.call_soon(broken)
+        loop.call_soon(wrong)
+        await asyncio.sleep(0.01)
+        said = [str(line) for line in lines]
+        self.assertEqual([" loop.broken " in line for line in said], [True, False])
+        self.assertNotIn("Traceback", said[0])
+        self.assertIn(" loop.error ", said[1])
+        self.assertIn("ValueError: a fault of ours", said[1])
+
+
 class Starting(Program, unittest.IsolatedAsyncioTestCase):
     async def test_a_start_waits_for_a_socket_that_cannot_be_had_for_a_moment(self):
         control = FaultControl(Path(self.folder) / "faults")
