--- a/ryestack/lab/soak/model.py
+++ b/ryestack/lab/soak/model.py
@@ -122,6 +122,15 @@
     end: float
 
 
+class Disturbed(msgspec.Struct, frozen=True):
+    """An endpoint whose link held or delayed what it carried from begin to end: what it told then was late to
+    relays. Seconds of the wall clock."""
+
+    endpoint: str
+    begin: float
+    end: float
+
+
 class Returned(msgspec.Struct, frozen=True):
     """An endpoint that came back cold. Seconds of the wall clock."""
 
--- a/ryestack/lab/soak/scenario.py
+++ b/ryestack/lab/soak/scenario.py
@@ -15,7 +15,7 @@
 from .fault_control import build
 from .http_client import ClientPlan, ClientTopic
 from .invariants import Evidence
-from .model import Attempt, Drained, Returned, Trouble
+from .model import Attempt, Disturbed, Drained, Returned, Trouble
 from .processes import ClientProcess, Ports, Proxy, StandIn
 from .relay import SoakRelay
 from .schedule import draw
@@ -61,6 +61,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.drained: list[Drained] = []
         self.returned: list[Returned] = []
+        self.disturbed: list[Disturbed] = []
         self.injected: dict[str, int] = {}
 
     async def play(self) -> Evidence:
@@ -188,9 +189,18 @@
         away = [each for relay in self.relays for each in relay.away]
         logs = {relay.number: relay.log() for relay in self.relays}
         return Evidence(
-            self.attempts(), books, self.endpoints, away, self.drained, self.returned, logs, problems, WINDOW,
-            time.time(),
-        )  # fmt: skip
+            attempts=self.attempts(),
+            books=books,
+            endpoints=self.endpoints,
+            away=away,
+            drained=self.drained,
+            returned=self.returned,
+            disturbed=self.disturbed,
+            logs=logs,
+            problems=problems,
+            window=WINDOW,
+            now=time.time(),
+        )
 
     def attempts(self) -> list[Attempt]:
         found = []
--- a/ryestack/lab/soak/troubles.py
+++ b/ryestack/lab/soak/troubles.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from .fault_control import Fault
-from .model import Drained, Kind, Returned, Trouble
+from .model import Disturbed, Drained, Kind, Returned, Trouble
 from .processes import Proxy, StandIn
 from .relay import SoakRelay
 
@@ -37,6 +37,7 @@
     platform: StandIn
     drained: list[Drained]
     returned: list[Returned]
+    disturbed: list[Disturbed]
     chance: Random
     say: Callable[[str], None]
 
@@ -131,10 +132,11 @@
         await partner.tell({"mode": "ok"})
 
     async def change_link(self, trouble: Trouble) -> None:
-        proxy = self.proxies[trouble.target]
+        proxy, begin = self.proxies[trouble.target], time.time()
         await proxy.turn(LINK_MODES[trouble.kind])
         await asyncio.sleep(trouble.seconds)
         await proxy.turn("ok")
+        self.disturbed += [Disturbed(name, begin, time.time()) for name in self.names(trouble)]
 
     async def silence_registry(self, trouble: Trouble) -> None:
         await self.platform.tell({"silence": "list"})
