--- a/ryestack/lab/soak/faults.c
+++ b/ryestack/lab/soak/faults.c
@@ -205,7 +205,8 @@
 {
     if (strikes(RECEIVE_FAILS)) {
         int error = errno;
-        shutdown(descriptor, SHUT_RDWR); /* the connection is broken for the other side too */
+        struct linger reset = {1, 0}; /* broken for the other side too: a reset, no end in order */
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
         errno = error;
         return -1;
     }
--- a/ryestack/lab/soak/relay.py
+++ b/ryestack/lab/soak/relay.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 import aiohttp
@@ -35,6 +36,7 @@
         self.problems: list[str] = []
         self.violations: dict[str, float] = {}
         self.clock_offset = 0.0
+        self.changing = asyncio.Lock()  # one start, stop or upgrade at a time, however slow the machine is
         self.current = self.make()
 
     def make(self) -> RelayProcess:
@@ -51,10 +53,12 @@
         return process is not None and process.returncode is None
 
     async def kill(self) -> None:
-        await self.restart(signal.SIGKILL)
+        async with self.changing:
+            await self.restart(signal.SIGKILL)
 
     async def stop(self) -> None:
-        await self.restart(signal.SIGTERM)
+        async with self.changing:
+            await self.restart(signal.SIGTERM)
 
     async def restart(self, number: int) -> None:
         """End it, wait as the platform does, start it again."""
@@ -84,6 +88,10 @@
         self.away.append(Away(self.number, began, killed, time.time()))
 
     async def upgrade(self) -> None:
+        async with self.changing:
+            await self.take_over()
+
+    async def take_over(self) -> None:
         """A second process in the same folder takes over, then the first is ended."""
         await self.count_violations()
         elder, began = self.current, time.time()
@@ -109,7 +117,8 @@
             made.write_text(json.dumps(change(turn)))
             os.replace(made, self.folder / "config.json")
             if self.alive():
-                self.current.process.send_signal(signal.SIGHUP)
+                with suppress(ProcessLookupError):
+                    self.current.process.send_signal(signal.SIGHUP)
             await asyncio.sleep(0.15)
 
     async def pause(self, seconds: float) -> None:
@@ -118,7 +127,8 @@
         if process.returncode is None:
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(seconds)
-            process.send_signal(signal.SIGCONT)
+            with suppress(ProcessLookupError):  # it was killed meanwhile
+                process.send_signal(signal.SIGCONT)
 
     async def count_violations(self) -> None:
         """Add what this life's own checks counted: the figures end with the process."""
