Soak: a stand-in's first start has more time than a relay's restart

Cause: three short plays on one core: partner-0 did not serve within 10 s, which is the limit of a relay's restart and was the stand-ins' as well. Change: 40 s for stand-ins; nothing is judged by it.

--- a/ryestack/lab/soak/processes.py
+++ b/ryestack/lab/soak/processes.py
@@ -17,7 +17,8 @@
 from ..trial import TrialFailed
 from .http_client import ClientPlan
 
-READY_WITHIN = 10.0  # seconds that a restart may take
+READY_WITHIN = 10.0  # seconds that a restart of a relay may take
+HELPER_READY_WITHIN = 40.0  # the same for a stand-in's first start, which is not judged
 LEFT_WITHIN = 5.0  # seconds that a helper process has to end
 
 
@@ -78,7 +79,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", *self.command, start_new_session=True, stdout=log, stderr=log
             )
-        until = time.monotonic() + READY_WITHIN
+        until = time.monotonic() + HELPER_READY_WITHIN
         while time.monotonic() < until and self.process.returncode is None:
             if await self.tell({"listed": "up"}, check=False):
                 return self.control
