Adoption counts its room by the file's bytes again, by what is held only where it can't be written

Change: the check by held bytes stands only where the copy cannot be written. Measured: 78 tests of adoption, folder, upgrade, lifecycle, soak and command line pass; the whole suite not run after it.

--- a/ryestack/store/adoption.py
+++ b/ryestack/store/adoption.py
@@ -111,14 +111,14 @@
         except NoRoom:
             raise
         except OSError as problem:  # ours all the same: their ends are due; the next write is of all
+            if self.live + sum(map(len, payloads)) > self.journal.most:
+                raise NoRoom("no room to adopt it") from problem
             event("journal.blocked", why=f"adopting: {problem}")
             self.well = False
         self.read(payloads)
 
     def append_copy(self, payloads: list[bytes]) -> None:
         more = sum(len(p) + FRAME.size for p in payloads)
-        if self.live + more > self.journal.most:
-            raise NoRoom("no room to adopt it")
         if self.must_rewrite() or not self.journal.fits(more, self.live):
             self.rewrite()
             self.well = True
