--- a/ryestack/store/adoption.py
+++ b/ryestack/store/adoption.py
@@ -35,15 +35,15 @@
         """Take over what is there of processes that are gone; returns what is owed by it."""
         taken, self.stuck = [], False
         for path in self.journal.beside():
-            fd = files.lock(path)
-            if fd is None:
-                continue  # its process lives
-            with open(fd, "rb") as file:
-                try:
+            try:
+                fd = files.lock(path)
+                if fd is None:
+                    continue  # its process lives
+                with open(fd, "rb") as file:
                     taken += self.adopt_file(path, file.read())
-                except OSError as problem:  # it stays where it is, and is tried again
-                    event("journal.blocked", why=f"{path.name}: {problem}")
-                    self.stuck = True
+            except OSError as problem:  # it stays where it is, and is tried again
+                event("journal.blocked", why=f"{path.name}: {problem}")
+                self.stuck = True
         return taken
 
     def adopt_file(self, path: Path, data: bytes) -> list[Owed]:
--- a/tests/test_disk_faults.py
+++ b/tests/test_disk_faults.py
@@ -159,6 +159,14 @@
             for name in os.listdir(self.folder):
                 os.unlink(f"{self.folder}/{name}")
 
+    def test_a_file_that_cannot_be_opened_for_a_moment_is_taken_over_later(self):
+        ours, real = self.two(), files.lock
+        busy = OSError(errno.ENFILE, os.strerror(errno.ENFILE))
+        with mock.patch.object(files, "lock", side_effect=busy):
+            self.assertEqual((ours.adopt(), ours.stuck), ([], True))
+        self.assertIs(files.lock, real)
+        self.assertEqual([owed.id for owed in ours.adopt()], ["theirs"])
+
     def test_what_an_earlier_rewrite_left_is_no_part_of_the_next(self):
         ours = self.two()
         file = Path(self.folder, "owed.new")
