Connections to endpoints: the answer stream is a pure state machine; ids and reasons are logged

Cause: endpoint_connection.py had five jobs in one file (following the head, cutting the body, guarding the begin, closing, abandoning), and the relay's own records could not tell on which connection, as which call of it, a message went, nor why the connection was closed. Change: wire/answer_stream.py (no I/O: bytes in, parts of the one answer out), wire/call_progress.py, wire/connection_pool.py (resting connections, room, shares; out of calls.py). No behaviour changes. New: events call.began and endpoint.closed (DEBUG) with connection number and place on it, counter lb_endpoint_connections_closed_total by reason.

--- a/ryestack/lifecycle/admin.py
+++ b/ryestack/lifecycle/admin.py
@@ -5,7 +5,7 @@
 
 from ..brain.invariants import Rule
 from ..observe import figures
-from ..ports import CloseReason
+from ..ports import CloseReason, EndpointCloseReason
 from .admission import Refusal
 from .phases import ACCEPT_AFTER_STOP_S, PHASES, READY, REFUSED_IN
 from .pushing import Unsent
@@ -50,6 +50,9 @@
             "pushes_unsent_total": {why.value: owner.unsent[why] for why in Unsent},
             "retries_total": {after or "a life before": count for after, count in owner.retries.items()},
             "client_connections_closed_total": {why.value: closed[why] for why in CloseReason},
+            "endpoint_connections_closed_total": {
+                why.value: self.parts.dispatcher.closed_connections[why] for why in EndpointCloseReason
+            },
         }
 
     async def request_transition(self, trigger: str) -> tuple[int, str, str]:
--- a/ryestack/observe/figures.py
+++ b/ryestack/observe/figures.py
@@ -29,6 +29,7 @@
     ("pushes_unsent_total", "why", "pushes that were decided and not started"),
     ("retries_total", "after", "pushes again, by how the one before ended"),
     ("client_connections_closed_total", "why", "clients' connections by what ended them"),
+    ("endpoint_connections_closed_total", "why", "connections to endpoints that this relay closed"),
 )
 CONTROL_FIGURES = (  # of relays that have control machines
     ("control_version", "gauge", "version of destinations and settings in force"),
--- a/ryestack/observe/registry_faults.py
+++ b/ryestack/observe/registry_faults.py
@@ -43,6 +43,18 @@
         "id push route result elapsed wait limit left",
         "how a push ended, and what its answer reported about waits and limits",
     ),
+    (
+        "call.began",
+        "DEBUG",
+        "route ids connection call",
+        "a call's first byte was written; `connection`: its number, `call`: its place on it",
+    ),
+    (
+        "endpoint.closed",
+        "DEBUG",
+        "route connection calls why",
+        "this relay closed a connection to an endpoint; `calls`: carried by it",
+    ),
     ("push.unsent", "DEBUG", "id route why", "a scheduled push was not started"),
     ("request.refused", "DEBUG", "id why", "a hand-in was refused"),
     ("client.closed", "DEBUG", "why requests", "a client's connection ended; `requests`: received on it"),
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -42,6 +42,19 @@
     STALE_REQUEST = "a request that its client had given up"
 
 
+class EndpointCloseReason(Enum):
+    """Why this relay closed an endpoint's connection; the values are labels of the counter and log fields."""
+
+    NO_CALL = "bytes without a call"
+    SURPLUS = "bytes behind an answer"
+    EARLY = "an answer before the whole call was written"
+    MALFORMED = "an answer that cannot be read"
+    NOT_BEGUN = "a call that came too late to begin"
+    GIVEN_UP = "its call was given up"
+    EVICTED = "room for another"
+    ENDPOINT_LEFT = "its endpoint is drained or gone"
+
+
 @dataclass(slots=True)
 class Submission:
     """A notification that a client submits.
@@ -147,6 +160,7 @@
         """Release what is kept for removed endpoints, once the decision module has received the new list."""
 
     written: int  # messages whose call was written whole
+    closed_connections: Counter  # connections that this relay closed, by EndpointCloseReason
 
     def apply_settings(self, settings: interface.Settings) -> None:
         """Use other settings for calls from now on."""
--- /dev/null
+++ b/ryestack/wire/answer_stream.py
@@ -0,0 +1,163 @@
+"""The answers on one connection to an endpoint, as a state machine without I/O (HTTP/1.1, RFC 9112).
+
+It cuts what is received into the head and the body of the one answer that the call in flight may get. Bytes
+that cannot belong to it make the connection unusable.
+"""
+
+import re
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from ..ports import EndpointCloseReason
+
+FIRST_LINE = re.compile(rb"HTTP/1\.[01] ([1-5]\d\d)(?: [^\r\n]*)?\r\n")
+CONTENT_LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d+)[ \t]*(?=\r\n)", re.IGNORECASE)
+TRANSFER_ENCODING = re.compile(rb"\r\ntransfer-encoding:", re.IGNORECASE)
+HEAD_END = b"\r\n\r\n"
+MAX_HEAD_BYTES = 64 * 1024  # of all that comes before a body; endpoints send a few hundred
+BODILESS = (204, 304)
+
+
+@dataclass(frozen=True, slots=True)
+class StatusLine:
+    """The first line of the call's answer."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The whole head of the call's answer, with the empty line behind it."""
+
+    status: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Body:
+    """Bytes of the body of the call's answer."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The call's answer is complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unusable:
+    """The connection must be closed: what comes on it can be tied to no call."""
+
+    reason: EndpointCloseReason
+
+
+AnswerEvent = StatusLine | Head | Body | Ended | Unusable
+
+
+class Phase(Enum):
+    """What the next byte belongs to."""
+
+    RESTING = auto()
+    HEAD = auto()
+    BODY = auto()
+    UNUSABLE = auto()
+
+
+class AnswerStream:
+    """Reads the answers to the calls of one connection, one call at a time.
+
+    calls: how many have begun. remaining: bytes of the body still to come, None where only its parser or the
+    end of the connection shows its end.
+    """
+
+    def __init__(self):
+        self.phase, self.calls = Phase.RESTING, 0
+        self.head, self.skipped_bytes, self.status_seen = b"", 0, False
+        self.remaining: int | None = 0
+
+    def begin_call(self) -> None:
+        """A call begins: the next answer is its own."""
+        self.calls += 1
+        self.phase, self.head, self.skipped_bytes, self.status_seen = Phase.HEAD, b"", 0, False
+
+    def end_body(self) -> None:
+        """A body without a length is complete, as its parser says."""
+        if self.phase is Phase.BODY:
+            self.phase = Phase.RESTING
+
+    def receive(self, data: bytes, call_written: bool) -> list[AnswerEvent]:
+        """What the bytes mean. call_written: whether the last byte of the call in flight was written."""
+        events: list[AnswerEvent] = []
+        while data:
+            if self.phase is Phase.HEAD:
+                data = self._receive_head(data, call_written, events)
+            elif self.phase is Phase.BODY:
+                data = self._receive_body(data, events)
+            else:
+                reason = EndpointCloseReason.SURPLUS if Ended() in events else EndpointCloseReason.NO_CALL
+                return self._unusable(events, reason)
+        return events
+
+    def _unusable(self, events: list[AnswerEvent], reason: EndpointCloseReason) -> list[AnswerEvent]:
+        if self.phase is not Phase.UNUSABLE:
+            events.append(Unusable(reason))
+        self.phase = Phase.UNUSABLE
+        return events
+
+    def _receive_head(self, data: bytes, call_written: bool, events: list[AnswerEvent]) -> bytes:
+        """Add to the head; returns the bytes behind it."""
+        self.head += data
+        while found := FIRST_LINE.match(self.head):
+            status = int(found[1])
+            if status == 200 and not call_written:  # an endpoint begins a call with its last byte
+                self._unusable(events, EndpointCloseReason.EARLY)
+                return b""
+            if status >= 200 and not self.status_seen:
+                self.status_seen = True
+                events.append(StatusLine(status))
+            head, end, rest = self.head.partition(HEAD_END)
+            if not end:
+                break
+            if status >= 200:
+                return self._head_complete(status, head + end, rest, events)
+            self.head, self.skipped_bytes = rest, self.skipped_bytes + len(head)  # an interim answer
+        malformed = not found and (b"\n" in self.head or not b"HTTP/1.".startswith(self.head[:7]))
+        if malformed or self.skipped_bytes + len(self.head) > MAX_HEAD_BYTES:
+            self._unusable(events, EndpointCloseReason.MALFORMED)
+        return b""
+
+    def _head_complete(self, status: int, head: bytes, rest: bytes, events: list[AnswerEvent]) -> bytes:
+        self.head = b""
+        self.remaining = body_length(status, head)
+        events.append(Head(status, head))
+        self.phase = Phase.BODY
+        if self.remaining == 0:
+            self._end(events)
+        return rest
+
+    def _receive_body(self, data: bytes, events: list[AnswerEvent]) -> bytes:
+        """Pass on bytes of the body; returns those behind it."""
+        if self.remaining is None:
+            events.append(Body(data))
+            return b""
+        body, rest = data[: self.remaining], data[self.remaining :]
+        self.remaining -= len(body)
+        events.append(Body(body))
+        if self.remaining == 0:
+            self._end(events)
+        return rest
+
+    def _end(self, events: list[AnswerEvent]) -> None:
+        self.phase = Phase.RESTING
+        events.append(Ended())
+
+
+def body_length(status: int, head: bytes) -> int | None:
+    """Bytes of the body behind a head, None if the head does not tell."""
+    if status in BODILESS:
+        return 0
+    lengths = CONTENT_LENGTH.findall(head)
+    if len(lengths) != 1 or TRANSFER_ENCODING.search(head):
+        return None
+    return int(lengths[0])
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -1,6 +1,7 @@
 """Calls to endpoints: one call carries one message or several, and ends in one outcome for each."""
 
 import asyncio
+from collections import Counter
 from functools import partial
 from math import inf
 
@@ -9,11 +10,14 @@
 from .. import interface
 from ..interface import Result
 from ..observe.log import fault
-from ..ports import PushMessage
+from ..ports import EndpointCloseReason, PushMessage
 from . import forms
+from .answer_stream import MAX_HEAD_BYTES
 from .answers import Answer, batch_answers, read_bounded, seconds_from_ms, single_answer
 from .batch import Batch, request_of
-from .endpoint_connection import CURRENT_CALL, MAX_HEAD_BYTES, CallProgress, EndpointConnection
+from .call_progress import CURRENT_CALL, CallProgress
+from .connection_pool import ConnectionPool
+from .endpoint_connection import EndpointConnection
 from .sockets import is_local_fault
 
 IDLE_FRACTION = 0.95  # of the time after which endpoints close an idle connection: this side closes it first
@@ -27,16 +31,14 @@
     """Starts and cancels calls; publish(events) puts their outcomes into the owner's queue together.
 
     written: messages whose call was written whole. running: the task of the call that carries each push.
-    progress: of each call's task, whether the call has begun or not. open_connections: all connections to
-    endpoints, the oldest first.
+    progress: of each call's task, whether the call has begun or not. pool: the connections to endpoints.
     """
 
     def __init__(self, settings: interface.Settings, members, clock, publish, max_connections: int):
         self.members, self.clock, self.publish = members, clock, publish
-        self.connection_budget = self.max_connections = max_connections
         self.running: dict[tuple[str, int], asyncio.Task] = {}
         self.written = 0
-        self.open_connections: dict[EndpointConnection, None] = {}
+        self.pool = ConnectionPool(max_connections)
         self.progress: dict[asyncio.Task, CallProgress] = {}
         self.apply_settings(settings)
         idle = settings.connection_idle * IDLE_FRACTION
@@ -46,7 +48,7 @@
             **({"keepalive_timeout": idle} if idle else {"force_close": True}),
         )
         # aiohttp offers no public way to replace the protocol class.
-        connector._factory = partial(EndpointConnection, asyncio.get_running_loop(), self.open_connections)
+        connector._factory = partial(EndpointConnection, asyncio.get_running_loop(), self.pool)
         self.session = aiohttp.ClientSession(
             connector=connector,
             max_line_size=MAX_HEAD_BYTES,
@@ -69,7 +71,7 @@
     def start_call(self, endpoint: str, messages: list[PushMessage]) -> None:
         """Start one call. It ends with the shortest timeout of its messages: whether a later answer holds for
         the others is not for this relay to decide, and the connection must not deliver it."""
-        progress = CallProgress(endpoint)
+        progress = CallProgress(endpoint, tuple(message.id for message in messages))
         task = asyncio.get_running_loop().create_task(
             self.run(progress, messages, min(message.timeout for message in messages))
         )
@@ -93,7 +95,7 @@
 
     def drop_removed_endpoints(self) -> None:
         """Close the idle connections to endpoints that were removed; calls in flight continue."""
-        self.close_idle_connections(self.members.drop_removed())
+        self.pool.close_idle(self.members.drop_removed())
 
     def cancel_unsent(self, endpoint: str) -> None:
         for progress in self.progress.values():
@@ -101,23 +103,14 @@
                 self.end_unless_sent(progress)
 
     def close_idle(self, endpoint: str) -> None:
-        self.close_idle_connections({endpoint})
-
-    def close_idle_connections(self, endpoints: set[str]) -> None:
-        for connection in [c for c in self.open_connections if c.call is None and c.endpoint in endpoints]:
-            connection.discard()
-
-    def evict_at_limit(self) -> None:
-        """Close the connection that has been idle longest if as many are open as may be."""
-        idle = [c for c in self.open_connections if c.call is None]
-        if len(idle) + len(set(self.running.values())) >= self.max_connections and idle:
-            min(idle, key=lambda c: c.idle_since).discard()
+        self.pool.close_idle({endpoint})
 
     def share(self, processes: int) -> None:
-        self.max_connections = max(1, self.connection_budget // processes)
-        idle = sorted((c for c in self.open_connections if c.call is None), key=lambda c: c.idle_since)
-        for connection in idle[: max(0, len(self.open_connections) - self.max_connections)]:
-            connection.discard()
+        self.pool.share(processes)
+
+    @property
+    def closed_connections(self) -> Counter[EndpointCloseReason]:
+        return self.pool.closed
 
     def in_flight(self) -> int:
         return len(self.running)
@@ -226,7 +219,7 @@
         address = self.members.address(endpoint)
         if address is None:  # it was removed from the list meanwhile
             return {message.id: Answer(Result.NOT_SENT) for message in messages}
-        self.evict_at_limit()
+        self.pool.make_room(len(set(self.running.values())))
         remaining = forms.format_duration(deadline - self.clock())
         path, body, headers = request_of(messages)
         # server_hostname separates connections by endpoint: another one at the same address gets none of
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -167,7 +167,7 @@
             for name in "nm":
                 calls.start("a", [PushMessage(name, 0, 1.0, "", b"", None)])
                 await events.get()
-                ports.append([c.transport.get_extra_info("sockname")[1] for c in calls.open_connections])
+                ports.append([c.transport.get_extra_info("sockname")[1] for c in calls.pool.connections])
             await calls.close()
             server.close()
             self.assertEqual((len(ports[-1]), ports[-1]), (1, ports[-2]), answer)
@@ -180,10 +180,10 @@
         calls.start("a", [PushMessage("n", 0, 1.0, "", b"", None)])
         await events.get()
         calls.close_idle("b")
-        self.assertEqual(len(calls.open_connections), 1)
+        self.assertEqual(len(calls.pool.connections), 1)
         calls.close_idle("a")
         await asyncio.sleep(0.05)
-        self.assertEqual(len(calls.open_connections), 0)
+        self.assertEqual(len(calls.pool.connections), 0)
         await calls.close()
         server.close()
 
@@ -199,11 +199,11 @@
         calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
         calls.start("a", [PushMessage("n", 0, 1.0, "", b"", None)])
         [first] = await events.get()
-        [connection] = calls.open_connections
+        [connection] = calls.pool.connections
         connection.data_received(http(503))
         calls.start("a", [PushMessage("m", 0, 1.0, "", b"", None)])
         [second] = await events.get()
-        self.assertNotIn(connection, calls.open_connections)
+        self.assertNotIn(connection, calls.pool.connections)
         await calls.close()
         server.close()
         self.assertEqual((first.result, second.result), (Result.FULL, Result.DELIVERED))
@@ -219,11 +219,11 @@
         endpoints.apply_list({**listed(index=2), "endpoints": [other]})
         calls.start("b", [PushMessage("m", 0, 1.0, "", b"", None)])
         await events.get()
-        self.assertEqual([c.endpoint for c in calls.open_connections], ["a", "b"])
+        self.assertEqual([c.endpoint for c in calls.pool.connections], ["a", "b"])
         calls.drop_removed_endpoints()  # a whole list arrived without a
         calls.start("a", [PushMessage("o", 0, 1.0, "", b"", None)])
         [last] = await events.get()
-        connected = [connection.endpoint for connection in calls.open_connections]
+        connected = [connection.endpoint for connection in calls.pool.connections]
         self.assertEqual((connected, last.result), (["b"], Result.NOT_SENT))
         self.assertEqual((list(endpoints.rows), endpoints.has(7)), (["b"], True))
         await calls.close()
--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -144,7 +144,7 @@
 
     async def all_closed(self):
         async with asyncio.timeout(2.0):
-            while self.calls.open_connections:
+            while self.calls.pool.connections:
                 await asyncio.sleep(0.01)
 
     async def test_a_call_that_ends_while_its_client_is_answered_leaves_the_acknowledgement_to_the_next(self):
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -159,7 +159,7 @@
             relay = Relay(load({"LB_CONFIG": path, "LB_STATE": self.folder}))
             [listener], dispatcher = relay.parts.listeners, relay.parts.dispatcher
             self.assertLess(listener.max_connections, 0.9 * sockets / 3)
-            self.assertLess(listener.max_connections + dispatcher.max_connections, sockets - 20)
+            self.assertLess(listener.max_connections + dispatcher.pool.max_connections, sockets - 20)
             await relay.close()
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -50,11 +50,11 @@
             for name in names:
                 calls.start("a", [PushMessage(name, 0, 1.0, "", b"", None)])
             await events.get()
-        oldest, *_ = sorted(calls.open_connections, key=lambda c: c.idle_since)
+        oldest, *_ = sorted(calls.pool.connections, key=lambda c: c.idle_since)
         await asyncio.sleep(0.01)
-        calls.evict_at_limit()
+        calls.pool.make_room(len(set(calls.running.values())))
         await asyncio.sleep(0.01)
-        self.assertNotIn(oldest, calls.open_connections)
+        self.assertNotIn(oldest, calls.pool.connections)
         await calls.close()
         server.close()
 
--- a/tests/test_races_left.py
+++ b/tests/test_races_left.py
@@ -92,7 +92,7 @@
             calls.start("a", [push(body=body)])
             sock = await far_end(listener)
             await read_until(sock, b"\r\n\r\nb")
-        [connection] = calls.open_connections
+        [connection] = calls.pool.connections
         assert connection.raw_transport.get_write_buffer_size() > 10_000
         sock.send(http(503))
         assert (await outcome(queue)).result is Result.FULL
