--- a/ryestack/lab/soak/model.py
+++ b/ryestack/lab/soak/model.py
@@ -25,9 +25,11 @@
     PARTNER_RESETS = "partner resets"
     PARTNER_LIMITS = "partner turns away with a wait"
     PARTNER_ERRORS = "partner errors"
+    PARTNER_BUSY = "partner turns away a quarter"
     LINK_LOST = "link silent"
     LINK_RESETS = "link resets"
     LINK_LATE = "link late"
+    ANSWERS_AGAIN = "answers come again, or in parts"
     REGISTRY_SILENT = "registry silent"
     DRAIN = "endpoint drains and returns"
 
@@ -39,7 +41,7 @@
 )  # fmt: skip
 OF_PARTNERS = (
     Kind.PARTNER_OUTAGE, Kind.PARTNER_HANGS, Kind.PARTNER_RESETS, Kind.PARTNER_LIMITS, Kind.PARTNER_ERRORS,
-    Kind.LINK_LOST, Kind.LINK_RESETS, Kind.LINK_LATE, Kind.DRAIN,
+    Kind.PARTNER_BUSY, Kind.LINK_LOST, Kind.LINK_RESETS, Kind.LINK_LATE, Kind.ANSWERS_AGAIN, Kind.DRAIN,
 )  # fmt: skip
 
 
--- a/ryestack/lab/soak/troubles.py
+++ b/ryestack/lab/soak/troubles.py
@@ -24,8 +24,14 @@
     Kind.PARTNER_RESETS: {"mode": "reset-after", "part": 0.5},
     Kind.PARTNER_LIMITS: {"mode": "full", "wait": RETRY_AFTER_S},
     Kind.PARTNER_ERRORS: {"mode": "error", "part": 0.5},
+    Kind.PARTNER_BUSY: {"mode": "full", "part": 0.25},
+}
+LINK_MODES = {
+    Kind.LINK_LOST: "hole",
+    Kind.LINK_RESETS: "reset",
+    Kind.LINK_LATE: "late",
+    Kind.ANSWERS_AGAIN: "again",
 }
-LINK_MODES = {Kind.LINK_LOST: "hole", Kind.LINK_RESETS: "reset", Kind.LINK_LATE: "late"}
 
 
 class Troubles:
--- a/ryestack/standins/links.py
+++ b/ryestack/standins/links.py
@@ -8,7 +8,10 @@
 import random
 from contextlib import suppress
 
-MODES = ("ok", "refuse", "hole", "out", "back", "reset", "late", "slow")
+from .answer_faults import AnswerFaults
+
+MODES = ("ok", "refuse", "hole", "out", "back", "reset", "late", "slow", "again")
+FAULTY_ANSWERS = 0.25  # fraction of answers out of order in mode `again`
 CHUNK = 16 * 1024
 POLL_INTERVAL_S = 0.02  # between checks whether a held link has healed
 
@@ -18,7 +21,8 @@
 
     mode: `refuse` closes each connection at once; `hole` holds both directions, `out` holds bytes to the
     target, `back` holds bytes from it; `reset` resets a connection in the middle of its data; `late` delays
-    each chunk by 0.5 to 1.5 times delay (seconds); `slow` limits throughput to rate bytes a second.
+    each chunk by 0.5 to 1.5 times delay (seconds); `slow` limits throughput to rate bytes a second; `again`
+    repeats and cuts answers as AnswerFaults draws it, taking each read for one answer.
     """
 
     def __init__(self, target: tuple[str, int], seed: int, drop_on_close: bool = False):
@@ -64,6 +68,7 @@
             self.tasks.discard(asyncio.current_task())
 
     async def pump(self, reader, writer, direction: str) -> None:
+        faults = AnswerFaults(self.rng, FAULTY_ANSWERS)
         with suppress(OSError, ConnectionError):
             while data := await reader.read(CHUNK):
                 if self.mode == "late":
@@ -80,10 +85,27 @@
                     await asyncio.sleep(len(data) / self.rate)
                 self.carried += len(data)
                 self.reads += 1
-                writer.write(data)
+                if direction == "back" and self.mode == "again":
+                    self.write_out_of_order(writer, faults.writes(data))
+                else:
+                    writer.write(data)
                 await writer.drain()
         writer.transport.abort()
 
+    @staticmethod
+    def write_out_of_order(writer, writes) -> None:
+        """Makes the writes at their times, unless the connection has ended by then."""
+
+        def write(data: bytes) -> None:
+            if not writer.transport.is_closing():
+                writer.write(data)
+
+        for after, data in writes:
+            if after:
+                asyncio.get_running_loop().call_later(after, write, data)
+            else:
+                write(data)
+
     async def close(self) -> None:
         self.server.close()
         for task in list(self.tasks):
