An answer is used only where its place proves whose it is: two calls a connection at most

Cause: wire/ tied an answer to a call by its place on the connection alone. A copy that comes after the next call was written ended that call; that call's own answer was left to the one after it, and so on for the connection's life. A false 200 loses a message, a false 503 counts as 'never ran' and sends a once-only one twice. So a connection carries one call, or two where the endpoint (before it has answered, all of its kind) marks; an unmarked answer to the second is skipped, with its wait heeded, and a merged or unreadable one ends the call as may-have-run. The choice is in brain/connection_reuse.py, the socket code carries it out. Tests that need a second call on a connection say that the endpoint marks (keep_connections); a_valid_answer_keeps_its_connection now also asserts who asks for the close.

--- a/ryestack/lifecycle/admin.py
+++ b/ryestack/lifecycle/admin.py
@@ -29,6 +29,7 @@
         listed = parts.directory.members.listed_names()
         values = {
             "upstream_tries_total": parts.dispatcher.written,
+            "skipped_answers_total": parts.dispatcher.skipped_answers,
             "in_progress": owner.in_progress(),
             "known_endpoints": len(listed),
             "skipped_endpoints": len(owner.brain.skipped_endpoints(listed)),
--- a/ryestack/observe/figures.py
+++ b/ryestack/observe/figures.py
@@ -12,6 +12,7 @@
 OUTCOMES = {"delivered": "passed", "throttled": "dropped", "expired": "bad_gateway"}
 FIGURES = (  # name, type, meaning
     ("upstream_tries_total", "counter", "messages written whole to endpoints"),
+    ("skipped_answers_total", "counter", "answers of endpoints that may be those of another call"),
     ("in_progress", "gauge", "messages taken and not ended"),
     ("known_endpoints", "gauge", "endpoints in the list"),
     ("skipped_endpoints", "gauge", "listed endpoints that the relay avoids now"),
--- a/ryestack/observe/registry_faults.py
+++ b/ryestack/observe/registry_faults.py
@@ -49,6 +49,15 @@
         "route ids connection call",
         "a call's first byte was written; `connection`: its number, `call`: its place on it",
     ),
+    (
+        "answer.skipped",
+        "WARNING",
+        "route connection call status",
+        "an answer on a connection that had carried a call before does not announce the close that the call "
+        "asked for: it may be that of the earlier call, and was not used",
+        "if it lasts, look for what repeats answers between the relay and that endpoint",
+        "route",
+    ),
     (
         "endpoint.closed",
         "DEBUG",
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -49,6 +49,9 @@
     SURPLUS = "bytes behind an answer"
     EARLY = "an answer before the whole call was written"
     MALFORMED = "an answer that cannot be read"
+    UNPROVEN = "an answer that may be that of another call"
+    LAST_CALL = "its last call ended"
+    IDLE = "idle for long"
     NOT_BEGUN = "a call that came too late to begin"
     GIVEN_UP = "its call was given up"
     EVICTED = "room for another"
@@ -161,6 +164,7 @@
 
     written: int  # messages whose call was written whole
     closed_connections: Counter  # connections that this relay closed, by EndpointCloseReason
+    skipped_answers: int  # answers that may be those of another call
 
     def apply_settings(self, settings: interface.Settings) -> None:
         """Use other settings for calls from now on."""
--- a/ryestack/wire/call_progress.py
+++ b/ryestack/wire/call_progress.py
@@ -10,13 +10,14 @@
     """How far a call has come.
 
     Until a byte of it is written none of its messages can have run. `status` is that of the first line,
-    reported to `on_status_line` as it comes, and the head to `on_head`, even if the rest never comes.
+    reported to `on_status_line` as it comes, and the text of a wait in its head, or None, to `on_wait`, even
+    if the rest never comes.
     """
 
     endpoint: str
     ids: tuple[str, ...] = ()  # of its messages
     on_status_line: object = None
-    on_head: object = None
+    on_wait: object = None
     on_written: object = None  # called once the call's last byte is written
     timeout: object = None  # the asyncio.Timeout of the call while it runs
     connection: object = None  # the one that carries the call, while it runs
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -8,19 +8,18 @@
 import aiohttp
 
 from .. import interface
+from ..brain.connection_reuse import ConnectionReuse
 from ..interface import Result
 from ..observe.log import fault
 from ..ports import EndpointCloseReason, PushMessage
 from . import forms
-from .answer_stream import MAX_HEAD_BYTES
 from .answers import Answer, batch_answers, read_bounded, seconds_from_ms, single_answer
 from .batch import Batch, request_of
 from .call_progress import CURRENT_CALL, CallProgress
 from .connection_pool import ConnectionPool
-from .endpoint_connection import EndpointConnection
+from .endpoint_session import open_session
 from .sockets import is_local_fault
 
-IDLE_FRACTION = 0.95  # of the time after which endpoints close an idle connection: this side closes it first
 # Time-outs for the rest of an answer after its first line, which mostly comes with it. After a 200 to one
 # message there is nothing more to learn, but a connection given up costs a handshake; other answers tell who
 # ran.
@@ -39,24 +38,10 @@
         self.running: dict[tuple[str, int], asyncio.Task] = {}
         self.written = 0
         self.pool = ConnectionPool(max_connections)
+        self.reuse = ConnectionReuse(settings.connection_idle > 0.0, members.kind)
         self.progress: dict[asyncio.Task, CallProgress] = {}
         self.apply_settings(settings)
-        idle = settings.connection_idle * IDLE_FRACTION
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            happy_eyeballs_delay=None,
-            **({"keepalive_timeout": idle} if idle else {"force_close": True}),
-        )
-        # aiohttp offers no public way to replace the protocol class.
-        connector._factory = partial(EndpointConnection, asyncio.get_running_loop(), self.pool)
-        self.session = aiohttp.ClientSession(
-            connector=connector,
-            max_line_size=MAX_HEAD_BYTES,
-            max_field_size=MAX_HEAD_BYTES,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-            auto_decompress=False,
-        )
+        self.session = open_session(settings.connection_idle, self.pool, self.reuse)
 
     def apply_settings(self, settings: interface.Settings) -> None:
         self.batch_sizes = {k.name: k.batch for k in settings.kinds}
@@ -95,7 +80,9 @@
 
     def drop_removed_endpoints(self) -> None:
         """Close the idle connections to endpoints that were removed; calls in flight continue."""
-        self.pool.close_idle(self.members.drop_removed())
+        removed = self.members.drop_removed()
+        self.pool.close_idle(removed)
+        self.reuse.forget(removed)
 
     def cancel_unsent(self, endpoint: str) -> None:
         for progress in self.progress.values():
@@ -108,6 +95,10 @@
     def share(self, processes: int) -> None:
         self.pool.share(processes)
 
+    @property
+    def skipped_answers(self) -> int:
+        return self.pool.skipped_answers
+
     @property
     def closed_connections(self) -> Counter[EndpointCloseReason]:
         return self.pool.closed
@@ -157,7 +148,7 @@
         loop, start_timeout = asyncio.get_running_loop(), min(m.start_timeout for m in batch.messages)
         progress.timeout = asyncio.timeout(timeout)
         progress.on_status_line = lambda: self.status_line_received(progress, len(batch.messages) == 1)
-        progress.on_head = partial(self.head_received, progress)
+        progress.on_wait = partial(self.wait_received, progress)
         progress.on_written = lambda: self.call_written(len(batch.messages))
         CURRENT_CALL.set(progress)  # of this task, which makes no other call
         if start_timeout == inf:
@@ -199,9 +190,9 @@
             progress.timeout.reschedule(asyncio.get_running_loop().time())
         return False
 
-    def head_received(self, progress: CallProgress, headers) -> None:
+    def wait_received(self, progress: CallProgress, text: str | None) -> None:
         """Publish a wait in the head of an answer: it holds at once, even if the rest never comes."""
-        progress.wait = seconds_from_ms(headers.get("X-Retry-In-Ms"))
+        progress.wait = seconds_from_ms(text)
         if progress.wait > 0.0:
             self.publish([interface.WaitRequested(progress.endpoint, progress.wait)])
 
--- a/ryestack/wire/connection_pool.py
+++ b/ryestack/wire/connection_pool.py
@@ -16,13 +16,14 @@
     """All connections to endpoints, the oldest first.
 
     budget: connections of the relay, of which max_connections are this process's part. closed: connections
-    that this side closed, by reason.
+    that this side closed, by reason. skipped_answers: answers that no call in flight could be shown to get.
     """
 
     def __init__(self, max_connections: int):
         self.budget = self.max_connections = max_connections
         self.connections: dict[EndpointConnection, None] = {}
         self.closed: Counter[EndpointCloseReason] = Counter()
+        self.skipped_answers = 0
 
     def add(self, connection: EndpointConnection) -> None:
         self.connections[connection] = None
--- a/ryestack/wire/endpoint_connection.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -3,56 +3,50 @@
 The library's parser reads ahead: bytes behind an answer spoil that answer, or answer the next call, and a
 first line is lost if what follows it cannot be read. So this layer passes on the bytes of one answer and no
 more, as `AnswerStream` cuts them, reports the first line as it comes, and closes the connection on any other
-bytes.
+bytes. `ConnectionReuse` decides how many calls a connection carries.
 """
 
-import asyncio
 from itertools import count
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from ..brain.connection_reuse import ConnectionReuse
 from ..observe.log import event, is_debug_enabled
 from ..ports import EndpointCloseReason
-from .answer_stream import AnswerStream, Body, Ended, Head, Phase, StatusLine, Unusable
+from .answer_stream import (
+    AnswerEvent,
+    AnswerStream,
+    Ended,
+    Head,
+    Phase,
+    SkippedHead,
+    StatusLine,
+    Unusable,
+    header_value,
+)
 from .call_progress import CURRENT_CALL
 from .connection_pool import ConnectionPool
+from .guarded_transport import GuardedTransport
 from .sockets import has_unacknowledged, has_unread, reset
 
+WAIT_HEADER = "X-Retry-In-Ms"
 ABANDONED_HEAD_TIMEOUT_S = 0.15  # for the head of an answer to an abandoned call; a later wait is useless
 CONNECTION_NUMBERS = count(1)
 
 
-class GuardedTransport:
-    """Passed to the library as its transport: calls before_write before the bytes of a call are written."""
-
-    def __init__(self, transport: asyncio.Transport, before_write, close):
-        self.transport, self.before_write, self.close = transport, before_write, close
-        self.is_closing = transport.is_closing
-
-    def write(self, data) -> None:
-        self.before_write()
-        self.transport.write(data)
-
-    def writelines(self, parts) -> None:
-        self.before_write()
-        self.transport.writelines(parts)
-
-    def __getattr__(self, name: str):
-        return getattr(self.transport, name)
-
-
 class EndpointConnection(ResponseHandler):
     """One connection to an endpoint, idle or carrying the call whose answer it reads.
 
     pool: the open connections, this one included. number: of the connection, in this process. message: what
-    the parser made of the answer's head. abandoned: the timer that closes the connection once its call is
-    abandoned.
+    the parser made of the answer's head. skipped: whether an answer was skipped that may have been the
+    call's. abandoned: the timer that closes the connection once its call is abandoned.
     """
 
-    def __init__(self, loop, pool: ConnectionPool):
+    def __init__(self, loop, pool: ConnectionPool, reuse: ConnectionReuse):
         super().__init__(loop)
-        self.pool, self.call, self.endpoint, self.idle_since = pool, None, "", loop.time()
+        self.pool, self.reuse, self.call, self.endpoint = pool, reuse, None, ""
+        self.idle_since, self.skipped = loop.time(), False
         self.stream, self.message, self.number = AnswerStream(), None, next(CONNECTION_NUMBERS)
         self.raw_transport, self.abandoned = None, None
 
@@ -66,6 +60,8 @@
         self.pool.remove(self)
         if self.abandoned:
             self.abandoned.cancel()
+        if self.call is not None and self.skipped:
+            self.reuse.record_last_answer(self.endpoint, marked=False)
         super().connection_lost(exc)
 
     def close_gracefully(self) -> None:
@@ -74,11 +70,13 @@
         A half-close abandons a call whose answer may be on its way: a wait in the answer's head holds all the
         same and is still read.
         """
+        if not self.raw_transport.is_closing() and not self.abandoned:
+            self.pool.count_closed(self, self.close_reason())
         if self.raw_transport.get_write_buffer_size() or (
             self.call is not None and has_unacknowledged(self.raw_transport)
         ):
             reset(self.raw_transport)  # an abandoned call must not be sent later, from any buffer
-        elif self.call is None or not self.call.begun or self.stream.phase is not Phase.HEAD:
+        elif self.call is None or not self.call.begun or not self.stream.awaits_answer():
             self.raw_transport.close()
         elif self.abandoned is None and not self.raw_transport.is_closing():
             self.abandoned = self._loop.call_later(ABANDONED_HEAD_TIMEOUT_S, self.raw_transport.abort)
@@ -88,6 +86,12 @@
             except (OSError, RuntimeError):  # the connection is closed already
                 self.raw_transport.abort()
 
+    def close_reason(self) -> EndpointCloseReason:
+        """Why the library closes the connection."""
+        if self.call is not None and self.stream.phase is not Phase.RESTING:
+            return EndpointCloseReason.GIVEN_UP
+        return EndpointCloseReason.LAST_CALL if self.stream.last else EndpointCloseReason.IDLE
+
     def is_connected(self) -> bool:
         """Whether it can be used again; the library asks before it does.
 
@@ -104,7 +108,9 @@
         super().set_response_params(**params)
         self.call, self.message = CURRENT_CALL.get(), None
         self.call.reused, self.endpoint = self.stream.calls > 0, self.call.endpoint
-        self.stream.begin_call()
+        self.stream.begin_call(last=self.stream.calls + 1 >= self.reuse.max_calls(self.endpoint))
+        if self.stream.last:
+            self.force_close()  # once this call is over; the library keeps it no longer
         self.check_may_begin()
 
     def check_may_begin(self, unexpected_bytes: bool = False) -> None:
@@ -149,7 +155,7 @@
         for received in self.stream.receive(data, not self.raw_transport.get_write_buffer_size()):
             self.handle(received)
 
-    def handle(self, received: StatusLine | Head | Body | Ended | Unusable) -> None:
+    def handle(self, received: AnswerEvent) -> None:
         """Act on one part of what the connection brought."""
         if isinstance(received, Unusable):
             self.discard(received.reason)
@@ -159,8 +165,10 @@
             pass  # the parser has rejected the head
         elif isinstance(received, StatusLine):
             self.status_line_received(received.status)
+        elif isinstance(received, SkippedHead):
+            self.answer_skipped(received)
         elif isinstance(received, Head):
-            self.head_received(received.data)
+            self.head_received(received)
         else:
             self.body_received(received.data)
 
@@ -169,15 +177,25 @@
             self.call.status = status
             self.call.on_status_line()
 
-    def head_received(self, head: bytes) -> None:
+    def head_received(self, head: Head) -> None:
         """Parse a whole head and report it."""
-        super().data_received(head)
+        if self.stream.last:
+            self.reuse.record_last_answer(self.endpoint, head.announces_close)
+        super().data_received(head.data)
         if self.message is None:  # the parser rejected it, and has closed the connection
             return
-        self.call.on_head(self.message.headers)
+        self.call.on_wait(self.message.headers.get(WAIT_HEADER))
         if self.abandoned:
             self.raw_transport.abort()
 
+    def answer_skipped(self, answer: SkippedHead) -> None:
+        """Report an answer that may be that of another call; a wait in it holds all the same."""
+        self.skipped = True
+        self.pool.skipped_answers += 1
+        place = {"connection": self.number, "call": self.stream.calls}
+        event("answer.skipped", route=self.endpoint, **place, status=answer.status)
+        self.call.on_wait(header_value(answer.data, WAIT_HEADER))
+
     def feed_data(self, data: tuple, size: int = 0) -> None:
         """Called by the parser with a parsed head, which goes on to the call."""
         self.message = data[0]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -94,6 +94,12 @@
     return server, f"{host}:{port}"
 
 
+def keep_connections(calls, *endpoints):
+    """Lets connections to these endpoints carry a second call: they mark the last answer of a connection."""
+    for endpoint in endpoints:
+        calls.reuse.record_last_answer(endpoint, marked=True)
+
+
 def http(status, body=b"", **headers):
     """The bytes of an HTTP response."""
     lines = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in headers.items())
--- a/tests/test_answers_again.py
+++ b/tests/test_answers_again.py
@@ -1,13 +1,20 @@
-"""An endpoint's answer that comes a second time, late or cut, must not be taken for the answer to another call."""
+"""An answer that comes a second time, late or cut, must not be taken for the answer to another call."""
 
+import asyncio
+import socket
 import tempfile
 import unittest
 from pathlib import Path
 
+from ryestack import interface
+from ryestack.interface import Result
 from ryestack.lab.soak.invariants import judge_soak
 from ryestack.lab.soak.model import Kind, Trouble
 from ryestack.lab.soak.scenario import Scenario, SoakPlan
 
+from .endpoint_sockets import EndpointSockets, message
+from .helpers import http
+
 SECONDS = 8.0
 
 
@@ -17,7 +24,7 @@
     ]
 
     async def test_copy_of_an_earlier_answer_ends_no_other_call(self):
-        """Real processes: a relay, two partners that turn away a quarter, proxies that repeat their answers."""
+        """Real processes: a relay, two partners that turn away a quarter, proxies that repeat answers."""
         plan = SoakPlan(seed=52, relays=1, partners=2, rate=60.0, seconds=SECONDS)
         with tempfile.TemporaryDirectory() as folder:
             scenario = Scenario(plan, Path(folder), lambda _: None, self.TROUBLES)
@@ -26,5 +33,44 @@
         self.assertGreater(verdict.counts["taken"], 200)
 
 
+class SecondCallOfAConnection(EndpointSockets):
+    """A connection has carried a call; the relay's second call asks for the close."""
+
+    async def second_call(self, *answers: bytes) -> interface.Outcome:
+        """Its outcome if the endpoint sends these, one after the other, and ends the connection."""
+        sock = await self.idle_connection()
+        self.calls.start("a", [message("next", 1)])
+        self.assertIn(b"Connection: close\r\n", await self.receive_until(sock))
+        for answer in answers:
+            sock.send(answer)
+            await asyncio.sleep(0.02)
+        sock.shutdown(socket.SHUT_WR)
+        return await self.next_event()
+
+    async def test_copy_of_the_first_answer_does_not_end_the_second_call(self):
+        for status, result in ((503, Result.FULL), (200, Result.DELIVERED), (500, Result.ERROR)):
+            outcome = await self.second_call(http(200), http(200), http(status, Connection="close"))
+            self.assertEqual(outcome.result, result)
+        self.assertEqual(self.calls.skipped_answers, 6)
+
+    async def test_answer_without_the_mark_of_the_last_ends_as_broken_and_no_connection_is_reused(self):
+        for status in (200, 503):
+            outcome = await self.second_call(http(status))
+            self.assertEqual((outcome.result, self.calls.reuse.max_calls("a")), (Result.BROKEN, 1))
+
+    async def test_half_of_a_copy_does_not_lend_its_status_to_the_second_answer(self):
+        copy = http(200)
+        for length in range(1, len(copy)):
+            outcome = await self.second_call(copy[:length], http(503, Connection="close"))
+            self.assertEqual(outcome.result, Result.BROKEN, copy[:length])
+
+    async def test_wait_in_an_answer_that_is_not_used_holds(self):
+        sock = await self.idle_connection()
+        self.calls.start("a", [message("next", 1)])
+        await self.receive_until(sock)
+        sock.send(http(429, X_Retry_In_Ms="700"))
+        self.assertEqual(await self.next_event(interface.WaitRequested), interface.WaitRequested("a", 0.7))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -8,7 +8,7 @@
 from ryestack.ports import PushMessage
 from ryestack.wire.calls import CallDispatcher
 
-from .helpers import http, listed, members, push_to, settings, stand_in
+from .helpers import http, keep_connections, listed, members, push_to, settings, stand_in
 
 
 class CallDispatcherTest(unittest.IsolatedAsyncioTestCase):
@@ -117,6 +117,7 @@
         server, address = await stand_in(lambda head, _: heads.append(head) or answers.pop(0))
         clock, endpoints = asyncio.get_running_loop().time, members(address=address)
         calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
+        keep_connections(calls, "a", "b")
         results = []
         for name in "nm":
             calls.start("a", [PushMessage(name, 0, 1.0, "", b"", None)])
@@ -156,27 +157,36 @@
             [outcome], _ = await push_to(lambda *_, raw=raw: raw, timeout=3.0)
             self.assertEqual((outcome.result, outcome.elapsed < 1.0), (result, True), raw[:60])
 
-    async def test_a_valid_answer_keeps_its_connection(self):
-        ports = []
+    async def test_a_valid_answer_keeps_its_connection_for_a_second_call(self):
         for answer in (http(200, b"body"), http(503), b"HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n"
                      b"1\r\nx\r\n0\r\n\r\n"):
-            events = asyncio.Queue()
-            server, address = await stand_in(lambda *_, answer=answer: answer)
+            events, heads, connections = asyncio.Queue(), [], []
+            last = answer.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
+            server, address = await stand_in(
+                lambda head, _, answer=answer, last=last, heads=heads:
+                heads.append(head) or (last if b"Connection: close" in head else answer)
+            )
             clock, endpoints = asyncio.get_running_loop().time, members(address=address)
             calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
-            for name in "nm":
+            keep_connections(calls, "a")
+            outcomes = []
+            for name in "nmo":
                 calls.start("a", [PushMessage(name, 0, 1.0, "", b"", None)])
-                await events.get()
-                ports.append([c.transport.get_extra_info("sockname")[1] for c in calls.pool.connections])
+                connections.append(len(calls.pool.connections))
+                outcomes += await events.get()
+            number = next(iter(calls.pool.connections)).number
             await calls.close()
             server.close()
-            self.assertEqual((len(ports[-1]), ports[-1]), (1, ports[-2]), answer)
+            asks = [b"Connection: close" in head for head in heads]
+            self.assertEqual((asks, connections), ([False, True, False], [0, 1, 0]), answer)
+            self.assertEqual(len({outcome.result for outcome in outcomes}), 1, number)
 
     async def test_close_idle_closes_the_connections_of_that_endpoint_only(self):
         events = asyncio.Queue()
         server, address = await stand_in(lambda *_: http(200))
         clock, endpoints = asyncio.get_running_loop().time, members(address=address)
         calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
+        keep_connections(calls, "a", "b")
         calls.start("a", [PushMessage("n", 0, 1.0, "", b"", None)])
         await events.get()
         calls.close_idle("b")
@@ -197,6 +207,7 @@
         server, address = await stand_in(lambda *_: answers.pop())
         clock, endpoints = asyncio.get_running_loop().time, members(address=address)
         calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
+        keep_connections(calls, "a", "b")
         calls.start("a", [PushMessage("n", 0, 1.0, "", b"", None)])
         [first] = await events.get()
         [connection] = calls.pool.connections
@@ -213,6 +224,7 @@
         server, address = await stand_in(lambda *_: http(200))
         clock, endpoints = asyncio.get_running_loop().time, members(address=address)
         calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
+        keep_connections(calls, "a", "b")
         calls.start("a", [PushMessage("n", 0, 1.0, "", b"", None)])
         await events.get()
         other = {**listed(address=address)["endpoints"][0], "name": "b"}
--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -8,71 +8,13 @@
 
 from ryestack import interface
 from ryestack.interface import Result
-from ryestack.ports import PushMessage
-from ryestack.wire.calls import CallDispatcher
 from ryestack.wire.endpoint_connection import EndpointConnection
 
-from .helpers import http, members, settings
+from .endpoint_sockets import EndpointSockets, message
+from .helpers import http, keep_connections
 
 
-def message(name="n", push=0, timeout=5.0, body=b"x", acknowledged=None, **more):
-    return PushMessage(name, push, timeout, "k", body, acknowledged, **more)
-
-
-class EndpointConnectionTest(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.loop, self.events, self.accepted = asyncio.get_running_loop(), asyncio.Queue(), []
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.listener.setblocking(False)
-        host, port = self.listener.getsockname()
-        self.calls = CallDispatcher(
-            settings(connection_idle=5.0), members(address=f"{host}:{port}"), self.loop.time, self.publish, 50
-        )
-
-    async def asyncTearDown(self):
-        await self.calls.close()
-        for sock in (self.listener, *self.accepted):
-            sock.close()
-
-    def publish(self, events):
-        for event in events:
-            self.events.put_nowait(event)
-
-    async def next_event(self, kind=interface.Outcome):
-        async with asyncio.timeout(3.0):
-            while not isinstance(event := await self.events.get(), kind):
-                pass
-        return event
-
-    async def accept(self) -> socket.socket:
-        sock, _ = await asyncio.wait_for(self.loop.sock_accept(self.listener), 3.0)
-        sock.setblocking(False)
-        self.accepted.append(sock)
-        return sock
-
-    async def receive_until(self, sock, mark=b"\r\n\r\nx") -> bytes:
-        data = b""
-        async with asyncio.timeout(3.0):
-            while mark not in data:
-                data += await self.loop.sock_recv(sock, 65536)
-        return data
-
-    async def receive_rest(self, sock) -> bytes:
-        """The bytes still received; a connection that is closed with unread bytes is reset: then none."""
-        try:
-            return await asyncio.wait_for(self.loop.sock_recv(sock, 100), 3.0)
-        except ConnectionResetError:
-            return b""
-
-    async def idle_connection(self) -> socket.socket:
-        """The endpoint's socket of an idle connection that has carried a call."""
-        self.calls.start("a", [message("first")])
-        sock = await self.accept()
-        await self.receive_until(sock)
-        sock.send(http(200))
-        self.assertEqual((await self.next_event()).result, Result.DELIVERED)
-        return sock
-
+class EndpointConnectionTest(EndpointSockets):
     async def test_bytes_received_before_the_first_byte_is_written_are_no_answer_and_nothing_is_sent(self):
         """Part of a line, a late answer or an end arrives after the connection was chosen for a call."""
         for unexpected in (b"HTTP/1.1 200", http(200), b"x", None):
@@ -219,6 +161,7 @@
         self.assertEqual((await self.next_event()).result, Result.BROKEN)
 
     async def test_a_finished_call_does_not_recall_the_next_on_its_connection(self):
+        keep_connections(self.calls, "a")
         self.calls.start("a", [message("first")])
         first = next(iter(self.calls.progress.values()))
         sock = await self.accept()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,7 +17,7 @@
 from ryestack.wire.notices import PlatformNotices
 from ryestack.wire.platform import MAX_ANSWER_BYTES, PlatformClient
 
-from .helpers import http, listed, members, settings, stand_in
+from .helpers import http, keep_connections, listed, members, settings, stand_in
 
 
 class PlatformTest(unittest.IsolatedAsyncioTestCase):
@@ -46,6 +46,7 @@
         calls = CallDispatcher(
             settings(connection_idle=5.0), members(address=address), clock, events.put_nowait, 2
         )
+        keep_connections(calls, "a")
         for names in ("no", "p"):
             for name in names:
                 calls.start("a", [PushMessage(name, 0, 1.0, "", b"", None)])
--- a/tests/test_races_left.py
+++ b/tests/test_races_left.py
@@ -21,7 +21,7 @@
 from ryestack.wire.endpoint_connection import EndpointConnection
 from ryestack.wire.server import ClientListener
 
-from .helpers import http, members, settings, take
+from .helpers import http, keep_connections, members, settings, take
 from .test_wire import RAW
 
 WHOLE = RAW % 1 + b"x"
@@ -107,6 +107,7 @@
     be taken for the answer to the next call."""
 
     async def story(calls, listener, queue):
+        keep_connections(calls, "a")
         calls.start("a", [push("first")])
         sock = await far_end(listener)
         await read_until(sock, b"\r\n\r\nx")
