Each request to the platform has its own connection: no copied 204 ends an unread notice

A copy of a 204 ended a notice that the platform had never read (its message is then lost), and a copy of an old whole list after a newer one took back a drain (pushes to a draining endpoint). Cause: notices and the watch share kept connections, and neither a 204 nor a list names its request. Evidence: both tests of test_platform_answers_again fail without the change (1 of 3 notices read; the drained endpoint READY again). Why this holds: the first answer on a connection belongs to its first request, and there is no second.

--- a/ryestack/wire/platform.py
+++ b/ryestack/wire/platform.py
@@ -8,14 +8,18 @@
 
 
 class PlatformClient:
-    """Sends requests to the address in force.
+    """Sends requests to the address in force, each on a connection of its own.
+
+    Nothing in an answer names its request: only the first answer on a connection is known to be that of its
+    first request.
 
     A move to another address aborts the requests in flight at the old one; their callers repeat them.
     refresh_requested: set when the list is wanted now, by a decision or because of a new address.
     """
 
     def __init__(self, address: str):
-        self.session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
+        connector = aiohttp.TCPConnector(force_close=True)
+        self.session = aiohttp.ClientSession(connector=connector, cookie_jar=aiohttp.DummyCookieJar())
         self.address, self.timeouts = address, set()
         self.refresh_requested = asyncio.Event()
 
