A client's request that comes twice is run once, and its copy gets no answer

A once-only request whose bytes came again 0.3 s later on its connection, or once more on another after its end, was executed twice; a copy's answer (400 or 202) was read by the client as that to its next request. Cause: an id was refused only while it was owed, and every request that is read got an answer, though the client waits for one only. Why this holds: each hand-in has a new id (PROTOCOL), so the same id on a connection is a copy: it is neither used nor answered, and the answers stay in step. Change: wire/client_answers.py and wire/lingering.py out of server.py and client_connection.py; event request.copied. test_upgrade handed in one id three times over restarts; each has its own now, the check is the same. Not covered: a copy that comes after 32 other submissions of its connection and after its end fell out of memory, or after a restart.

--- a/ryestack/lifecycle/admission.py
+++ b/ryestack/lifecycle/admission.py
@@ -7,12 +7,14 @@
 from ..observe.log import event, is_debug_enabled
 from ..ports import Submission, Verdict
 from ..store.owed import Owed, encode_terms
+from .recent_ids import RecentIds
 
 
 class Refusal(Enum):
     """Why a hand-in was refused; the values appear in the metrics and in the log."""
 
     ID_IN_USE = "its id is in use"
+    ID_ENDED = "its id has ended"
     NO_REPLICAS = "too few replicas"
     DRAINED = "drained by staff"
     HOLD_FULL = "as much is held as may be"
@@ -23,10 +25,15 @@
 
 
 class Admission:
-    """The part of the owner that accepts notifications. refused: number of refused hand-ins by reason."""
+    """The part of the owner that accepts notifications.
+
+    refused: number of refused hand-ins by reason. recent_ends: ids of notifications that were pushed and have
+    ended; the same id once more would be pushed again.
+    """
 
     def __init__(self):
         super().__init__()
+        self.recent_ends = RecentIds()
         self.refused: Counter[Refusal] = Counter()
 
     def handle_hand_in(self, message: Submission):
@@ -46,6 +53,8 @@
         name = message.notification.id
         if name in self.ledger.owed or name in self.new_hand_ins:
             return Refusal.ID_IN_USE
+        if name in self.recent_ends:
+            return Refusal.ID_ENDED
         if retry_after is not None:
             return Refusal.NO_REPLICAS
         if self.drained:
@@ -101,7 +110,7 @@
     def reject(self, message: Submission, reason: Refusal, retry_after: float = 0.0) -> None:
         """Refuse without a decision of the module. retry_after: seconds, 0 if none is given."""
         self.count_refusal(message, reason)
-        if reason is Refusal.ID_IN_USE:
+        if reason in (Refusal.ID_IN_USE, Refusal.ID_ENDED):
             message.verdict.set_result((Verdict.REJECTED, 0.0))
             return
         self.counts["turned away"] += 1
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -78,6 +78,8 @@
     def finish(self, name: str) -> None:
         """Record that nothing is owed of the notification any more."""
         if owed := self.ledger.owed.get(name):
+            if owed.pushes:
+                self.recent_ends.add(name)
             self.ledger.finish(name)
             self.replication.finish(owed)
 
--- a/ryestack/wire/client_connection.py
+++ b/ryestack/wire/client_connection.py
@@ -7,12 +7,13 @@
 
 import asyncio
 import logging
-from collections import Counter
+from collections import Counter, deque
 
 from aiohttp import web
 
 from ..observe.log import event, is_debug_enabled
 from ..ports import CloseReason
+from .lingering import MAX_LINGERING, UNAVAILABLE_RESPONSE, LingeringClose
 from .sockets import has_unread, seconds_since_received
 
 IDLE_TIMEOUT_S = 2.2  # an idle connection may end after 2, and a malformed request must be answered within 3
@@ -20,34 +21,11 @@
 BODY_TIMEOUT_S = 2.6  # for a first request from its connection on, for a later one from its head on
 CLIENT_TIMEOUT_S = 0.4  # after which a client has given up its request
 SUBMISSION_PREFIX = b"POST /api"
-LINGER_TIMEOUT_S = 0.5  # for a client to end its side: it does so as it reads the relay's end, or has gone
-MAX_DISCARDED_BYTES = 256 * 1024  # while lingering: a request has less, a flood is cut off
-MAX_LINGERING = 8  # connections beyond the limit, lingering or answered 503: half of the spare descriptors
-FIRST_BYTES_TIMEOUT_S = 1.0  # for the first bytes on a connection beyond the limit
-UNAVAILABLE_RESPONSE = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+MAX_REMEMBERED_IDS = 32  # of the submissions that came last on a connection
 LOGGER = logging.getLogger("ryestack.clients")  # bad requests are answered: no tracebacks of them
 LOGGER.setLevel(logging.CRITICAL)
 
 
-class LingeringClose:
-    """Half-closes a transport, and aborts it after LINGER_TIMEOUT_S. discarded: bytes received since."""
-
-    def __init__(self, transport: asyncio.Transport, loop):
-        self.transport, self.discarded = transport, 0
-        self.timer = loop.call_later(LINGER_TIMEOUT_S, transport.abort)
-        try:
-            transport.write_eof()
-            transport.resume_reading()
-        except (OSError, RuntimeError):  # the connection is closed already
-            transport.abort()
-
-    def discard(self, data: bytes) -> None:
-        """Count bytes that the client still sends; abort the connection if there are too many."""
-        self.discarded += len(data)
-        if self.discarded > MAX_DISCARDED_BYTES:
-            self.transport.abort()
-
-
 class HalfClosingTransport:
     """Passed to the library as its transport; only its close is replaced."""
 
@@ -73,6 +51,7 @@
         self.opened_at = self.read_at = self.received_at = loop.time()
         self.unparsable, self.ending, self.raw_transport = False, None, None
         self.close_reason = CloseReason.CLIENT
+        self.submitted: deque[str] = deque(maxlen=MAX_REMEMBERED_IDS)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         super().connection_made(transport)
@@ -87,6 +66,19 @@
             event("client.closed", why=self.close_reason.value, requests=self._request_count)
         super().connection_lost(exc)
 
+    def is_copy(self, submission_id: str) -> bool:
+        """Whether a submission with that id came on this connection before; it is remembered.
+
+        A client gives each submission a new id, so its bytes came twice. It does not wait for a second
+        answer: one would be read as that to its next request.
+        """
+        if submission_id in self.submitted:
+            self._manager.copies += 1
+            event("request.copied", id=submission_id)
+            return True
+        self.submitted.append(submission_id)
+        return False
+
     def has_read_more(self) -> bool:
         """Whether requests that were read wait behind the open one."""
         return any(hasattr(message, "headers") for message, _ in self._messages)
@@ -177,7 +169,8 @@
 class ConnectionServer(web.Server):
     """The library's server, with ClientConnection for its connections.
 
-    lingering: half-closed connections, oldest first. closed_connections: ended ones, by reason.
+    lingering: half-closed connections, oldest first. closed_connections: ended ones, by reason. copies:
+    requests whose bytes came twice.
     on_unanswered_close: called where a connection is ended while a request that was read has no answer.
     """
 
@@ -185,6 +178,7 @@
         super().__init__(*args, **options)
         self.lingering: dict[ClientConnection, None] = {}
         self.closed_connections: Counter[CloseReason] = Counter()
+        self.copies = 0
         self.on_unanswered_close = lambda: None
 
     def __call__(self) -> ClientConnection:
@@ -208,35 +202,3 @@
         """The connection to evict for a new one; none that has received a request which is not read yet."""
         idle = sorted(filter(ClientConnection.idle, self._connections), key=ClientConnection.idle_deadline)
         return next((c for c in idle if not has_unread(c.raw_transport)), None)
-
-
-class RefusedConnection(asyncio.Protocol):
-    """A connection beyond the limit: its request is answered 503 unread.
-
-    Up to MAX_LINGERING are answered at a time; more are closed at once. The answer waits for the first
-    bytes: a client would take an earlier one for a protocol error.
-    """
-
-    active: set["RefusedConnection"] = set()
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        self.transport, self.ending = transport, None
-        if len(self.active) >= MAX_LINGERING:
-            transport.close()
-            return
-        self.active.add(self)
-        self.timer = asyncio.get_running_loop().call_later(FIRST_BYTES_TIMEOUT_S, transport.abort)
-
-    def data_received(self, data: bytes) -> None:
-        if self.ending:
-            self.ending.discard(data)
-            return
-        self.transport.write(UNAVAILABLE_RESPONSE)
-        self.ending = LingeringClose(self.transport, asyncio.get_running_loop())
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        if self in self.active:
-            self.active.discard(self)
-            self.timer.cancel()
-        if self.ending:
-            self.ending.timer.cancel()
--- a/ryestack/wire/server.py
+++ b/ryestack/wire/server.py
@@ -16,21 +16,24 @@
 from . import forms
 from .acceptor import Acceptor
 from .binding import bound_socket
-from .client_connection import IDLE_TIMEOUT_S, LOGGER, ClientConnection, ConnectionServer, RefusedConnection
+from .client_answers import (
+    ACCEPTED,
+    BAD_REQUEST,
+    REQUEST_TIMEOUT,
+    STATUS_BY_VERDICT,
+    TOO_LARGE,
+    UNAVAILABLE,
+    NoAnswer,
+    text_answer,
+)
+from .client_connection import IDLE_TIMEOUT_S, LOGGER, ClientConnection, ConnectionServer
 from .hand_in import NotServed, SubmissionReader
+from .lingering import RefusedConnection
 
 IDLE_CHECK_INTERVAL_S = 0.1  # between checks for idle connections to end, at a drain
 MAX_INCOMPLETE_BODY_BYTES = 2 * 1024 * 1024  # of bodies that are not complete, over all connections
 READ_BUFFER_BYTES = 16 * 1024  # that the library reads ahead on a connection
 ANSWER_TIMEOUT_S = 0.35  # for a request to be accepted: its client gives up after 0.4
-ACCEPTED, UNAVAILABLE, SERVER_ERROR, BAD_REQUEST, REQUEST_TIMEOUT, TOO_LARGE = 202, 503, 500, 400, 408, 413
-
-STATUS_BY_VERDICT = {
-    Verdict.ACCEPTED: ACCEPTED,
-    Verdict.THROTTLED: UNAVAILABLE,
-    Verdict.EXPIRED: SERVER_ERROR,
-    Verdict.REJECTED: BAD_REQUEST,
-}
 
 
 class ClientListener:
@@ -158,25 +161,27 @@
         try:
             route = self.ROUTES.get(request.raw_path)
             if route is None:
-                return self.answer(404, "no such path")
+                return text_answer(404, "no such path")
             method, serve = route
             if request.method != method:
-                return self.answer(405, f"{method} only", Allow=method)
+                return text_answer(405, f"{method} only", Allow=method)
             answer = await serve(self, request)
-            return answer if answer.prepared else self.finalized(request, answer)
+            if answer.prepared or isinstance(answer, NoAnswer):
+                return answer
+            return self.finalized(request, answer)
         finally:
             self.requests_in_progress -= 1
 
     async def health(self, _: web.BaseRequest) -> web.StreamResponse:
         """Answer a health check."""
-        return self.answer(200, "serving") if self.ready else self.answer(503, "not serving")
+        return text_answer(200, "serving") if self.ready else text_answer(503, "not serving")
 
     async def api(self, request: web.BaseRequest) -> web.StreamResponse:
         """Receive a submission, and answer it once the verdict is known."""
         if "Content-Length" in request.headers and "Transfer-Encoding" in request.headers:
-            return self.answer(BAD_REQUEST, "a length and an encoding", last=True)  # request smuggling
+            return text_answer(BAD_REQUEST, "a length and an encoding", last=True)  # request smuggling
         if (request.content_length or 0) > forms.MAX_BODY_BYTES:
-            return self.answer(TOO_LARGE, f"{forms.MAX_BODY_BYTES} bytes at most", last=True)
+            return text_answer(TOO_LARGE, f"{forms.MAX_BODY_BYTES} bytes at most", last=True)
         body = bytearray()
         if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -186,18 +191,20 @@
                     body += chunk
                     self.incomplete_body_bytes += len(chunk)
                     if len(body) > forms.MAX_BODY_BYTES:
-                        return self.answer(TOO_LARGE, f"{forms.MAX_BODY_BYTES} bytes at most", last=True)
+                        return text_answer(TOO_LARGE, f"{forms.MAX_BODY_BYTES} bytes at most", last=True)
                     if self.incomplete_body_bytes > MAX_INCOMPLETE_BODY_BYTES:
-                        return self.answer(UNAVAILABLE, "too much at once", last=True)
+                        return text_answer(UNAVAILABLE, "too much at once", last=True)
             notification, key = self.reader.read(request.headers, request.protocol.received_at)
+            if request.protocol.is_copy(notification.id):
+                return NoAnswer()
         except forms.BadForm as error:
-            return self.answer(BAD_REQUEST, str(error))
+            return text_answer(BAD_REQUEST, str(error))
         except NotServed as error:
-            return self.answer(UNAVAILABLE, str(error))
+            return text_answer(UNAVAILABLE, str(error))
         except TimeoutError:
-            return self.answer(REQUEST_TIMEOUT, "the body did not come", last=True)
+            return text_answer(REQUEST_TIMEOUT, "the body did not come", last=True)
         except (OSError, aiohttp.ClientError, web.RequestPayloadError):  # the client went, or sent no body
-            return self.answer(BAD_REQUEST, "the body broke off", last=True)
+            return text_answer(BAD_REQUEST, "the body broke off", last=True)
         finally:
             self.incomplete_body_bytes -= len(body)
         loop = asyncio.get_running_loop()
@@ -212,8 +219,8 @@
             verdict, retry_after = await submission.verdict
             if verdict is not Verdict.ACCEPTED:
                 headers = {"Retry-After": f"{retry_after:.3f}"} if retry_after > 0.0 else {}
-                return self.answer(STATUS_BY_VERDICT[verdict], "", **headers)
-            answer = self.answer(ACCEPTED, "")
+                return text_answer(STATUS_BY_VERDICT[verdict], "", **headers)
+            answer = text_answer(ACCEPTED, "")
             acknowledged = await self.send(request, answer)
             return answer
         finally:  # pushes wait until it is known whether the client received the answer
@@ -233,13 +240,6 @@
             return False
         return True
 
-    def answer(self, status: int, text: str, last: bool = False, **headers: str) -> web.Response:
-        """An answer with one line of text. last: whether it ends the connection."""
-        answer = web.Response(status=status, text=text and text + "\n", headers=headers)
-        if last:
-            answer.force_close()
-        return answer
-
     def finalized(self, request: web.BaseRequest, answer: web.Response) -> web.Response:
         """The answer, marked as the connection's last at a drain unless another request was read."""
         if self.last_answers and not request.protocol.has_read_more():
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -8,7 +8,7 @@
 from ryestack.lifecycle.terms import Terms
 from ryestack.ports import Verdict
 from ryestack.wire import client_connection
-from ryestack.wire.client_connection import MAX_DISCARDED_BYTES, MAX_LINGERING
+from ryestack.wire.lingering import MAX_DISCARDED_BYTES, MAX_LINGERING, RefusedConnection
 from ryestack.wire.server import ClientListener
 
 from .helpers import members, settings
@@ -182,7 +182,7 @@
         self.sockets += socks
         for sock in socks:
             sock.setblocking(False)
-        await self.until(lambda: len(client_connection.RefusedConnection.active) == MAX_LINGERING)
+        await self.until(lambda: len(RefusedConnection.active) == MAX_LINGERING)
         for sock in socks[MAX_LINGERING:]:
             self.assertEqual(await self.read_to_end(sock), b"")
         for sock in socks[:MAX_LINGERING]:
@@ -191,7 +191,7 @@
             self.assertEqual((await self.read_to_end(sock))[9:12], b"503")
         for sock in socks:
             sock.close()
-        await self.until(lambda: not client_connection.RefusedConnection.active)
+        await self.until(lambda: not RefusedConnection.active)
         self.assertEqual(self.submitted, ["n"])
 
     async def test_lingering_connections_beyond_their_limit_are_aborted(self):
--- a/tests/test_control_relay.py
+++ b/tests/test_control_relay.py
@@ -21,7 +21,7 @@
 from ryestack.lifecycle.terms import GRACE_S
 from ryestack.store import scope_file
 from ryestack.store.scope_file import SavedScope
-from ryestack.wire.server import ACCEPTED, UNAVAILABLE
+from ryestack.wire.client_answers import ACCEPTED, UNAVAILABLE
 
 from .control_server import ControlServer, until
 from .helpers import config, http, stand_in
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -11,7 +11,7 @@
 from ryestack.lifecycle.config import BadConfig, load
 from ryestack.lifecycle.terms import GRACE_S, Terms, stricter
 from ryestack.settings import first_missing_key
-from ryestack.wire.server import ACCEPTED, BAD_REQUEST
+from ryestack.wire.client_answers import ACCEPTED, BAD_REQUEST
 
 from .helpers import TOPICS, Folder, brain, config, end, kinds, pushes, settings, take
 from .test_owner import OwnerTask
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -15,7 +15,7 @@
 from ryestack.lifecycle.relay import PHASES
 from ryestack.lifecycle.watched import Watched
 from ryestack.observe import figures
-from ryestack.wire.server import ACCEPTED, UNAVAILABLE
+from ryestack.wire.client_answers import ACCEPTED, UNAVAILABLE
 from ryestack.wire.staff import MAX_CONNECTIONS
 
 from .helpers import brain, end, http, stand_in, take
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,7 +10,7 @@
 
 from ryestack.lab.trial import free_port
 from ryestack.lifecycle.upgrade.channel import ChannelListener, hand_over
-from ryestack.wire.server import ACCEPTED, UNAVAILABLE
+from ryestack.wire.client_answers import ACCEPTED, UNAVAILABLE
 
 from .helpers import http
 from .test_staff import Staffed, handled
@@ -103,7 +103,8 @@
     async def test_a_predecessor_with_invalid_messages_does_not_prevent_a_start(self):
         self.process.kill()
         await self.process.wait()
-        for message in (b'["learnt"]\n', b'["learnt",7,7]\n', b'["learnt",{"routes":7},[["a",[[1]]],4]]\n'):
+        messages = (b'["learnt"]\n', b'["learnt",7,7]\n', b'["learnt",{"routes":7},[["a",[[1]]],4]]\n')
+        for number, message in enumerate(messages):
             def connected(conn, message=message):
                 channel = hand_over(conn, None)
                 channel.conn.sendall(message)
@@ -112,7 +113,8 @@
             listener = ChannelListener(self.folder, connected)
             listener.open()
             self.process = await self.run_it(f"{self.folder}/config.json")
-            self.assertEqual(await self.ask("POST", "/api"), ACCEPTED)
+            submission = {"X-Request-Id": f"n{number}"}  # each has a new id
+            self.assertEqual(await self.ask("POST", "/api", **submission), ACCEPTED)
             self.process.kill()
             await self.process.wait()
             listener.close()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,9 @@
 from ryestack.lifecycle.terms import Terms
 from ryestack.ports import Verdict
 from ryestack.wire import forms
+from ryestack.wire.client_answers import ACCEPTED, UNAVAILABLE
 from ryestack.wire.members import Members
-from ryestack.wire.server import ACCEPTED, MAX_INCOMPLETE_BODY_BYTES, UNAVAILABLE, ClientListener
+from ryestack.wire.server import MAX_INCOMPLETE_BODY_BYTES, ClientListener
 
 from .helpers import listed, members, settings
 
