--- a/ryestack/lab/soak/http_client.py
+++ b/ryestack/lab/soak/http_client.py
@@ -19,14 +19,16 @@
 ANSWER_TIMEOUT_S = 0.4  # time that a client waits for an answer
 INCOMPLETE_REQUEST_TIMEOUT_S = 5.0  # time that it watches a connection after an incomplete request
 MAX_IDLE_CONNECTIONS = 8  # per client
-MAX_IDLE_TIME_S = 2.0  # older idle connections are not reused
+MAX_COPY_DELAY_S = 0.4  # after a request whose bytes come again
+SECOND_ANSWER_TIMEOUT_S = 0.1  # that no second answer may come in after a copy
 MAX_GARBAGE_DELAY_S = 0.01  # after a complete request
 ANSWER_BY_STATUS = {
     200: Answer.TAKEN, 202: Answer.TAKEN, 429: Answer.THROTTLED, 503: Answer.THROTTLED,
     400: Answer.MALFORMED, 408: Answer.MALFORMED, 413: Answer.MALFORMED,
 }  # fmt: skip
 BEHAVIOUR_WEIGHTS = {
-    Behaviour.PLAIN: 80.0, Behaviour.GARBAGE_BEHIND: 4.0, Behaviour.SPLIT: 6.0, Behaviour.LEAVES: 3.0,
+    Behaviour.PLAIN: 76.0, Behaviour.COPIED: 4.0, Behaviour.GARBAGE_BEHIND: 4.0,
+    Behaviour.SPLIT: 6.0, Behaviour.LEAVES: 3.0,
     Behaviour.HALF_HEAD: 2.0, Behaviour.HALF_BODY: 2.0, Behaviour.NONSENSE: 2.0,
 }  # fmt: skip
 
@@ -56,11 +58,10 @@
 
 @dataclass(slots=True)
 class Connection:
-    """A connection to the relay. last_used: wall-clock time of its last answer."""
+    """A connection to the relay, used as long as the relay leaves it open."""
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
-    last_used: float = 0.0
 
     def close(self) -> None:
         self.writer.transport.abort()
@@ -113,7 +114,7 @@
         """Reuses an idle connection unless fresh, or opens one; None, with the answer set, if that fails."""
         while self.idle and not fresh:
             connection = self.idle.pop()
-            if time.time() < connection.last_used + MAX_IDLE_TIME_S and not connection.reader.at_eof():
+            if not connection.reader.at_eof():
                 attempt.fresh = False
                 return connection
             connection.close()
@@ -157,8 +158,9 @@
         except OSError:
             attempt.answer = Answer.RESET
         attempt.ended = time.time()
+        if attempt.behaviour is Behaviour.COPIED and keep:
+            await self.send_copy(connection, attempt, data)
         if keep and attempt.behaviour is Behaviour.PLAIN and len(self.idle) < MAX_IDLE_CONNECTIONS:
-            connection.last_used = attempt.ended
             self.idle.append(connection)
         else:
             connection.close()
@@ -180,6 +182,15 @@
             connection.close()
             raise asyncio.IncompleteReadError(b"", None)
 
+    async def send_copy(self, connection: Connection, attempt: Attempt, data: bytes) -> None:
+        """Sends the bytes of an answered request again; a second answer counts as one to no request."""
+        await asyncio.sleep(self.rng.uniform(0.0, MAX_COPY_DELAY_S))
+        with suppress(OSError, TimeoutError):
+            connection.writer.write(data)
+            async with asyncio.timeout(SECOND_ANSWER_TIMEOUT_S):
+                if await connection.reader.read(1):
+                    attempt.answered_twice = True
+
     async def send_incomplete(self, attempt: Attempt, topic: ClientTopic) -> None:
         """Sends an incomplete or invalid request: the relay must answer an error or close the connection."""
         connection = await self.connection(attempt, True)
--- a/ryestack/lab/soak/model.py
+++ b/ryestack/lab/soak/model.py
@@ -20,6 +20,7 @@
     CONNECT_FAILS = "connect fails"
     SOCKET_IO = "socket reads and writes short"
     CONNECTIONS_BREAK = "connections break"
+    CROWD = "crowd of idle clients"
     PARTNER_OUTAGE = "partner outage, back cold"
     PARTNER_HANGS = "partner hangs"
     PARTNER_RESETS = "partner resets"
@@ -31,13 +32,14 @@
     LINK_LATE = "link late"
     ANSWERS_AGAIN = "answers come again, or in parts"
     REGISTRY_SILENT = "registry silent"
+    PLATFORM_AGAIN = "the platform's answers come again, or in parts"
     DRAIN = "endpoint drains and returns"
 
 
 RESTARTS = (Kind.KILL, Kind.STOP, Kind.UPGRADE)
 OF_RELAYS = (
     *RESTARTS, Kind.RELOAD, Kind.PAUSE, Kind.CLOCK_STEP, Kind.DISK_FAILS, Kind.DISK_SHORT, Kind.ACCEPT_FAILS,
-    Kind.CONNECT_FAILS, Kind.SOCKET_IO, Kind.CONNECTIONS_BREAK,
+    Kind.CONNECT_FAILS, Kind.SOCKET_IO, Kind.CONNECTIONS_BREAK, Kind.CROWD,
 )  # fmt: skip
 OF_PARTNERS = (
     Kind.PARTNER_OUTAGE, Kind.PARTNER_HANGS, Kind.PARTNER_RESETS, Kind.PARTNER_LIMITS, Kind.PARTNER_ERRORS,
@@ -64,6 +66,7 @@
     answered unless the client leaves."""
 
     PLAIN = "plain"
+    COPIED = "a request whose bytes come again"
     GARBAGE_BEHIND = "bytes that are no request behind a whole one"
     SPLIT = "a request in pieces"
     LEAVES = "goes before its answer"
@@ -72,7 +75,7 @@
     NONSENSE = "bytes that are no request"
 
 
-MUST_ANSWER = (Behaviour.PLAIN, Behaviour.GARBAGE_BEHIND, Behaviour.SPLIT)
+MUST_ANSWER = (Behaviour.PLAIN, Behaviour.COPIED, Behaviour.GARBAGE_BEHIND, Behaviour.SPLIT)
 INCOMPLETE = (Behaviour.HALF_HEAD, Behaviour.HALF_BODY, Behaviour.NONSENSE)
 
 
@@ -92,7 +95,8 @@
 
 class Attempt(msgspec.Struct):
     """One request as its client saw it. sent: when its last byte was written; due: its deadline; fresh: on a
-    new connection; ended: when the answer or the end of the connection arrived. Wall-clock seconds."""
+    new connection; ended: when the answer or the end of the connection arrived; answered_twice: whether a
+    copy of the request got an answer of its own. Wall-clock seconds."""
 
     id: str
     relay: int
@@ -105,6 +109,7 @@
     answer: Answer = Answer.TIMED_OUT
     ended: float = 0.0
     fresh: bool = True
+    answered_twice: bool = False
 
 
 class Restart(msgspec.Struct, frozen=True):
@@ -139,3 +144,12 @@
 
     endpoint: str
     at: float
+
+
+class Crowded(msgspec.Struct, frozen=True):
+    """A relay whose connections idle clients filled from begin to end, in wall-clock seconds: it may shut new
+    connections unread meanwhile."""
+
+    relay: int
+    begin: float
+    end: float
--- a/ryestack/lab/soak/relay.py
+++ b/ryestack/lab/soak/relay.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
+from random import Random
 
 import aiohttp
 import tomli_w
@@ -19,6 +20,8 @@
 
 TERMINATION_GRACE_S = 3.7  # from SIGTERM to SIGKILL, as on the platform
 RESTART_DELAY_S = 0.6  # from SIGKILL to the next start
+ENDING_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)  # behind the first SIGTERM
+SIGNAL_INTERVAL_S = (0.0, 0.8)  # between two of them
 
 
 class SoakRelay:
@@ -26,6 +29,7 @@
 
     def __init__(self, number: int, config: dict, folder: Path, library: Path, ports: Ports):
         self.number, self.config, self.folder, self.ports = number, config, folder, ports
+        self.rng = Random(f"signals {number} {config['seed']}")
         folder.mkdir(parents=True)
         self.faults = FaultControl(folder / "faults")
         self.environment = self.faults.environment(library, folder / "state")
@@ -65,16 +69,26 @@
         await self.count_violations()
         begin_time = time.time()
         self.current.process.send_signal(signal_number)
+        series = asyncio.ensure_future(self.signal_again(self.current.process))
         try:
             status = await asyncio.wait_for(self.current.process.wait(), TERMINATION_GRACE_S)
         except TimeoutError:
             status = await self.current.kill()
+        finally:
+            series.cancel()
         if signal_number == signal.SIGTERM and status not in (0, -signal.SIGKILL):
             self.problems.append(f"relay {self.number} ended with {status} after SIGTERM")
         killed = time.time()
         await asyncio.sleep(RESTART_DELAY_S)
         await self.start_again(begin_time, killed)
 
+    async def signal_again(self, process: asyncio.subprocess.Process) -> None:
+        """Sends a process that is ending the same and other signals, one after the other."""
+        for number in ENDING_SIGNALS:
+            await asyncio.sleep(self.rng.uniform(*SIGNAL_INTERVAL_S))
+            with suppress(ProcessLookupError):
+                process.send_signal(number)
+
     async def start_again(self, begin_time: float, killed: float) -> None:
         self.current = self.new_process()
         try:
--- a/ryestack/lab/soak/scenario.py
+++ b/ryestack/lab/soak/scenario.py
@@ -15,7 +15,7 @@
 from .fault_control import build
 from .http_client import ClientPlan, ClientTopic
 from .invariants import Evidence
-from .model import Attempt, Disturbed, Drained, Returned, Trouble
+from .model import Attempt, Crowded, Disturbed, Drained, Returned, Trouble
 from .processes import ClientProcess, Ports, Proxy, StandIn
 from .relay import SoakRelay
 from .schedule import draw
@@ -62,6 +62,8 @@
         self.drained: list[Drained] = []
         self.returned: list[Returned] = []
         self.disturbed: list[Disturbed] = []
+        self.crowded: list[Crowded] = []
+        self.platform_proxy: Proxy | None = None
         self.injected: dict[str, int] = {}
 
     async def play(self) -> Evidence:
@@ -80,7 +82,7 @@
             await asyncio.gather(*(each.close() for each in self.all()), return_exceptions=True)
 
     def all(self) -> list:
-        platform = [self.platform] if self.platform else []
+        platform = [each for each in (self.platform_proxy, self.platform) if each]
         return [*self.clients, *self.relays, *self.proxies, *self.partners, *platform]
 
     # -- start ------------------------------------------------------------------------------------------
@@ -98,9 +100,13 @@
         table = msgspec.to_builtins(stage)
         self.platform = StandIn("platform", table, stage.platform.control, self.folder, "platform")
         await self.platform.start()
+        target = [stage.platform.address]
+        self.platform_proxy = Proxy(self.plan.seed * 100 + 99, target, self.folder, "platform-proxy")
+        await self.platform_proxy.start()
+        [discovery] = self.platform_proxy.addresses
         known = {"index": 1, "snapshot": True, "endpoints": [self.row(each) for each in listed]}
         for number in range(self.plan.relays):
-            config = self.config(number, stage.platform.address, known)
+            config = self.config(number, discovery, known)
             self.relays.append(
                 SoakRelay(number, config, self.folder / f"relay-{number}", library, self.ports)
             )
@@ -202,6 +208,7 @@
             drained=self.drained,
             returned=self.returned,
             disturbed=self.disturbed,
+            crowded=self.crowded,
             logs=logs,
             problems=problems,
             window=WINDOW_S,
--- a/ryestack/lab/soak/schedule.py
+++ b/ryestack/lab/soak/schedule.py
@@ -19,6 +19,7 @@
     Kind.CLOCK_STEP: (0.2, 1.0),
     Kind.PARTNER_OUTAGE: (2.5, 5.0),
     Kind.DRAIN: (3.0, 6.0),
+    Kind.CROWD: (2.0, 6.0),
 }
 DEFAULT_DURATION_S = (1.0, 4.0)
 CLOCK_STEPS_S = (-3600.0, -5.0, -1.0, 1.0, 5.0, 3600.0)
--- a/ryestack/lab/soak/troubles.py
+++ b/ryestack/lab/soak/troubles.py
@@ -6,12 +6,14 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
+from .crowd import crowd
 from .fault_control import Fault
-from .model import Disturbed, Drained, Kind, Returned, Trouble
+from .model import Crowded, Disturbed, Drained, Kind, Returned, Trouble
 from .processes import Proxy, StandIn
 from .relay import SoakRelay
 
 ENDPOINTS = 2  # per partner
+CROWD_CLIENTS = 320  # more than a relay has connections for
 RETRY_AFTER_S = 0.8  # wait that a partner over its limit sends
 ERRNOS = {
     Kind.DISK_FAILS: (errno.ENOSPC, errno.EIO),
@@ -44,6 +46,8 @@
     drained: list[Drained]
     returned: list[Returned]
     disturbed: list[Disturbed]
+    crowded: list[Crowded]
+    platform_proxy: Proxy
     rng: Random
     log: Callable[[str], None]
 
@@ -65,6 +69,7 @@
             Kind.PAUSE: self.pause, Kind.CLOCK_STEP: self.step_clock, Kind.DISK_SHORT: self.write_short,
             Kind.SOCKET_IO: self.transfer_short, Kind.PARTNER_OUTAGE: self.partner_outage,
             Kind.REGISTRY_SILENT: self.silence_registry, Kind.DRAIN: self.drain,
+            Kind.CROWD: self.gather_crowd, Kind.PLATFORM_AGAIN: self.repeat_platform,
         }[trouble.kind]  # fmt: skip
 
     async def kill(self, trouble: Trouble) -> None:
@@ -145,6 +150,16 @@
         await proxy.set_mode("ok")
         self.disturbed += [Disturbed(name, begin, time.time()) for name in self.endpoint_names(trouble)]
 
+    async def repeat_platform(self, trouble: Trouble) -> None:
+        await self.platform_proxy.set_mode("again")
+        await asyncio.sleep(trouble.seconds)
+        await self.platform_proxy.set_mode("ok")
+
+    async def gather_crowd(self, trouble: Trouble) -> None:
+        begin = time.time()
+        await crowd(self.relays[trouble.target].config["listen"], CROWD_CLIENTS, trouble.seconds)
+        self.crowded.append(Crowded(trouble.target, begin, time.time()))
+
     async def silence_registry(self, trouble: Trouble) -> None:
         await self.platform.apply({"silence": "list"})
         await asyncio.sleep(trouble.seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -39,7 +39,8 @@
 
 def evidence(attempts=(), runs=(), notices=(), arrivals=(), **more):
     books = Books(runs=list(runs), notices=list(notices), arrivals=list(arrivals))
-    empty = {"restarts": [], "drained": [], "returned": [], "disturbed": [], "logs": {}, "problems": []}
+    empty = {"restarts": [], "drained": [], "returned": [], "disturbed": [], "crowded": [], "logs": {},
+             "problems": []}
     return Evidence(
         attempts=list(attempts), books=books, endpoints={"p0-0": ENDPOINT}, window=3.0, now=200.0,
         **{**empty, **more},
@@ -85,6 +86,7 @@
             ("unanswered", evidence([attempt(answer=Answer.CLOSED)])),
             ("unanswered", evidence([attempt(answer=Answer.MALFORMED)])),
             ("unanswered", evidence([attempt(answer=Answer.CLOSED, behaviour=Behaviour.GARBAGE_BEHIND)])),
+            ("answered twice", evidence([attempt(answered_twice=True)], [run()])),
             ("drain", evidence(arrivals=[Arrival("r0-1-1", "p0-0", 99.0, "run")], drained=drained)),
             ("budget", evidence(arrivals=cold, returned=[Returned("p0-0", 100.0)])),
             ("traceback", evidence(logs={0: "Traceback (most recent call last):\n"})),
