Signals in series kill no relay that starts or ends

A relay that was ending died of a second SIGTERM or a SIGHUP (status -15, -1) where it should end with 0; one that was starting died of a SIGHUP that a configuration change sent, and nothing served. Cause: the event loop gives signals their default action as it closes; and SIGHUP was ignored only once the service's modules had been imported, some 0.3 s after the start. Why this holds: once the relay is closed SIGTERM, SIGINT and SIGHUP are blocked for the process, with no gap; SIGHUP is ignored from the run line's shell on (trap '' HUP; exec), which the exec hands down, and as the first statement of python -m ryestack. What is left is the start of the shell itself.

--- a/ryestack/__main__.py
+++ b/ryestack/__main__.py
@@ -3,6 +3,7 @@
 With arguments it runs the command line, which is only imported then, so that a relay's process stays small.
 """
 
+import signal
 import sys
 
 INTERRUPTED_STATUS = 130  # Ctrl-C before a relay was running
@@ -10,6 +11,7 @@
 
 def main() -> int:
     """Returns the exit status."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the relay installs its reload handler
     try:
         if sys.argv[1:]:
             from .cli import main as run
--- a/ryestack/lab/trial.py
+++ b/ryestack/lab/trial.py
@@ -30,6 +30,7 @@
 WINDOW = 6.0  # seconds, of the collapsible topic type
 LOAD = 9.0  # seconds during which requests are sent
 FALLS, RETURNS, KILLED = 2.0, 5.5, 4.0  # seconds from the first request
+IGNORE_HANGUP = 'trap \'\' HUP; exec "$0" "$@"'  # as in the deploy file, until the relay handles the signal
 READY = 8.0  # seconds that a relay may take until it serves
 
 
@@ -111,7 +112,7 @@
     ):
         self.config, self.folder, self.cwd, self.ops = config, folder, cwd, None
         self.environment = environment or {}
-        self.command = command or [sys.executable, "-m", "ryestack"]
+        self.command = command or ["sh", "-c", IGNORE_HANGUP, sys.executable, "-m", "ryestack"]
         self.address, self.process = config["listen"], None
         (folder / "state").mkdir(parents=True, exist_ok=True)
         (folder / "config.json").write_text(json.dumps(config))
--- a/ryestack/lifecycle/service.py
+++ b/ryestack/lifecycle/service.py
@@ -10,6 +10,8 @@
 from .config import BadConfig, Config, choose, load
 from .relay import Relay
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 async def _serve(config: Config) -> None:
     asyncio.get_running_loop().set_exception_handler(loop_errors.handle_loop_error)
@@ -18,11 +20,12 @@
         await relay.run()
     finally:
         await relay.close()
+        # The loop gives signals their default actions as it closes: one of them would kill the process.
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
 def serve(environ=os.environ, operator: str | None = None, flags: dict | None = None) -> int:
     """Run until a stop signal; returns the exit status. The arguments are those of lifecycle.config.load."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the relay installs its reload handler
     log.setup()
     try:
         chosen = choose(environ, operator, flags)
