A call that comes too late to begin leaves no unclosed connection

Cause: the check that a call may still begin raised in set_response_params, which the library calls outside the block that closes the connection on an error. Evidence: the new test failed before: ['Unclosed connection'] != []. Why this holds: the check is made in EndpointRequest.send, inside that block, and once more before the first byte as before.

--- a/ryestack/wire/endpoint_connection.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -111,7 +111,6 @@
         self.stream.begin_call(last=self.stream.calls + 1 >= self.reuse.max_calls(self.endpoint))
         if self.stream.last:
             self.force_close()  # once this call is over; the library keeps it no longer
-        self.check_may_begin()
 
     def check_may_begin(self, unexpected_bytes: bool = False) -> None:
         """Raise aiohttp.ClientConnectionError if the call must not begin; its connection may be late."""
--- a/ryestack/wire/endpoint_session.py
+++ b/ryestack/wire/endpoint_session.py
@@ -18,6 +18,8 @@
     """A call's request, which asks for the close if it is the last on its connection."""
 
     async def send(self, conn) -> aiohttp.ClientResponse:
+        """Raise aiohttp.ClientConnectionError if the call must not begin: the library then closes conn."""
+        conn.protocol.check_may_begin()
         if conn.protocol.stream.last:
             self.headers[hdrs.CONNECTION] = "close"
         return await super().send(conn)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,6 +1,7 @@
 """Calls to endpoints: connections, answers, outcomes."""
 
 import asyncio
+import gc
 import socket
 import unittest
 
@@ -106,6 +107,19 @@
         self.assertEqual((outcome.result, faults), (Result.NO_CONNECTION, []))
         await calls.close()
 
+    async def test_a_call_that_is_too_late_to_begin_leaves_no_unclosed_connection(self):
+        loop, events, faults = asyncio.get_running_loop(), asyncio.Queue(), []
+        loop.set_exception_handler(lambda _, context: faults.append(context["message"]))
+        server, address = await stand_in(lambda *_: http(200))
+        calls = CallDispatcher(settings(), members(address=address), loop.time, events.put_nowait, 50)
+        calls.end_unless_sent = lambda *_: None  # the connection comes up before the timer fires
+        calls.start("a", [PushMessage("n", 2, 9.0, "k", b"x", None, start_timeout=-0.1)])
+        [outcome] = await asyncio.wait_for(events.get(), 1.0)
+        gc.collect()
+        await calls.close()
+        server.close()
+        self.assertEqual((outcome.result, faults), (Result.NOT_SENT, []))
+
     async def test_a_refused_call_never_ran_and_a_broken_one_may_have(self):
         [outcome], _ = await push_to(lambda *_: None)
         self.assertEqual(outcome.result, Result.BROKEN)
