Soak: two runs at a time never share a range of ports

Cause: a range was chosen by the process id modulo 20; two of six runs had the same one. Change: a run holds the first port of its range as long as it lasts, and takes the next range if it is held.

--- a/ryestack/lab/soak/processes.py
+++ b/ryestack/lab/soak/processes.py
@@ -23,13 +23,28 @@
 
 
 class Ports:
-    """Free ports for one run, each given once, from a range that concurrent runs are unlikely to share."""
+    """Free ports for one run, each given once, from a range that no concurrent run has.
 
-    FIRST, RANGE, SIZE = 20_000, 20, 600  # below the system's ephemeral ports
+    A run holds the first port of its range as long as it lasts.
+    """
+
+    FIRST, RANGES, SIZE = 20_000, 20, 600  # below the system's ephemeral ports
 
     def __init__(self):
-        begin = self.FIRST + os.getpid() % self.RANGE * self.SIZE
-        self.remaining = iter(range(begin, begin + self.SIZE))
+        begin, self.holder = self._hold_range()
+        self.remaining = iter(range(begin + 1, begin + self.SIZE))
+
+    def _hold_range(self) -> tuple[int, socket.socket]:
+        """The first port of a free range and the socket that holds it; raises TrialFailed if none is free."""
+        for attempt in range(self.RANGES):
+            begin = self.FIRST + (os.getpid() + attempt) % self.RANGES * self.SIZE
+            with suppress(OSError):
+                return begin, socket.create_server(("127.0.0.1", begin))
+        raise TrialFailed(f"{self.RANGES} runs have all ranges of ports")
+
+    def close(self) -> None:
+        """Give the range back."""
+        self.holder.close()
 
     def address(self) -> str:
         """Returns the address of a free port; raises TrialFailed when the range is used up."""
--- a/ryestack/lab/soak/scenario.py
+++ b/ryestack/lab/soak/scenario.py
@@ -80,6 +80,7 @@
             return await self.evidence()
         finally:
             await asyncio.gather(*(each.close() for each in self.all()), return_exceptions=True)
+            self.ports.close()
 
     def all(self) -> list:
         platform = [each for each in (self.platform_proxy, self.platform) if each]
--- a/tests/test_answers_again.py
+++ b/tests/test_answers_again.py
@@ -33,6 +33,31 @@
         self.assertGreater(verdict.counts["taken"], 200)
 
 
+class AnswersAgainInOtherTroubles(unittest.IsolatedAsyncioTestCase):
+    TROUBLES = [
+        Trouble(Kind.ANSWERS_AGAIN, 0.5, 10.0, 0),
+        Trouble(Kind.ANSWERS_AGAIN, 0.5, 10.0, 1),
+        Trouble(Kind.PLATFORM_AGAIN, 0.5, 10.0, 0),
+        Trouble(Kind.PARTNER_BUSY, 0.5, 4.0, 0),
+        Trouble(Kind.KILL, 2.0, 0.7, 0),
+        Trouble(Kind.PARTNER_RESETS, 3.0, 3.0, 1),
+        Trouble(Kind.STOP, 3.5, 4.2, 1),
+        Trouble(Kind.DRAIN, 4.0, 4.0, 0),
+        Trouble(Kind.CROWD, 4.0, 4.0, 0),
+        Trouble(Kind.PARTNER_LIMITS, 5.0, 2.0, 0),
+        Trouble(Kind.LINK_RESETS, 7.0, 1.0, 1),
+        Trouble(Kind.UPGRADE, 8.5, 4.5, 0),
+    ]
+
+    async def test_repeated_answers_beside_restarts_resets_limits_and_a_crowd_break_no_rule(self):
+        plan = SoakPlan(seed=53, relays=2, partners=2, rate=25.0, seconds=12.0)
+        with tempfile.TemporaryDirectory() as folder:
+            scenario = Scenario(plan, Path(folder), lambda _: None, self.TROUBLES)
+            verdict = judge_soak(await scenario.play())
+        self.assertEqual([f"{f.rule}: {f.subject}: {f.what}" for f in verdict.findings], [])
+        self.assertGreater(verdict.counts["taken"], 200)
+
+
 class SecondCallOfAConnection(EndpointSockets):
     """A connection has carried a call; the relay's second call asks for the close."""
 
