Soak: a held link drops all of what a caller sent before it ended, in however many parts

The call was begun at 2.518 s and cancelled with the relay's stop at 2.845, the notice (failed) followed; the late link still held its bytes and delivered them at 3.208. Cause: the proxy drops held bytes once the caller has closed, as unacknowledged data, but did not see the end while a second part waited in its buffer (the call went out in short writes), and the link's trouble was over as that part was read. A fault of the proxy: nothing was sent after the end. Change: the caller's side of a link knows its end as it comes. The check is as strict as before. Measured: the new test fails without the change ([b'firstsecond']...), 28 tests of soak and stand-ins pass with it.

--- a/ryestack/standins/links.py
+++ b/ryestack/standins/links.py
@@ -16,6 +16,16 @@
 POLL_INTERVAL_S = 0.02  # between checks whether a held link has healed
 
 
+class CallerReader(asyncio.StreamReader):
+    """What a caller sends. ended: whether it has ended its sending, even if bytes wait unread before that."""
+
+    ended = False
+
+    def feed_eof(self) -> None:
+        self.ended = True
+        super().feed_eof()
+
+
 class Link:
     """A proxy on loopback that connects each client to target (host, port).
 
@@ -33,7 +43,10 @@
         self.carried, self.reads = 0, 0  # bytes forwarded, and the number of reads they came in
 
     async def start(self) -> str:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: asyncio.StreamReaderProtocol(CallerReader(loop=loop), self.serve, loop), "127.0.0.1", 0
+        )
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         return self.address
@@ -76,7 +89,7 @@
                 held = self.mode in ("hole", "late", direction)
                 while self.mode in ("hole", direction):
                     await asyncio.sleep(POLL_INTERVAL_S)
-                if held and self.drop_on_close and (reader.exception() or reader.at_eof()):
+                if held and self.drop_on_close and self.has_ended(reader):
                     break
                 if self.mode == "reset":
                     writer.write(data[: len(data) // 2])
@@ -92,6 +105,12 @@
                 await writer.drain()
         writer.transport.abort()
 
+    @staticmethod
+    def has_ended(reader: asyncio.StreamReader) -> bool:
+        """Whether the side that is read from has closed its connection or ended its sending."""
+        ended = reader.ended if isinstance(reader, CallerReader) else reader.at_eof()
+        return ended or reader.exception() is not None
+
     @staticmethod
     def write_out_of_order(writer, writes) -> None:
         """Makes the writes at their times, unless the connection has ended by then."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -151,6 +151,37 @@
             await link.close()
             server.close()
 
+    async def test_bytes_held_in_parts_are_dropped_together_once_their_sender_has_ended(self):
+        received, loop = [], asyncio.get_running_loop()
+
+        async def serve(reader, writer):
+            try:
+                while data := await reader.read(100):
+                    received.append(data)
+            except ConnectionResetError:
+                pass
+            received.append(b"end")
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        link = Link(server.sockets[0].getsockname()[:2], 1, drop_on_close=True)
+        host, _, port = (await link.start()).rpartition(":")
+        link.turn("late", delay=0.2)
+        _, writer = await asyncio.open_connection(host, int(port))
+        for part in (b"first", b"second"):
+            writer.write(part)
+            await asyncio.sleep(0.02)
+        writer.write_eof()
+        await asyncio.sleep(0.02)
+        link.turn("ok")
+        deadline = loop.time() + 2.0
+        while not received and loop.time() < deadline:
+            await asyncio.sleep(0.02)
+        self.assertEqual(received, [b"end"])
+        writer.close()
+        await link.close()
+        server.close()
+
 
 class PortsTest(unittest.TestCase):
     def test_two_runs_at_a_time_never_share_a_range_of_ports(self):
