--- a/ryestack/standins/links.py
+++ b/ryestack/standins/links.py
@@ -84,9 +84,9 @@
         faults = AnswerFaults(self.rng, FAULTY_ANSWERS)
         with suppress(OSError, ConnectionError):
             while data := await reader.read(CHUNK):
+                held = self.mode in ("hole", "late", direction)
                 if self.mode == "late":
                     await asyncio.sleep(self.delay * self.rng.uniform(0.5, 1.5))
-                held = self.mode in ("hole", "late", direction)
                 while self.mode in ("hole", direction):
                     await asyncio.sleep(POLL_INTERVAL_S)
                 if held and self.drop_on_close and self.has_ended(reader):
