--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -55,7 +55,8 @@
     NOT_BEGUN = "a call that came too late to begin"
     GIVEN_UP = "its call was given up"
     EVICTED = "room for another"
-    ENDPOINT_LEFT = "its endpoint is drained or gone"
+    HUNG_UP = "the decisions closed it"
+    ENDPOINT_LEFT = "its endpoint is gone"
 
 
 @dataclass(slots=True)
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -81,7 +81,7 @@
     def drop_removed_endpoints(self) -> None:
         """Close the idle connections to endpoints that were removed; calls in flight continue."""
         removed = self.members.drop_removed()
-        self.pool.close_idle(removed)
+        self.pool.close_idle(removed, EndpointCloseReason.ENDPOINT_LEFT)
         self.reuse.forget(removed)
 
     def cancel_unsent(self, endpoint: str) -> None:
@@ -90,7 +90,7 @@
                 self.end_unless_sent(progress)
 
     def close_idle(self, endpoint: str) -> None:
-        self.pool.close_idle({endpoint})
+        self.pool.close_idle({endpoint}, EndpointCloseReason.HUNG_UP)
 
     def share(self, processes: int) -> None:
         self.pool.share(processes)
--- a/ryestack/wire/connection_pool.py
+++ b/ryestack/wire/connection_pool.py
@@ -26,9 +26,11 @@
         self.skipped_answers = 0
 
     def add(self, connection: EndpointConnection) -> None:
+        """A connection has come up."""
         self.connections[connection] = None
 
     def remove(self, connection: EndpointConnection) -> None:
+        """A connection has ended."""
         self.connections.pop(connection, None)
 
     def count_closed(self, connection: EndpointConnection, reason: EndpointCloseReason) -> None:
@@ -42,11 +44,11 @@
         """The connections without a call."""
         return [connection for connection in self.connections if connection.call is None]
 
-    def close_idle(self, endpoints: set[str]) -> None:
+    def close_idle(self, endpoints: set[str], reason: EndpointCloseReason) -> None:
         """Close the idle connections to these endpoints."""
         for connection in self.idle():
             if connection.endpoint in endpoints:
-                connection.discard(EndpointCloseReason.ENDPOINT_LEFT)
+                connection.discard(reason)
 
     def make_room(self, calls: int) -> None:
         """Close the connection that has been idle longest if as many are open as may be.
--- a/tests/test_call_connections.py
+++ b/tests/test_call_connections.py
@@ -5,7 +5,7 @@
 import unittest
 
 from ryestack.interface import Result
-from ryestack.ports import PushMessage
+from ryestack.ports import EndpointCloseReason, PushMessage
 from ryestack.wire.calls import CallDispatcher
 
 from .helpers import http, keep_connections, listed, members, settings, stand_in
@@ -36,6 +36,20 @@
             self.assertEqual((asks, connections), ([False, True, False], [0, 1, 0]), answer)
             self.assertEqual(len({outcome.result for outcome in outcomes}), 1, number)
 
+    async def test_an_endpoint_that_neither_marks_nor_closes_gets_a_new_connection_for_each_call(self):
+        events, heads = asyncio.Queue(), []
+        server, address = await stand_in(lambda head, _: heads.append(head) or http(200))
+        clock, endpoints = asyncio.get_running_loop().time, members(address=address)
+        calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
+        for name in "nmo":
+            calls.start("a", [PushMessage(name, 0, 1.0, "", b"", None)])
+            [outcome] = await events.get()
+            await asyncio.sleep(0.02)
+            self.assertEqual((outcome.result, len(calls.pool.connections)), (Result.DELIVERED, 0))
+        self.assertEqual([b"Connection: close" in head for head in heads], [True] * 3)
+        await calls.close()
+        server.close()
+
     async def test_close_idle_closes_the_connections_of_that_endpoint_only(self):
         events = asyncio.Queue()
         server, address = await stand_in(lambda *_: http(200))
@@ -49,6 +63,7 @@
         calls.close_idle("a")
         await asyncio.sleep(0.05)
         self.assertEqual(len(calls.pool.connections), 0)
+        self.assertEqual(calls.closed_connections, {EndpointCloseReason.HUNG_UP: 1})
         await calls.close()
         server.close()
 
--- a/tests/test_platform_connects.py
+++ b/tests/test_platform_connects.py
@@ -18,7 +18,7 @@
 
 class PlatformConnects(unittest.IsolatedAsyncioTestCase):
     async def send_all(self, error: int) -> tuple[float, list[int]]:
-        """Seconds until all notices had arrived while two of three connects fail, and lines in each post."""
+        """Seconds until all notices had arrived while five of six connects fail, and lines in each post."""
         posts, done, connects = [], asyncio.Queue(), 0
         server, address = await stand_in(lambda _, body: posts.append(len(body.splitlines())) or http(204))
         client = PlatformClient(address)
@@ -29,7 +29,7 @@
         async def connect(sock: socket.socket, target) -> None:
             nonlocal connects
             connects += 1
-            if connects % 3:
+            if connects % 6:
                 raise OSError(error, "injected")
             await real(sock, target)
 
