A slow post of notices holds up no later notice

Cause, by reading: notices went one post after the other, and a post on a connection of its own takes some turns of the loop; a slow or silent one held all later ones for up to 2 s.

--- a/tests/test_platform_connects.py
+++ b/tests/test_platform_connects.py
@@ -56,6 +56,35 @@
         _, posts = await self.send_all(errno.ECONNREFUSED)
         self.assertEqual(posts, [NOTICES])
 
+    async def test_a_post_that_gets_no_answer_does_not_hold_up_later_notices(self):
+        answered, done, bodies = asyncio.Event(), asyncio.Queue(), []
+
+        async def serve(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            body = await reader.readexactly(int(head.lower().partition(b"content-length:")[2].split()[0]))
+            bodies.append(body)
+            if b"slow" in body:
+                await answered.wait()
+            writer.write(http(204))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = PlatformClient(f"{host}:{port}")
+        notices = PlatformNotices(client, lambda names: [done.put_nowait(name) for name in names])
+        task = asyncio.create_task(notices.run())
+        await asyncio.sleep(0.05)
+        notices.add("slow", {"state": "failed"})
+        await asyncio.sleep(0.05)
+        notices.add("later", {"state": "failed"})
+        self.assertEqual(await asyncio.wait_for(done.get(), LOST_AFTER_S), "later")
+        self.assertEqual(notices.pending_count(), 1)
+        answered.set()
+        self.assertEqual(await asyncio.wait_for(done.get(), LOST_AFTER_S), "slow")
+        self.assertEqual((notices.pending_count(), len(bodies)), (0, 2))
+        task.cancel()
+        await client.close()
+        server.close()
+
 
 if __name__ == "__main__":
     unittest.main()
