A length of thousands of digits in an answer raises no exception and loses no 200

An answer whose Content-Length has more than 4,300 digits raised ValueError in the connection (a traceback in the log), and its 200, which counts as delivered with its first line, ended as broken. Why this holds: a length of more than 18 digits is none to the stream, and the parser decides as before. Measured: tests of calls, streams, connections and races pass, lint clean.

--- a/ryestack/wire/answer_stream.py
+++ b/ryestack/wire/answer_stream.py
@@ -13,7 +13,7 @@
 from ..ports import EndpointCloseReason
 
 FIRST_LINE = re.compile(rb"HTTP/1\.[01] ([1-5]\d\d)(?: [^\r\n]*)?\r\n")
-CONTENT_LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d+)[ \t]*(?=\r\n)", re.IGNORECASE)
+CONTENT_LENGTH = re.compile(rb"\r\ncontent-length:[ \t]*(\d{1,18})[ \t]*(?=\r\n)", re.IGNORECASE)
 TRANSFER_ENCODING = re.compile(rb"\r\ntransfer-encoding:", re.IGNORECASE)
 CONNECTION = re.compile(rb"\r\nconnection:([^\r\n]*)(?=\r\n)", re.IGNORECASE)
 VERSION = b"HTTP/1."
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -141,6 +141,7 @@
             (ok + b"X-A: b\r\n" * 9, Result.DELIVERED),  # a head without an end
             (ok + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 90_000, Result.DELIVERED),
             (ok + b"Content-Length: -4\r\n\r\n", Result.DELIVERED),
+            (ok + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n", Result.DELIVERED),
             (b"HTTP/1.1 103 x\r\nA: b\r\n\r\n" + http(503), Result.FULL),
             (b"HTTP/1.1 100 x\r\n\r\n" * 2 + http(200), Result.DELIVERED),
             (http(503) + http(200), Result.FULL),
