A signal to a child that has just ended no longer replaces its exit status by 255

The log beside it says "Unknown child process pid 4968, will report returncode 255".

Cause: the test and the lab, not the relay. asyncio's send_signal goes through subprocess.Popen.send_signal, which polls the child first. If the child has just ended, that poll reaps it; the thread of asyncio's child watcher then finds no such child and reports 255, which no program has returned. The tests that send signals in series, and the soak's signals in series, meet this in the moment between exit and report.

Change: lab/child_process.py sends by os.kill while no status is known, and the lab's processes (soak, trial, peers, scale, operation) and test_signals go through it; what is asserted about exit statuses is the same.

--- a/ryestack/lab/operation.py
+++ b/ryestack/lab/operation.py
@@ -5,6 +5,7 @@
 import signal
 from collections.abc import Callable
 
+from .child_process import send_signal
 from .trial import RelayProcess, TrialFailed, free_port
 
 PAUSE = 0.7  # seconds of load between two actions
@@ -62,7 +63,7 @@
     no_attempts["settings"]["allowed"]["maxAttempts"] = 0
     for text in ("", good[: len(good) // 2], json.dumps(no_attempts), good):
         path.write_text(text)
-        relay.process.send_signal(signal.SIGHUP)
+        send_signal(relay.process, signal.SIGHUP)
         await asyncio.sleep(0.2)
     if relay.process.returncode is not None or not await relay.healthy():
         raise TrialFailed("the relay does not serve after SIGHUP with an invalid file")
--- a/ryestack/lab/peers.py
+++ b/ryestack/lab/peers.py
@@ -18,6 +18,7 @@
 from ..standins.platform import Platform
 from ..standins.stage import Change, Endpoint, Pace, Stage
 from ..standins.stage import Platform as PlatformStage
+from .child_process import send_signal
 from .load import Load, Plan, Topic, settled
 from .oracle import Judged
 from .peer_stories import LEASE, STORIES, ZONES
@@ -139,14 +140,14 @@
     def signal(self, name: str, number: int) -> None:
         """Sends a signal to a relay if it runs."""
         process = self.relays[name].process
-        if process and process.returncode is None:
-            process.send_signal(number)
+        if process:
+            send_signal(process, number)
 
     async def close(self) -> None:
         """Kills all relays, also stopped ones, and closes links and stand-ins."""
         for relay in self.relays.values():
-            if relay.process and relay.process.returncode is None:
-                relay.process.send_signal(signal.SIGCONT)
+            if relay.process:
+                send_signal(relay.process, signal.SIGCONT)
             await relay.close()
         await self.net.close()
         await self.partner.close()
--- a/ryestack/lab/scale_processes.py
+++ b/ryestack/lab/scale_processes.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from . import hollow_messages as hollow
+from .child_process import send_signal
 from .scale_usage import runs
 from .trial import RelayProcess, TrialFailed
 
@@ -125,9 +126,8 @@
 
     def signal(self, name: str, number: int) -> None:
         process = self.started[name].process
-        if process is not None and process.returncode is None:
-            with suppress(ProcessLookupError):
-                process.send_signal(number)
+        if process is not None:
+            send_signal(process, number)
 
     async def kill(self, name: str) -> None:
         self.signal(name, signal.SIGKILL)
--- a/ryestack/lab/soak/processes.py
+++ b/ryestack/lab/soak/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import socket
 import sys
 import time
@@ -13,6 +14,7 @@
 import tomli_w
 
 from ...standins.books import Books
+from ..child_process import send_signal
 from ..load import books_of
 from ..trial import TrialFailed
 from .http_client import ClientPlan
@@ -72,11 +74,11 @@
 
     async def close(self) -> None:
         if self.process and self.process.returncode is None:
-            self.process.terminate()
+            send_signal(self.process, signal.SIGTERM)
             try:
                 await asyncio.wait_for(self.process.wait(), EXIT_TIMEOUT_S)
             except TimeoutError:
-                self.process.kill()
+                send_signal(self.process, signal.SIGKILL)
                 await self.process.wait()
 
 
--- a/ryestack/lab/soak/relay.py
+++ b/ryestack/lab/soak/relay.py
@@ -6,13 +6,13 @@
 import signal
 import time
 from collections.abc import Callable
-from contextlib import suppress
 from pathlib import Path
 from random import Random
 
 import aiohttp
 import tomli_w
 
+from ..child_process import send_signal
 from ..trial import RelayProcess, TrialFailed
 from .fault_control import FaultControl
 from .model import Restart
@@ -68,7 +68,7 @@
         """Ends the process, kills it after the grace period, and starts a new one, as the platform does."""
         await self.count_violations()
         begin_time = time.time()
-        self.current.process.send_signal(signal_number)
+        send_signal(self.current.process, signal_number)
         series = asyncio.ensure_future(self.signal_again(self.current.process))
         try:
             status = await asyncio.wait_for(self.current.process.wait(), TERMINATION_GRACE_S)
@@ -86,8 +86,7 @@
         """Sends a process that is ending the same and other signals, one after the other."""
         for number in ENDING_SIGNALS:
             await asyncio.sleep(self.rng.uniform(*SIGNAL_INTERVAL_S))
-            with suppress(ProcessLookupError):
-                process.send_signal(number)
+            send_signal(process, number)
 
     async def start_again(self, begin_time: float, killed: float) -> None:
         self.current = self.new_process()
@@ -117,7 +116,7 @@
             await successor.close()
             return
         self.current = successor
-        predecessor.process.send_signal(signal.SIGTERM)
+        send_signal(predecessor.process, signal.SIGTERM)
         try:
             await asyncio.wait_for(predecessor.process.wait(), TERMINATION_GRACE_S)
         except TimeoutError:
@@ -131,18 +130,16 @@
             new_config.write_text(json.dumps(change(iteration)))
             os.replace(new_config, self.folder / "config.json")
             if self.alive():
-                with suppress(ProcessLookupError):
-                    self.current.process.send_signal(signal.SIGHUP)
+                send_signal(self.current.process, signal.SIGHUP)
             await asyncio.sleep(0.15)
 
     async def pause(self, seconds: float) -> None:
         """Suspends the process with SIGSTOP for some seconds, at an arbitrary point of its execution."""
         process = self.current.process
         if process.returncode is None:
-            process.send_signal(signal.SIGSTOP)
+            send_signal(process, signal.SIGSTOP)
             await asyncio.sleep(seconds)
-            with suppress(ProcessLookupError):  # killed in the meantime
-                process.send_signal(signal.SIGCONT)
+            send_signal(process, signal.SIGCONT)
 
     async def count_violations(self) -> None:
         """Adds up the invariant violations in the process's metrics, which are lost when it ends."""
@@ -163,7 +160,7 @@
     async def close(self) -> None:
         self.faults.clear()
         if self.alive():
-            self.current.process.send_signal(signal.SIGCONT)
+            send_signal(self.current.process, signal.SIGCONT)
             await self.current.close()
         self.faults.close()
 
--- a/ryestack/lab/trial.py
+++ b/ryestack/lab/trial.py
@@ -19,6 +19,7 @@
 from ..standins.platform import Platform
 from ..standins.stage import Change, Endpoint, Pace, Stage
 from ..standins.stage import Platform as PlatformStage
+from .child_process import send_signal
 from .load import Load, Plan, Topic, settled
 from .oracle import Judged
 
@@ -160,14 +161,14 @@
 
     async def kill(self, number: int = signal.SIGKILL) -> int:
         """Sends a signal and waits for the exit; returns the exit status, 0 if it was never started."""
-        if self.process and self.process.returncode is None:
-            self.process.send_signal(number)
+        if self.process:
+            send_signal(self.process, number)
         return await self.process.wait() if self.process else 0
 
     async def close(self) -> None:
         """Kills the process if it still runs, and waits for its exit."""
-        if self.process and self.process.returncode is None:
-            self.process.kill()
+        if self.process:
+            send_signal(self.process, signal.SIGKILL)
             await self.process.wait()
 
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -6,9 +6,10 @@
 import sys
 import tomllib
 import unittest
-from contextlib import suppress
 from pathlib import Path
 
+from ryestack.lab.child_process import send_signal
+
 from .helpers import http, stand_in
 from .test_lifecycle import Program
 
@@ -22,8 +23,7 @@
         """Sends the signals in turn until the process has ended."""
         turn = 0
         while process.returncode is None:
-            with suppress(ProcessLookupError):
-                process.send_signal(numbers[turn % len(numbers)])
+            send_signal(process, numbers[turn % len(numbers)])
             turn += 1
             await asyncio.sleep(SIGNAL_INTERVAL_S)
 
@@ -32,7 +32,7 @@
         agent_server, agent = await stand_in(lambda *_: b"")
         for _ in range(5):
             process = await self.start(address, agent)
-            process.send_signal(signal.SIGTERM)
+            send_signal(process, signal.SIGTERM)
             await asyncio.wait_for(self.send(process, signal.SIGHUP, signal.SIGTERM), 5.0)
             self.assertEqual(await process.wait(), 0)
         for each in (server, agent_server):
@@ -54,7 +54,7 @@
                 await asyncio.sleep(0.05)
         sending.cancel()
         self.assertIsNone(process.returncode)
-        process.kill()
+        send_signal(process, signal.SIGKILL)
         await process.wait()
         for each in (server, agent_server):
             each.close()
