Following the registry's list has a module of its own, wire/registry.py

wire/members.py held two jobs: the format of the list with the rows in force, and the requests and watch that follow the registry.

--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -8,9 +8,9 @@
 from ..store.ledger import Ledger
 from ..wire.calls import CallDispatcher
 from ..wire.files import FileNotices
-from ..wire.members import FixedDirectory, RegistryDirectory
 from ..wire.notices import PlatformNotices
 from ..wire.platform import PlatformClient
+from ..wire.registry import FixedDirectory, RegistryDirectory
 from ..wire.server import ClientListener
 from .config import Config
 from .owner import Owner
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,8 +11,8 @@
 from ryestack.brain import Brain
 from ryestack.interface import EndpointStatus, Result
 from ryestack.membership import following
-from ryestack.wire.members import watch
 from ryestack.wire.platform import PlatformClient
+from ryestack.wire.registry import watch
 
 from .helpers import brain, end, http, listed, members, pushes, settings, stand_in, take
 
--- a/tests/test_platform_answers_again.py
+++ b/tests/test_platform_answers_again.py
@@ -5,9 +5,10 @@
 import unittest
 
 from ryestack.interface import EndpointStatus
-from ryestack.wire.members import Members, watch
+from ryestack.wire.members import Members
 from ryestack.wire.notices import PlatformNotices
 from ryestack.wire.platform import PlatformClient
+from ryestack.wire.registry import watch
 
 from .helpers import http, listed
 
