An older version of the list takes back a drain only if the registry says it twice

What callers would see: after an endpoint was told to drain (version 6), one late or repeated answer with version 5 makes it ready again, and new calls go to it until the next answer.

A request to the registry has a connection of its own since, so a copy can't come in its place; but whatever comes was put in force, whatever its version: an answer of a registry's replica that lags, of a cache, or of a network that answers a new request with an old answer.

Change: membership/following.py decides (pure): a version older than that in force makes the watch doubtful, and the whole list is requested at once; if that is older too, the registry has gone back, and it is believed. An older change (not whole) is never put in force. At a start, an older answer than the configuration's list is left to the watch.

Evidence: test_platform_answers_again, an older whole list, an older change, and an older, newer, older row after a drain; failed before (READY after DRAINING), also with the two lines of the fix taken out (2 failed, 3 passed). A registry that has gone back is followed (its test passes with and without, it guards the fix). test_membership's property of held requests has the event "older" among the drawn ones now. 37 tests of what it touches passed.

--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -10,7 +10,7 @@
 from ..wire.files import FileNotices
 from ..wire.notices import PlatformNotices
 from ..wire.platform import PlatformClient
-from ..wire.registry import FixedDirectory, RegistryDirectory
+from ..wire.registry_watch import FixedDirectory, RegistryDirectory
 from ..wire.server import ClientListener
 from .config import Config
 from .owner import Owner
--- a/ryestack/membership/following.py
+++ b/ryestack/membership/following.py
@@ -13,13 +13,25 @@
 HOLD_S = 1.5  # that a watch may wait at the registry
 GRACE_S = 1.0  # for an answer beyond that: this relay's own delays, a busy registry
 
-# (state, event) -> next state. A list at another address is another list: it is requested whole.
+# (state, event) -> next state. A list at another address is another list: it is requested whole. So is a list
+# after an answer with an older version than the one in force, which may be a late or repeated answer.
 TRANSITIONS = {
     ("unsure", "told"): "following",
+    ("doubtful", "told"): "following",
+    ("moved", "told"): "following",
     ("following", "failed"): "unsure",
-    ("following", "moved"): "unsure",
+    ("following", "older"): "doubtful",
+    ("unsure", "older"): "doubtful",
+    ("following", "moved"): "moved",
+    ("unsure", "moved"): "moved",
+    ("doubtful", "moved"): "moved",
+}
+HOLD_BY_STATE_S = {  # that a request may wait for something new
+    "unsure": 0.0,
+    "following": HOLD_S,
+    "doubtful": 0.0,
+    "moved": 0.0,
 }
-HOLD_BY_STATE_S = {"unsure": 0.0, "following": HOLD_S}  # that a request may wait for something new
 MAX_RETRY_DELAY_BY_STATE_S = {
     state: MAX_AGE_S - MARGIN_S - hold - 2 * GRACE_S for state, hold in HOLD_BY_STATE_S.items()
 }  # after a failure in that state
@@ -37,11 +49,22 @@
     max_retry_delay: float = MAX_RETRY_DELAY_BY_STATE_S["unsure"]
 
     def update(self, event: str, now: float) -> None:
-        """Take an event into account: "told", "failed" or "moved"."""
+        """Take an event into account: "told", "failed", "moved" or "older"."""
         self.max_retry_delay = MAX_RETRY_DELAY_BY_STATE_S[self.state]
         self.state = TRANSITIONS.get((self.state, event), self.state)
         self.confirmed_at = now if event == "told" else self.confirmed_at
 
+    def requests_whole_list(self) -> bool:
+        """Whether the next request is for the whole list, not for the changes to the one in force."""
+        return self.state in ("doubtful", "moved")
+
+    def believes(self, version: int, whole: bool, version_in_force: int) -> bool:
+        """Whether an answer is put in force.
+
+        A registry that has gone back to older versions says so twice; a late or repeated answer does not.
+        """
+        return version >= version_in_force or (whole and self.requests_whole_list())
+
     def hold(self) -> float:
         """Seconds that the next request may wait for something new."""
         return HOLD_BY_STATE_S[self.state]
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -21,6 +21,14 @@
     """A list that cannot be read."""
 
 
+def read_version(data: dict) -> tuple[int, bool]:
+    """The version of a list, and whether it is whole; raises BadList."""
+    try:
+        return int(data["index"]), data["snapshot"] is True
+    except INVALID_VALUE_ERRORS as error:
+        raise BadList(f"{type(error).__name__}: {error}") from None
+
+
 def read_list(data: dict, known: dict[str, dict]) -> tuple[int, interface.ListUpdate, dict[str, dict]]:
     """The version, the update for the decision module, and the rows by name; raises BadList.
 
@@ -28,8 +36,9 @@
     count.
     """
     rows, endpoints = {}, []
+    index, complete = read_version(data)
     try:
-        index, complete, entries = int(data["index"]), data["snapshot"] is True, list(data["endpoints"])
+        entries = list(data["endpoints"])
     except INVALID_VALUE_ERRORS as error:
         raise BadList(f"{type(error).__name__}: {error}") from None
     for entry in entries:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,7 +12,7 @@
 from ryestack.interface import EndpointStatus, Result
 from ryestack.membership import following
 from ryestack.wire.platform import PlatformClient
-from ryestack.wire.registry import watch
+from ryestack.wire.registry_watch import watch
 
 from .helpers import brain, end, http, listed, members, pushes, settings, stand_in, take
 
@@ -117,7 +117,7 @@
     assert max(sum(start <= delay < start + 0.1 for delay in delays) for start in delays) < 40
 
 
-@given(st.lists(st.sampled_from(["told", "failed", "moved"]), max_size=30))
+@given(st.lists(st.sampled_from(["told", "failed", "moved", "older"]), max_size=30))
 def test_a_request_is_held_only_after_a_successful_one(events):
     state = following.WatchState(0.0)
     for time, event in enumerate(events, 1):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -16,7 +16,7 @@
 from ryestack.wire.members import BadList, Members
 from ryestack.wire.notices import PlatformNotices
 from ryestack.wire.platform import MAX_ANSWER_BYTES, PlatformClient
-from ryestack.wire.registry import FixedDirectory, watch
+from ryestack.wire.registry_watch import FixedDirectory, watch
 
 from .helpers import http, keep_connections, listed, members, settings, stand_in
 
--- a/tests/test_platform_answers_again.py
+++ b/tests/test_platform_answers_again.py
@@ -8,7 +8,7 @@
 from ryestack.wire.members import Members
 from ryestack.wire.notices import PlatformNotices
 from ryestack.wire.platform import PlatformClient
-from ryestack.wire.registry import watch
+from ryestack.wire.registry_watch import RegistryDirectory, watch
 
 from .helpers import http, listed
 
@@ -76,6 +76,41 @@
         task.cancel()
         self.assertEqual(seen, [EndpointStatus.READY, EndpointStatus.DRAINING, EndpointStatus.DRAINING])
 
+    def version(self, index: int, status: str, whole: bool = True) -> bytes:
+        """An answer with one endpoint, as of that version of the list."""
+        endpoint = {**listed()["endpoints"][0], "status": status}
+        return http(200, json.dumps({"index": index, "snapshot": whole, "endpoints": [endpoint]}).encode())
+
+    async def watched(self, answers: list[bytes], count: int) -> list:
+        """The first updates of a watch whose requests get these answers in turn, the last one for ever."""
+        updates = asyncio.Queue()
+        platform = await self.platform(lambda _: answers.pop(0) if len(answers) > 1 else answers[0])
+        task = asyncio.create_task(watch(platform, Members(), updates.put_nowait))
+        try:
+            return [await asyncio.wait_for(updates.get(), 3.0) for _ in range(count)]
+        finally:
+            task.cancel()
+
+    async def test_an_older_version_that_comes_after_a_newer_one_does_not_take_back_a_drain(self):
+        older, newer = self.version(5, "up"), self.version(6, "draining")
+        older_change = self.version(5, "up", whole=False)
+        for late in ([older], [older_change], [older, newer, older]):
+            updates = await self.watched([older, newer, *late, self.version(7, "draining")], 3)
+            seen = [update.endpoints[0].status for update in updates]
+            self.assertEqual(seen, [EndpointStatus.READY, EndpointStatus.DRAINING, EndpointStatus.DRAINING])
+
+    async def test_an_older_version_at_a_start_does_not_take_back_a_drain_of_the_configuration(self):
+        known = {**listed()["endpoints"][0], "status": "draining"}
+        platform = await self.platform(lambda _: self.version(5, "up"))
+        directory = RegistryDirectory(platform, {"index": 6, "snapshot": True, "endpoints": [known]})
+        self.assertEqual(await directory.fetch_initial(), [])
+
+    async def test_a_registry_that_has_gone_back_to_older_versions_is_followed(self):
+        answers = [self.version(6, "draining"), self.version(2, "up"), self.version(2, "up")]
+        first, second = await self.watched(answers, 2)
+        self.assertEqual(first.endpoints[0].status, EndpointStatus.DRAINING)
+        self.assertEqual((second.endpoints[0].status, second.whole), (EndpointStatus.READY, True))
+
 
 if __name__ == "__main__":
     unittest.main()
