Open circuits at all routes in service prove an outage: its end is a cold start

Cause: a route's circuit is opened by its own failures, an outage is proven by the destination's. Deliveries of the other endpoint, which drained just before, outnumber the three failures for seconds (half-life 1 s); behind the open circuit nothing more fails, a failed trial is one failure, and 3 s since the first failure with a further one are not reached. The first success then starts no warm-up. Where routes are apart, a route's own open circuit proved nothing at all while a sibling delivered.

Change: when a failure leaves no route in service but with an open circuit or a trial (for routes apart: the route itself), its limiters are marked down. A sibling that delivers keeps a shared limit warm, as before.

--- a/ryestack/brain/outcomes.py
+++ b/ryestack/brain/outcomes.py
@@ -121,6 +121,9 @@
         for limiter in route.dest.affected_limiters(route):
             limiter.record_failure(call.sent, self.now, False, may_have_run=may_have_run)
         self.change_route(route, "tripped" if route.failures.proves_outage() else "failed")
+        if route.dest.is_out(route):
+            for limiter in route.dest.affected_limiters(route):
+                limiter.mark_down(call.sent)
 
     def on_overdue(self, call):
         """Counts a call as failed before its time-out: this covers hangs, silence and slow answers."""
--- a/ryestack/brain/routes.py
+++ b/ryestack/brain/routes.py
@@ -100,6 +100,12 @@
         one = self.kind.per_route and not self.failures.proves_outage()
         return [route.limiter] if one else list(dict.fromkeys(r.limiter for r in self.route_list))
 
+    def is_out(self, route):
+        """Whether the circuits of all routes in service that share this route's outages are open."""
+        sharing = [route] if self.kind.per_route else self.route_list
+        in_service = [r for r in sharing if r.state != "draining"]
+        return bool(in_service) and all(r.state in ("open", "trial") for r in in_service)
+
     def limiter_count(self):
         """Among how many limiters the reported rate is divided."""
         one = self.kind.per_route or self.kind.batch > 1
