--- a/ryestack/store/adoption.py
+++ b/ryestack/store/adoption.py
@@ -123,15 +123,15 @@
                     f"to adopt, {self.journal.max_bytes} allowed"
                 ) from problem
             event("journal.blocked", why=f"adopting: {problem}")
-            self.in_sync = False
+            self.must_rewrite = self.blocked = True
         self.read(payloads)
 
     def append_adopted(self, payloads: list[bytes]) -> None:
         """Append all payloads in one write; raises OSError, or NoRoom, with none of them written."""
         added = sum(len(payload) + FRAME.size for payload in payloads)
-        if self.needs_rewrite() or not self.journal.fits(added, self.live_bytes):
+        lacking = not self.in_sync or self.journal.tail_remains
+        if lacking or not self.journal.fits(added, self.live_bytes):
             self.rewrite()
-            self.in_sync = True
         if self.journal.size + added > self.journal.max_bytes:
             raise NoRoom(
                 f"no room to adopt it: {self.journal.size} bytes in use and {added} to adopt, "
--- a/ryestack/store/ledger.py
+++ b/ryestack/store/ledger.py
@@ -16,6 +16,9 @@
 # A file larger than this many times its live bytes plus this many bytes is slow to read, and rewritten.
 REWRITE_SIZE_RATIO, REWRITE_MIN_BYTES = 4, 100_000
 MIN_DEAD_SHARE = 1 / 16  # of the allowance: fewer dead bytes do not justify a rewrite of all live ones
+# Records of facts that a failed write left out and that the next one makes up for: more than this many bytes
+# are made up for by a rewrite.
+MAX_UNWRITTEN_BYTES = 64 * 1024
 MAX_UNUSED_TERMS = 32  # terms that no notification has any more: a start drops them past this number
 DISTANT_PAST = 0.0  # a time that is past every window on any timeline
 
@@ -23,13 +26,16 @@
 class Ledger(Adoption, Records):
     """Open notifications by id, kept in a journal.
 
-    timeline: the axis of all times in it, from the recovery on; read: returns the machine's clocks; in_sync:
-    whether the file holds every change, False after a failed write.
+    timeline: the axis of all times in it, from the recovery on; read: returns the machine's clocks.
+    unwritten: the records of facts that the file lacks after failed writes, in order; must_rewrite: it lacks
+    others too; blocked: whether the last write failed.
     """
 
     def __init__(self, journal: Journal, read=read_clock):
         super().__init__()
-        self.journal, self.owed, self.live_bytes, self.in_sync = journal, {}, 0, True
+        self.journal, self.owed, self.live_bytes = journal, {}, 0
+        self.unwritten: list[bytes] = []
+        self.must_rewrite = self.blocked = False
         self.read_clock, self.timeline = read, None
         self.timeline_written = False
         self.foreign_ids: set[str] = set()  # owed for another relay: its guards store them, our file does not
@@ -55,7 +61,7 @@
                 self.rewrite()
             except OSError as problem:
                 event("journal.blocked", why=str(problem))
-                self.in_sync = False  # the next write begins with a rewrite
+                self.must_rewrite = self.blocked = True
         if invalid or self.journal.dropped:
             event("journal.torn", records=invalid, bytes=self.journal.dropped)
         self.adopt()
@@ -137,56 +143,69 @@
         """
         if name not in self.owed:
             return True
-        if name not in self.foreign_ids and self.write(payload):
+        foreign = name in self.foreign_ids
+        if not foreign and self.write(payload):
             return True
+        if not foreign:
+            self.unwritten.append(payload)
         self.apply(payload)
-        return name in self.foreign_ids
+        return foreign
 
     def write(self, payload: bytes) -> bool:
         """Append a record and apply it, with a rewrite first where one is needed; False if it failed."""
+        if not self.append_with_unwritten(payload):
+            return False
+        self.apply(payload)
+        return True
+
+    def write_all(self) -> bool:
+        """Write what the file lacks; returns whether it now holds everything."""
+        return (self.in_sync and not self.journal.tail_remains) or self.append_with_unwritten()
+
+    def append_with_unwritten(self, *payloads: bytes) -> bool:
+        """Append the records that the file lacks and these, all or none; returns whether that succeeded."""
         try:
-            payloads = [*self.head(), payload]
-            size, added = self.journal.size, sum(len(each) + FRAME.size for each in payloads)
-            large = size > REWRITE_SIZE_RATIO * self.live_bytes + REWRITE_MIN_BYTES or not self.journal.fits(
-                added, self.live_bytes
-            )
-            # Where hardly any bytes are dead, as once the allowance is halved, a rewrite gains nothing, and
-            # one per record would block the relay for seconds. After a failed write the file may lack facts.
-            gains = (
-                size > self.live_bytes + MIN_DEAD_SHARE * self.journal.max_bytes
-                or size + added > self.journal.max_bytes
-            )
-            if self.needs_rewrite() or (large and gains):
+            head = self.head()
+            missing = [*head, *self.unwritten]
+            if self.needs_rewrite() or self.rewrite_gains([*missing, *payloads]):
                 self.rewrite()
-                payloads = [payload]
-            self.journal.append(*payloads)
+                head = missing = []
+            self.journal.append(*missing, *payloads)
         except OSError as problem:
-            if self.in_sync:
+            if not self.blocked:
                 event("journal.blocked", why=str(problem))
-            self.in_sync = False
+            self.blocked = True
             return False
-        if not self.in_sync:
+        if self.blocked:
             event("journal.flowing")
-        self.in_sync = True
-        for each in payloads:
+        self.blocked, self.unwritten = False, []
+        for each in head:
             self.apply(each)
         return True
 
-    def write_all(self) -> bool:
-        """Rewrite the file if it lacks facts; returns whether it now holds everything."""
-        if not self.needs_rewrite():
-            return True
-        try:
-            self.rewrite()
-        except OSError:
-            return False
-        self.in_sync = True
-        event("journal.flowing")
-        return True
+    def rewrite_gains(self, payloads: list[bytes]) -> bool:
+        """Whether the file is to be rewritten before these records are appended."""
+        size, added = self.journal.size, sum(len(each) + FRAME.size for each in payloads)
+        large = size > REWRITE_SIZE_RATIO * self.live_bytes + REWRITE_MIN_BYTES or not self.journal.fits(
+            added, self.live_bytes
+        )
+        # Where hardly any bytes are dead, as once the allowance is halved, a rewrite gains nothing, and one
+        # per record would block the relay for seconds.
+        gains = (
+            size > self.live_bytes + MIN_DEAD_SHARE * self.journal.max_bytes
+            or size + added > self.journal.max_bytes
+        )
+        return large and gains
+
+    @property
+    def in_sync(self) -> bool:
+        """Whether the file holds every fact."""
+        return not (self.unwritten or self.must_rewrite)
 
     def needs_rewrite(self) -> bool:
-        """Whether the file lacks facts, or cannot be appended to."""
-        return not self.in_sync or self.journal.tail_remains
+        """Whether the file cannot be appended to, or lacks facts that an append does not make up for."""
+        too_many = sum(map(len, self.unwritten)) > MAX_UNWRITTEN_BYTES
+        return self.must_rewrite or self.journal.tail_remains or too_many
 
     def rewrite(self) -> None:
         """Replace the file by one with the live records only; raises OSError."""
@@ -195,7 +214,7 @@
         named += [record("adopted", *identity) for identity in sorted(self.adopted)]
         ours = (owed for owed in self.owed.values() if owed.id not in self.foreign_ids)
         self.journal.rewrite([*self.head(), *named, *(p for owed in ours for p in self.records_of(owed))])
-        self.timeline_written = True
+        self.timeline_written, self.must_rewrite, self.unwritten = True, False, []
 
     def head(self) -> list[bytes]:
         """The record of our timeline, unless the file has it already."""
