A route that failed and was left unused for seconds comes back as cold

What callers would see: where routes are apart and one fails once, its topic types go by the sibling for 14 to 26 s.

Cause: an outage was proven by further failures only. With nothing sent there is none, and the first success then starts no warm-up, though the last that was known of the route is a failure many seconds ago.

Change: a success that follows a failure more than 3 s old, with no success in between and in a time in which at least three calls would usually have gone there, starts a warm-up. Where calls are rarer than that, a pause says nothing, and nothing changes; nor behind refusals.

--- a/ryestack/brain/rate_limiter.py
+++ b/ryestack/brain/rate_limiter.py
@@ -147,6 +147,7 @@
 
     def record_success(self, sent, now, own):
         """A call that was sent at `sent` delivered; own: by a route of this limiter, not of a sibling."""
+        may_be_cold = self.may_have_missed_outage(now)
         if own:
             self.delivered.add(now)
             self.backoff, self.refusals = max(0.1, self.backoff * self.BACKOFF_DECAY), 0
@@ -154,9 +155,10 @@
         # A call that was sent before the outage does not prove that the destination is back.
         if sent >= self.failing_since or self.failing_since == inf:
             self.failing_since = inf
-            self.cold_since = (
-                (self.reopens_at or max(now, self.wait_until)) if self.cold_since == inf else self.cold_since
-            )
+            if self.cold_since == inf:
+                self.cold_since = self.reopens_at or max(now, self.wait_until)
+            elif may_be_cold:
+                self.cold_since = now
 
     def record_failure(self, sent, now, refused, wait=0.0, may_have_run=True, used_up=False):
         """A call that was sent at `sent` failed.
@@ -187,6 +189,20 @@
         if long or self.dest.failures.proves_outage():
             self.mark_down(sent)
 
+    def may_have_missed_outage(self, now):
+        """Whether it failed and was then left unused for long, though calls for it are many.
+
+        Its last call failed, so that it may have been down since, and come back cold.
+        """
+        unused = now - self.failing_since
+        expected_calls = self.fair_share(now) * unused
+        return (
+            self.cold_since is None
+            and not self.refusals
+            and unused > self.OUTAGE_AFTER_S
+            and expected_calls >= FailureCounter.CONSECUTIVE_LIMIT
+        )
+
     def mark_down(self, since):
         """Marks the destination as down since then; a random delay keeps relays from returning in step."""
         self.tokens = min(self.tokens, self.rng.random()) if self.cold_since != inf else self.tokens
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -55,3 +55,11 @@
     module = brain(rate=RATE, slots=100, relays=1)
     calls_after_return(module, OUTAGE_AT_S + 3.6, listed("shared", "a", "b"))
     assert module.routes["a"].limiter.cold_since is None
+
+
+@pytest.mark.parametrize("outage_seconds", [8.0, 10.0, 13.0, 16.0, 25.0])
+def test_a_route_with_an_outage_of_its_own_is_not_pushed_over_when_it_is_tried_again(outage_seconds):
+    module = brain("apart", rate=RATE, slots=100, relays=1)
+    unchanged = listed("apart", "a", "b")
+    calls = calls_after_return(module, OUTAGE_AT_S + outage_seconds, unchanged)
+    assert not calls or excess(calls) <= 0.0
