A lost answer of the platform no longer makes the notices of that post late

What callers would see: an answer to a post of notices that is lost, or a connection to the platform that hangs, and the notices of that post are repeated 2.1 s later, past their time (0.3 s): counted as lost.

Change: a post without an answer after 0.2 s is made once more at once, on a connection of its own, then as before (2 s). try_post makes one post and tells no answer from a bad one.

Evidence: test_platform_connects, three posts side by side without an answer: failed before (TimeoutError after 0.3 s), passes.

--- a/ryestack/wire/notices.py
+++ b/ryestack/wire/notices.py
@@ -11,6 +11,7 @@
 MAX_LINES_PER_POST = 200
 CONCURRENT_POSTS = 3  # one that is slow must not delay the next notices past their time
 RETRY_DELAY_S = 0.1  # the platform answers at once
+FIRST_POST_TIMEOUT_S = 0.2  # an answer that is lost must not make the notices late; a repeat does no harm
 POST_TIMEOUT_S = 2.0
 Batch = list[tuple[str, str]]  # ids and lines
 
@@ -20,7 +21,8 @@
 
     ACCEPTED = auto()  # the platform has all its notices
     NOT_CONNECTED = auto()  # nothing was sent
-    FAILED = auto()  # the platform cannot read one of them, or did not answer
+    UNANSWERED = auto()  # no answer came in time
+    FAILED = auto()  # another answer than 204, or none that can be read
 
 
 class PlatformNotices(NoticeQueue):
@@ -66,25 +68,34 @@
     def requeue(self, batch: Batch, result: PostResult) -> None:
         """Put back what was not accepted.
 
-        After an answer other than 204 notices go one by one, and one that fails alone goes last: one that
+        If the platform was reached, notices go one by one, and one that fails alone goes last: one that
         cannot be read must not block the others.
         """
-        if result is PostResult.FAILED:
+        reached = result is not PostResult.NOT_CONNECTED
+        if reached:
             self.max_lines = 1
-        if result is PostResult.FAILED and len(batch) == 1:
+        if reached and len(batch) == 1:
             self.queue.append(batch[0])
         else:
             self.queue.extendleft(reversed(batch))
         self.not_empty.set()
 
     async def post(self, body: str) -> PostResult:
-        """Post lines of notices."""
-        try:
-            status, _ = await self.platform.request("POST", "/status", POST_TIMEOUT_S, data=body.encode())
-            result, why = PostResult.ACCEPTED if status == 204 else PostResult.FAILED, f"status {status}"
-        except aiohttp.ClientConnectorError as error:
-            result, why = PostResult.NOT_CONNECTED, repr(error)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            result, why = PostResult.FAILED, repr(error)
+        """Post lines of notices, and once more at once if no answer comes."""
+        result, why = await self.try_post(body, FIRST_POST_TIMEOUT_S)
+        if result is PostResult.UNANSWERED:
+            result, why = await self.try_post(body, POST_TIMEOUT_S)
         self.log_flow(result is PostResult.ACCEPTED, why)
         return result
+
+    async def try_post(self, body: str, timeout_s: float) -> tuple[PostResult, str]:
+        """Post lines of notices once; returns what became of it, and the reason for the log."""
+        try:
+            status, _ = await self.platform.request("POST", "/status", timeout_s, data=body.encode())
+        except aiohttp.ClientConnectorError as error:
+            return PostResult.NOT_CONNECTED, repr(error)
+        except TimeoutError as error:
+            return PostResult.UNANSWERED, repr(error)
+        except (aiohttp.ClientError, OSError) as error:
+            return PostResult.FAILED, repr(error)
+        return PostResult.ACCEPTED if status == 204 else PostResult.FAILED, f"status {status}"
--- a/tests/test_platform_connects.py
+++ b/tests/test_platform_connects.py
@@ -56,6 +56,31 @@
         _, posts = await self.send_all(errno.ECONNREFUSED)
         self.assertEqual(posts, [NOTICES])
 
+    async def test_a_lost_answer_of_the_platform_does_not_make_its_notices_late(self):
+        done, bodies, silent = asyncio.Queue(), [], 3  # as many posts as are made side by side
+
+        async def serve(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            body = await reader.readexactly(int(head.lower().partition(b"content-length:")[2].split()[0]))
+            bodies.append(body)
+            if len(bodies) > silent:
+                writer.write(http(204))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = PlatformClient(f"{host}:{port}")
+        notices = PlatformNotices(client, lambda names: [done.put_nowait(name) for name in names])
+        task = asyncio.create_task(notices.run())
+        for number in range(silent):
+            notices.add(f"n{number}", {"state": "failed"})
+            await asyncio.sleep(0.01)
+        async with asyncio.timeout(LOST_AFTER_S):
+            names = {await done.get() for _ in range(silent)}
+        self.assertEqual((names, notices.pending_count()), ({"n0", "n1", "n2"}, 0))
+        task.cancel()
+        await client.close()
+        server.close()
+
     async def test_a_post_that_gets_no_answer_does_not_hold_up_later_notices(self):
         answered, done, bodies = asyncio.Event(), asyncio.Queue(), []
 
