--- a/ryestack/cli/soak.py
+++ b/ryestack/cli/soak.py
@@ -39,6 +39,9 @@
     relays: Annotated[int, typer.Option(min=1, max=64, help="Relays, one process each.")] = 8,
     partners: Annotated[int, typer.Option(min=1, max=64, help="Partners, two processes each.")] = 8,
     rate: Annotated[float, typer.Option(min=0.1, max=200, help="Requests a second at each relay.")] = 12.0,
+    one_way_links: Annotated[
+        bool, typer.Option("--one-way-links", help="Also links that hold one direction, or are slow.")
+    ] = False,
     keep: Annotated[
         str | None, typer.Option(help="A directory in which to keep all logs, books and journals.")
     ] = None,
@@ -50,7 +53,7 @@
         for number in range(seed, seed + seeds):
             folder = Path(keep or temporary) / f"seed-{number}"
             folder.mkdir(parents=True)
-            plan = SoakPlan(number, relays, partners, rate, seconds)
+            plan = SoakPlan(number, relays, partners, rate, seconds, one_way_links=one_way_links)
             try:
                 verdict, injected = asyncio.run(_play(plan, folder, say if not as_json else lambda _: None))
             except asyncio.CancelledError:
--- a/ryestack/lab/soak/model.py
+++ b/ryestack/lab/soak/model.py
@@ -34,6 +34,9 @@
     REGISTRY_SILENT = "registry silent"
     PLATFORM_AGAIN = "the platform's answers come again, or in parts"
     DRAIN = "endpoint drains and returns"
+    LINK_OUT = "link holds requests"
+    LINK_BACK = "link holds answers"
+    LINK_SLOW = "link slow"
 
 
 RESTARTS = (Kind.KILL, Kind.STOP, Kind.UPGRADE)
@@ -44,7 +47,9 @@
 OF_PARTNERS = (
     Kind.PARTNER_OUTAGE, Kind.PARTNER_HANGS, Kind.PARTNER_RESETS, Kind.PARTNER_LIMITS, Kind.PARTNER_ERRORS,
     Kind.PARTNER_BUSY, Kind.LINK_LOST, Kind.LINK_RESETS, Kind.LINK_LATE, Kind.ANSWERS_AGAIN, Kind.DRAIN,
+    Kind.LINK_OUT, Kind.LINK_BACK, Kind.LINK_SLOW,
 )  # fmt: skip
+ONE_WAY_LINKS = (Kind.LINK_OUT, Kind.LINK_BACK, Kind.LINK_SLOW)  # drawn only if asked for
 
 
 class Trouble(msgspec.Struct, frozen=True):
--- a/ryestack/lab/soak/proxy.py
+++ b/ryestack/lab/soak/proxy.py
@@ -9,6 +9,8 @@
 
 from ...standins.links import Link
 
+SLOW_LINK_BYTES_PER_S = 2_000.0
+
 
 async def serve(seed: int, targets: list[str]) -> None:
     """Runs the links until the end of standard input."""
@@ -16,6 +18,7 @@
     for number, target in enumerate(targets):
         host, _, port = target.rpartition(":")
         link = Link((host, int(port)), seed + number, drop_on_close=True)
+        link.rate = SLOW_LINK_BYTES_PER_S
         await link.start()
         links.append(link)
     print(" ".join(link.address for link in links), flush=True)
--- a/ryestack/lab/soak/scenario.py
+++ b/ryestack/lab/soak/scenario.py
@@ -42,6 +42,7 @@
     rate: float = 12.0
     seconds: float = 30.0
     weight: float = 30.0
+    one_way_links: bool = False
 
 
 class Scenario(Troubles):
@@ -49,7 +50,7 @@
 
     def __init__(self, plan: SoakPlan, folder: Path, log: Callable[[str], None], troubles=None):
         self.plan, self.folder, self.log = plan, folder, log
-        drawn = draw(plan.seed, plan.seconds, plan.relays, plan.partners)
+        drawn = draw(plan.seed, plan.seconds, plan.relays, plan.partners, plan.one_way_links)
         self.troubles: list[Trouble] = drawn if troubles is None else troubles
         self.rng = Random(f"scenario {plan.seed}")
         self.ports = Ports()
--- a/ryestack/lab/soak/schedule.py
+++ b/ryestack/lab/soak/schedule.py
@@ -5,7 +5,7 @@
 
 from random import Random
 
-from .model import OF_PARTNERS, OF_RELAYS, RESTARTS, Kind, Trouble
+from .model import OF_PARTNERS, OF_RELAYS, ONE_WAY_LINKS, RESTARTS, Kind, Trouble
 
 TRACKS = 3  # number of troubles that may overlap; misbehaving clients come on top
 CALM_START_S, CALM_END_S = 2.0, 6.0  # no new trouble at the start and at the end
@@ -37,15 +37,16 @@
 FOCUS_PROBABILITY = 0.5  # fraction of troubles that hit the same relay or partner, so that they coincide
 
 
-def draw(seed: int, seconds: float, relays: int, partners: int) -> list[Trouble]:
-    """Draws all troubles, sorted by their begin."""
+def draw(seed: int, seconds: float, relays: int, partners: int, one_way_links: bool = False) -> list[Trouble]:
+    """Draws all troubles, sorted by their begin. one_way_links: also those of ONE_WAY_LINKS."""
+    kinds = [kind for kind in Kind if one_way_links or kind not in ONE_WAY_LINKS]
     rng = Random(f"soak {seed}")
     focus = {"relay": rng.randrange(relays), "partner": rng.randrange(partners)}
     troubles: list[Trouble] = []
     for _ in range(TRACKS):
         now = CALM_START_S + rng.uniform(0.0, 2.0)
         while now < seconds - CALM_END_S:
-            trouble = _draw_trouble(rng, now, relays, partners, focus)
+            trouble = _draw_trouble(rng, kinds, now, relays, partners, focus)
             if not _collides(trouble, troubles):
                 troubles.append(trouble)
                 now = trouble.end()
@@ -53,8 +54,9 @@
     return sorted(troubles, key=lambda trouble: trouble.begin)
 
 
-def _draw_trouble(rng: Random, now: float, relays: int, partners: int, focus: dict[str, int]) -> Trouble:
-    kinds = list(Kind)
+def _draw_trouble(
+    rng: Random, kinds: list[Kind], now: float, relays: int, partners: int, focus: dict[str, int]
+) -> Trouble:
     kind = rng.choices(kinds, [KIND_WEIGHTS.get(trouble_kind, 1.0) for trouble_kind in kinds])[0]
     focused = rng.random() < FOCUS_PROBABILITY
     target = 0
--- a/ryestack/lab/soak/troubles.py
+++ b/ryestack/lab/soak/troubles.py
@@ -33,6 +33,9 @@
     Kind.LINK_RESETS: "reset",
     Kind.LINK_LATE: "late",
     Kind.ANSWERS_AGAIN: "again",
+    Kind.LINK_OUT: "out",
+    Kind.LINK_BACK: "back",
+    Kind.LINK_SLOW: "slow",
 }
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 from ryestack.lab.soak import schedule
 from ryestack.lab.soak.invariants import Evidence, budget, judge_soak
 from ryestack.lab.soak.model import (
+    ONE_WAY_LINKS,
     RESTARTS,
     Answer,
     Attempt,
@@ -59,6 +60,11 @@
         self.assertNotEqual(first, schedule.draw(8, 60.0, 8, 8))
         self.assertGreater(schedule.overlaps(first), len(first) / 2)
 
+    def test_one_way_links_are_drawn_only_if_asked_for(self):
+        plain = {trouble.kind for seed in range(40) for trouble in schedule.draw(seed, 60.0, 8, 8)}
+        asked = {trouble.kind for seed in range(40) for trouble in schedule.draw(seed, 60.0, 8, 8, True)}
+        self.assertEqual((asked - plain, asked), (set(ONE_WAY_LINKS), set(Kind)))
+
     def test_two_restarts_of_one_relay_never_overlap(self):
         for seed in range(30):
             drawn = [t for t in schedule.draw(seed, 60.0, 3, 3) if t.kind in RESTARTS]
