Soak: a pause in the moment in which a relay is started again is left out

Cause: a pause takes no lifecycle lock, and between the end of one process and the start of the next the relay has none. Change: as in reload, a relay that isn't alive is not paused.

--- a/ryestack/lab/soak/relay.py
+++ b/ryestack/lab/soak/relay.py
@@ -136,7 +136,7 @@
     async def pause(self, seconds: float) -> None:
         """Suspends the process with SIGSTOP for some seconds, at an arbitrary point of its execution."""
         process = self.current.process
-        if process.returncode is None:
+        if self.alive():
             send_signal(process, signal.SIGSTOP)
             await asyncio.sleep(seconds)
             send_signal(process, signal.SIGCONT)
