--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -57,8 +57,7 @@
 
     def __init__(self, record: Record, name: str, destination: int, pace: float = 0.03):
         self.record, self.name, self.destination, self.pace = record, name, destination, pace
-        self.server, self.port, self.answers = Server(self.serve), free_port(), True
-        self.status = "up"
+        self.server, self.port, self.status = Server(self.serve), free_port(), "up"
 
     async def up(self) -> None:
         self.record.add("endpoint up", name=self.name, address=f"127.0.0.1:{self.port}")
@@ -72,7 +71,10 @@
         name, close = head.get("x-request-id"), head.get("connection").lower() == "close"
         if head.first[:2] != ["POST", "/receive"] or not name:
             return answer(404 if head.first[0] == "GET" else 400, close=close)
-        self.record.add("call", endpoint=self.name, id=name)
+        dest = next((f["dest"] for _, f in self.record.of("sent") if f["id"] == name), None)
+        self.record.add("call", endpoint=self.name, of=self.destination, id=name, dest=dest)
+        if dest != self.destination:  # no client handed it in for us
+            return answer(400, close=close)
         await asyncio.sleep(self.pace)
         self.record.add("run", endpoint=self.name, id=name, key=head.get("idempotency-key") or "-")
         return answer(200, close=close)
@@ -89,15 +91,20 @@
 
     def __init__(self, record: Record, endpoints: list[Endpoint]):
         self.record, self.endpoints, self.index = record, endpoints, 1
+        self.silent = False  # while discovery is down the agent is silent; notices are answered all the same
         self.changed = asyncio.Condition()
         self.server = Server(self.serve)
 
     def listing(self) -> dict:
         return {"index": self.index, "snapshot": True, "endpoints": [e.row() for e in self.endpoints]}
 
-    async def change(self) -> None:
+    async def change(self, *endpoints: Endpoint) -> None:
+        """Put these in the list, which is told to all who watch."""
+        self.endpoints = list(endpoints)
         async with self.changed:
             self.index += 1
+            rows = ",".join(f"{e.name}@{e.port}:{e.destination}:{e.status}" for e in endpoints)
+            self.record.add("list", index=self.index, rows=rows)
             self.changed.notify_all()
 
     async def serve(self, head, body):
@@ -111,12 +118,16 @@
             return answer(204, close=close)
         if method != "GET" or path != "/catalog/members":
             return answer(404, close=close)
+        while self.silent:
+            await asyncio.sleep(0.05)
         asked = dict(pair.split("=") for pair in query.split("&") if pair)
         if "from" in asked and int(asked["from"]) >= self.index:
             hold = min(60.0, float(asked.get("hold_ms", "0")) / 1000.0)
             with suppress(TimeoutError):
                 async with asyncio.timeout(hold), self.changed:
                     await self.changed.wait_for(lambda: self.index > int(asked["from"]))
+            while self.silent:
+                await asyncio.sleep(0.05)
             if self.index <= int(asked["from"]):
                 empty = {"index": self.index, "snapshot": False, "endpoints": []}
                 return answer(200, json.dumps(empty).encode(), close)
