--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,9 +9,12 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 
-from world import CannotRun, Endpoint, Platform, Record, Relay, free_port, hand_in, play, settings
+from base import CannotRun, Record, free_port
+from places import Endpoint, Platform
+from world import Relay, hand_in, play, settings
 
 TTL_S, DOWN_S, STOP_S = 16.0, 8.0, 3.7
+TOLD_S = 2.5  # behind the new process's yes; the page's 2 s, and some more
 MODE = os.environ.get("MODE", "upgrade")  # or kill: SIGKILL and a start with the same configuration
 
 
@@ -64,13 +67,19 @@
         await b2.up()
         await platform.change(a2, a3, b1, b2)
         await asyncio.sleep(6.0)
+        sending.cancel()
+        await asyncio.sleep(0.5)
         if any(facts["dest"] != facts["of"] for _, facts in record.of("call")):
             raise CannotRun("a message went astray before the disruption")
         platform.silent = trouble
         record.add("discovery", silent=platform.silent)
+        back_at = asyncio.get_running_loop().time() + DOWN_S
         await asyncio.sleep(1.0)
         relays.append(await upgrade(record, folder, platform, relays[0]))
-        await asyncio.sleep(max(0.0, DOWN_S - 1.0 - STOP_S))
+        yes_at = record.of("relay ready")[-1][0]
+        await asyncio.sleep(max(0.0, yes_at + TOLD_S - record.now()))
+        sending = asyncio.ensure_future(clients(record, relays[1]))
+        await asyncio.sleep(max(0.0, back_at - asyncio.get_running_loop().time()))
         platform.silent = False
         record.add("discovery", silent=False)
         await asyncio.sleep(3.0)
--- a/review/standins/http1.py
+++ b/review/standins/http1.py
@@ -62,7 +62,9 @@
     A request that asks for the close gets an answer that announces it, as RFC 9112 has it: `serve` is told.
     """
 
-    def __init__(self, serve):
+    def __init__(self, serve, written=lambda head, reply: None):
+        """written: called once an answer is written to a connection that is still open."""
+        self.written = written
         self.serve, self.listener, self.address, self.writers = serve, None, "", {}
 
     async def open(self, port: int = 0) -> str:
@@ -87,7 +89,10 @@
                 reply = await self.serve(head, body)
                 if reply is None:
                     continue
+                if writer.transport.is_closing() or reader.at_eof():  # the other side has given it up
+                    break
                 writer.write(reply)
+                self.written(head, reply)
                 if b"\r\nConnection: close\r\n" in reply:
                     break
         except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
