A start while the registry is silent goes by the newest list, not by the configuration's

Cause: nothing carried the list over from one process to the next. A start went by `known` of the configuration, the list of the first start, until the registry answered; what every process before had been told since was forgotten, over an upgrade and over a kill alike.

Why this works: each version is written to the folder's file `list` before anything is decided by it, handed to a successor with the learnt state, and sent to the other process of an upgrade while both live. A start takes the newest: the predecessor's, the folder's, or the configuration's where that was written since and has a higher version of the same registry. A version counts only beside the address it came from and how often that has begun again. Where neither is provably newer, or an older build hands on its routes but no list, disputed endpoints get nothing until the registry tells the whole list. The age of the list is handed on too: where relays ask for the list, a new process took an outage to begin at its own start.

Event list.initial and figures lb_list_* tell by which list a relay goes.

--- a/ryestack/lifecycle/admin.py
+++ b/ryestack/lifecycle/admin.py
@@ -38,6 +38,8 @@
         }
         if parts.control:
             values |= parts.control.figures()
+        if parts.keeper:
+            values |= {**parts.directory.figures(), "list_unsaved": int(parts.keeper.unsaved)}
         topics = [topic.name for topic in owner.settings.topic_types]
         return 200, figures.CONTENT_TYPE, figures.render(owner.ended, topics, values, self.labelled_counts())
 
--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -2,17 +2,21 @@
 
 from dataclasses import dataclass
 
+from ..membership.list_versions import ListChange
 from ..ports import Directory, Dispatcher, Listener, NoticeSink
-from ..store import remembered
+from ..store import list_file, remembered
 from ..store.journal import Journal
 from ..store.ledger import Ledger
+from ..store.timeline import read_clock
 from ..wire.calls import CallDispatcher
 from ..wire.files import FileNotices
+from ..wire.fixed_directory import FixedDirectory
 from ..wire.notices import PlatformNotices
 from ..wire.platform import PlatformClient
-from ..wire.registry_watch import FixedDirectory, RegistryDirectory
+from ..wire.registry_directory import RegistryDirectory
 from ..wire.server import ClientListener
 from .config import Config
+from .list_keeper import ListKeeper
 from .owner import Owner
 from .terms import Terms
 
@@ -21,13 +25,13 @@
 CLIENT_SOCKET_SHARE = 0.28
 SCOPE_DISK_DIVISOR = 8  # this part of the folder's bytes is for the scope from the control machines
 MIN_CONNECTIONS = 8  # per side, however few descriptors there are
-DIRECTORIES = {"catalog": RegistryDirectory, "fixed": FixedDirectory}
 
 
 @dataclass(slots=True)
 class Parts:
     """The components of one relay. peering: None unless the operator file has peers; control: the directory
-    if the operator file names control machines, else None."""
+    if the operator file names control machines, else None; keeper: of the registry's list, None if none is
+    followed."""
 
     ledger: Ledger
     owner: Owner
@@ -39,6 +43,7 @@
     terms: Terms
     peering: object = None
     control: object = None
+    keeper: ListKeeper | None = None
 
 
 def assemble(config: Config, clock, wall: float) -> Parts:
@@ -47,18 +52,23 @@
     settings, operator = config.settings, config.operator
     scoped = bool(operator.control.cluster)
     scope_bytes = config.disk // SCOPE_DISK_DIVISOR if scoped else 0
-    journal_bytes = max(config.disk // 2, config.disk - remembered.MAX_TOTAL_BYTES - scope_bytes)
+    kept_bytes = remembered.MAX_TOTAL_BYTES + list_file.MAX_TOTAL_BYTES + scope_bytes
+    journal_bytes = max(config.disk // 2, config.disk - kept_bytes)
     ledger = Ledger(Journal(config.state, journal_bytes))
     owner = Owner(settings, config.seed, ledger, clock, wall)
     platform = PlatformClient(config.discovery)
+    keeper = None
     if scoped:
         from .scope.directory import ScopeDirectory  # imported only where it is used: most relays have none
 
         directory = ScopeDirectory(
             operator.control, config.name, owner, config.state, scope_bytes, config.seed
         )
+    elif operator.directory.source == "fixed":
+        directory = FixedDirectory(platform, config.known)
+        ListKeeper(config.state, "").discard()
     else:
-        directory = DIRECTORIES[operator.directory.source](platform, config.known)
+        directory, keeper = _followed_directory(config, platform, owner)
     owner.directory = directory
     max_clients = max(MIN_CONNECTIONS, int(config.sockets * CLIENT_SOCKET_SHARE))
     max_endpoint_connections = max(MIN_CONNECTIONS, config.sockets - max_clients - RESERVED_SOCKETS)
@@ -91,4 +101,21 @@
         terms,
         peering,
         control,
+        keeper,
     )
+
+
+def _followed_directory(
+    config: Config, platform: PlatformClient, owner: Owner
+) -> tuple[RegistryDirectory, ListKeeper]:
+    """The directory that follows the registry, and what keeps its list for other processes of this relay."""
+    keeper = ListKeeper(config.state, read_clock().boot)
+
+    def list_changed(change: ListChange) -> None:
+        fields = change.as_fields()
+        keeper.save(fields)
+        owner.notify_siblings("list", fields)
+
+    directory = RegistryDirectory(platform, config.known, keeper.load(), list_changed)
+    keeper.export = directory.export
+    return directory, keeper
--- a/ryestack/lifecycle/learned_state.py
+++ b/ryestack/lifecycle/learned_state.py
@@ -12,6 +12,7 @@
 from ..brain.rate_limiter import RateLimiter
 from ..brain.routes import Destination, Route
 
+LIST = "list"  # key of the endpoint list beside the exported state, for a successor; older builds ignore it
 # Class -> stored key -> attribute.
 KEPT = {
     Route: {
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -38,6 +38,8 @@
         self.channel_listener = ChannelListener(config.state, self.successor_connected)
         self.parts = assemble(config, self.clock, wall)
         self.ledger, self.owner = self.parts.ledger, self.parts.owner
+        if self.parts.keeper:
+            self.parts.keeper.alone = lambda: self.succession.successor == "none"
         if self.parts.control:
             self.parts.control.bind(self.read_control_settings, self.take_control_settings)
         self.tasks, self.stop_requested, self.stop_at = [], asyncio.Event(), 0.0
@@ -182,6 +184,8 @@
         for part in (self.parts.peering, self.parts.control):
             if part:
                 await part.close()
+        if self.parts.keeper:
+            self.parts.keeper.close()
         self.ledger.journal.close()
 
     async def reread_on_signal(self) -> None:
@@ -208,6 +212,7 @@
         if self.parts.platform.move(reread.discovery):
             event("platform.moved", address=reread.discovery)
         self.take_settings(settings)
+        self.parts.directory.supersede(reread.known)
         self.config = replace(self.config, discovery=reread.discovery, document=reread.document)
         fixed = {field.name for field in fields(Config)} - {"known", "seed", "settings"}
         if later := sorted(name for name in fixed if getattr(reread, name) != getattr(self.config, name)):
--- a/ryestack/lifecycle/scope/directory.py
+++ b/ryestack/lifecycle/scope/directory.py
@@ -69,8 +69,8 @@
             if entry.key == SETTINGS_KEY and self._check([entry]) is None:
                 self._change_settings(entry)
 
-    def initial_list(self) -> interface.ListUpdate:
-        """The saved scope, including destinations that had left it."""
+    def initial_list(self, handed: dict | None = None, learnt: dict | None = None) -> interface.ListUpdate:
+        """The saved scope, including destinations that had left it. It is read from the folder only."""
         if self.saved is None:
             return interface.ListUpdate(whole=True)
         kept = [entry for entry in self.saved.kept.entries if _is_usable(entry)]
@@ -105,6 +105,16 @@
             if self.owner.clock() > self._saved_at + SAVE_INTERVAL_S:
                 self._save()
 
+    def export(self) -> None:
+        """Nothing: the scope is handed on in the folder."""
+
+    def take_change(self, fields: dict) -> list[interface.ListUpdate]:
+        """Nothing: each process follows the machines."""
+        return []
+
+    def supersede(self, known: dict) -> None:
+        """Nothing: the list of the configuration is not used."""
+
     def refresh(self) -> None:
         """Nothing to do: the machines are followed all the time."""
 
--- a/ryestack/lifecycle/starting.py
+++ b/ryestack/lifecycle/starting.py
@@ -4,6 +4,7 @@
 
 from ..observe.log import event
 from ..store.files import AllFilesLocked
+from . import learned_state
 from .upgrade.channel import ANSWER_TIMEOUT_S
 
 FOLDER_RETRY_S = 0.1  # between attempts to open a folder that fails
@@ -31,7 +32,11 @@
                 self.owner.handle_message(self.channel, ["began", endpoint, items])
         except (TypeError, ValueError, KeyError) as problem:
             event("line.broken", why=f"the calls that it has out make no sense: {problem!r}")
-        known = [self.parts.directory.initial_list(), *await self.parts.directory.fetch_initial()]
+        handed = learnt.get(learned_state.LIST) if self.channel and isinstance(learnt, dict) else None
+        initial = self.parts.directory.initial_list(handed, learnt)
+        if self.parts.keeper:
+            self.parts.keeper.save_initial(self.succession.predecessor != "none")
+        known = [initial, *await self.parts.directory.fetch_initial()]
         self.owner.recover(known, learnt, beside, failed)
 
     async def open_ledger(self) -> None:
--- a/ryestack/lifecycle/upgrade/handover.py
+++ b/ryestack/lifecycle/upgrade/handover.py
@@ -54,13 +54,15 @@
         relation("gone")
         event("kin.gone")
         self.share()
+        if self.parts.keeper:  # both have written to the file: one version may hide behind a replacement
+            self.parts.keeper.save_whole()
         self.adoption_requested.set()
 
     async def exchange_messages(self, channel: Channel, relation) -> None:
         """Send our state and events to the other process, and handle its messages, until it is gone."""
         if channel.writer is None:
             await channel.open()
-            channel.send("learnt", learned_state.export(self.owner.brain), self.owner.calls_in_flight())
+            channel.send("learnt", self.exported_state(), self.owner.calls_in_flight())
             for turn in self.owner.brain.key_claims():
                 channel.send("turn", *turn)
         self.owner.siblings.append(channel)
@@ -79,6 +81,11 @@
                 for other in self.channels - {channel}:
                     other.send(*message)
 
+    def exported_state(self) -> dict:
+        """The learnt state for a successor, with the endpoint list that it was learnt under."""
+        learnt, known = learned_state.export(self.owner.brain), self.owner.directory.export()
+        return {**learnt, learned_state.LIST: known} if known else learnt
+
     async def adopt_regularly(self) -> None:
         """While other processes have journal files here, adopt those of processes that are gone."""
         while True:
--- a/ryestack/lifecycle/upgrade/siblings.py
+++ b/ryestack/lifecycle/upgrade/siblings.py
@@ -100,6 +100,10 @@
         """An endpoint gave a sibling a retry delay."""
         self.put([RemoteEvent(interface.WaitRequested(str(endpoint), float(seconds)))])
 
+    def on_list(self, channel, fields, *_) -> None:
+        """A sibling was told a version of the endpoint list: it holds for the whole relay."""
+        self.put(self.directory.take_change(fields))
+
     def on_holds(self, channel, count, *_) -> None:
         """The number of a sibling's open notifications."""
         self.held_by_sibling[channel] = int(count)
@@ -110,6 +114,7 @@
         "turn": on_turn,
         "wait": on_wait,
         "holds": on_holds,
+        "list": on_list,
     }
 
     def calls_in_flight(self) -> list:
--- a/ryestack/membership/following.py
+++ b/ryestack/membership/following.py
@@ -14,7 +14,8 @@
 GRACE_S = 1.0  # for an answer beyond that: this relay's own delays, a busy registry
 
 # (state, event) -> next state. A list at another address is another list: it is requested whole. So is a list
-# after an answer with an older version than the one in force, which may be a late or repeated answer.
+# after an answer with an older version than the one in force, which may be a late or repeated answer, and at
+# a start that cannot tell which of two lists is the newer.
 TRANSITIONS = {
     ("unsure", "told"): "following",
     ("doubtful", "told"): "following",
--- a/ryestack/observe/figures.py
+++ b/ryestack/observe/figures.py
@@ -37,6 +37,14 @@
     ("control_age_seconds", "gauge", "since a control machine last said that it is the newest"),
     ("control_rejected", "gauge", "1 while a newer version cannot be used"),
 )
+LIST_FIGURES = (  # of relays that follow a registry
+    ("list_version", "gauge", "version of the endpoint list in force, as its registry numbers it"),
+    ("list_checksum", "gauge", "the same at relays with the same endpoints, addresses and statuses"),
+    ("list_age_seconds", "gauge", "since the registry last confirmed it"),
+    ("list_told", "gauge", "1 once the registry has told it to this process, 0 while a kept one is used"),
+    ("list_withheld_endpoints", "gauge", "endpoints that get nothing until the registry has told the list"),
+    ("list_unsaved", "gauge", "1 while the folder lacks the list in force"),
+)
 
 
 def render(
@@ -48,7 +56,8 @@
     """All metrics as text.
 
     handled: counts by (topic type, outcome); categories: topic types to list even without notifications;
-    values: by name, for FIGURES and CONTROL_FIGURES; labelled: counts by label, for the names in LABELLED.
+    values: by name, for FIGURES, CONTROL_FIGURES and LIST_FIGURES; labelled: counts by label, for the
+    names in LABELLED.
     """
     lines = _head("handled_total", "counter", "messages ended: delivered; refused or handed back; failed")
     for category in sorted({*categories, *(topic for topic, _ in handled)}):
@@ -56,7 +65,8 @@
             labels = f'category="{_escaped(category)}",outcome="{label}"'
             lines.append(f"{PREFIX}handled_total{{{labels}}} {handled[category, outcome]}")
     scoped = CONTROL_FIGURES if "control_version" in values else ()
-    for name, kind, meaning in (*FIGURES, *scoped):
+    followed = LIST_FIGURES if "list_version" in values else ()
+    for name, kind, meaning in (*FIGURES, *scoped, *followed):
         lines += [*_head(name, kind, meaning), f"{PREFIX}{name} {values[name]}"]
     for name, label, meaning in LABELLED if labelled is not None else ():
         lines += _head(name, "counter", meaning)
--- a/ryestack/observe/registry.py
+++ b/ryestack/observe/registry.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from . import registry_control, registry_faults, registry_machine
+from . import registry_control, registry_faults, registry_list, registry_machine
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,15 +93,7 @@
         "invalid records, or a torn record at the end of the journal, were dropped at the start",
         "nothing after a kill: the client of a torn record got no answer; without a kill, check the disk",
     ),
-    (
-        "list.blocked",
-        "WARNING",
-        "why",
-        "the registry does not answer; the old endpoint list stays in force",
-        "check the registry; drains are noticed late meanwhile",
-        "*",
-    ),
-    ("list.changed", "INFO", "version entries whole", "the registry reported a change", "nothing", "*"),
+    *registry_list.LIST_ROWS,
     ("heir.serves", "INFO", "", "the successor process serves clients; a stop now hands them over"),
     ("kin.gone", "INFO", "", "the other process of this relay has ended; what it still owed is taken over"),
     ("line.broken", "WARNING", "why", "the connection to the other process of an upgrade broke", "its log"),
@@ -112,15 +104,6 @@
         "the socket for upgrades could not be opened: one would use the journal lock and a shared port only",
         "check the state folder's file system",
     ),
-    ("list.flowing", "INFO", "", "the registry answers again"),
-    (
-        "list.row_bad",
-        "WARNING",
-        "version why",
-        "an entry of the endpoint list is invalid and was skipped; the others are in force",
-        "correct the registry's data",
-        "*",
-    ),
     (
         "log.repeated",
         "INFO",
--- a/ryestack/observe/registry_faults.py
+++ b/ryestack/observe/registry_faults.py
@@ -9,14 +9,6 @@
         "check the machine's file descriptors and memory if it continues",
         "why",
     ),
-    (
-        "list.older",
-        "WARNING",
-        "version in_force",
-        "the registry answered with an older version than that in force; the whole list is requested again",
-        "nothing after one; repeated: registries that do not agree, or a network that repeats answers",
-        "*",
-    ),
     (
         "loop.error",
         "ERROR",
--- /dev/null
+++ b/ryestack/observe/registry_list.py
@@ -0,0 +1,48 @@
+"""Rows of the event registry for the endpoint list: where it comes from, and how it is followed."""
+
+LIST_ROWS = (
+    (
+        "list.blocked",
+        "WARNING",
+        "why",
+        "the registry does not answer; the old endpoint list stays in force",
+        "check the registry; drains are noticed late meanwhile",
+        "*",
+    ),
+    (
+        "list.initial",
+        "INFO",
+        "source version registry age endpoints withheld",
+        "the endpoint list that the start goes by until the registry answers: where it comes from, its "
+        "version and registry, seconds since that last confirmed it; `withheld`: endpoints that get nothing "
+        "until then",
+        "with the registry silent and many withheld: bring the registry back",
+    ),
+    (
+        "list.unsaved",
+        "WARNING",
+        "why",
+        "the endpoint list cannot be saved, or a saved one cannot be read: a start while the registry is "
+        "silent would go by an older list",
+        "free space in the state folder; do not restart the relay while the registry is down",
+        "*",
+    ),
+    ("list.changed", "INFO", "version entries whole", "the registry reported a change", "nothing", "*"),
+    ("list.flowing", "INFO", "", "the registry answers again"),
+    (
+        "list.row_bad",
+        "WARNING",
+        "version why",
+        "an entry of the endpoint list is invalid and was skipped; the others are in force",
+        "correct the registry's data",
+        "*",
+    ),
+    (
+        "list.older",
+        "WARNING",
+        "version in_force",
+        "the registry answered with an older version than that in force; the whole list is requested again",
+        "nothing after one; repeated: registries that do not agree, or a network that repeats answers",
+        "*",
+    ),
+)
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -183,8 +183,12 @@
 class Directory(Protocol):
     """Follows the list of endpoints."""
 
-    def initial_list(self) -> interface.ListUpdate:
-        """The list that is known before anything is requested."""
+    def initial_list(self, handed: dict | None = None, learnt: dict | None = None) -> interface.ListUpdate:
+        """The list that is known before anything is requested.
+
+        handed: `export` of the process that this one replaces, as plain values; learnt: the learnt state of
+        the process before.
+        """
 
     async def fetch_initial(self) -> list[interface.ListUpdate]:
         """The updates available at once, before anything is pushed; empty if an answer takes too long."""
@@ -195,6 +199,19 @@
         Failures are published too, and leave the last list in force.
         """
 
+    def export(self) -> dict | None:
+        """The list in force as plain values, for the process that replaces this one; None if it cannot be
+        handed on."""
+
+    def take_change(self, fields: dict) -> list[interface.ListUpdate]:
+        """Take a change that another process of this relay was told, as plain values.
+
+        Raises TypeError, ValueError or KeyError if it is invalid.
+        """
+
+    def supersede(self, known: dict) -> None:
+        """A configuration with that list was read again, and the list in force stays."""
+
     def refresh(self) -> None:
         """Request the list now: the decision module asks for it after a failure."""
 
--- /dev/null
+++ b/ryestack/store/list_file.py
@@ -0,0 +1,96 @@
+"""The endpoint list in a relay's folder, for the next process: a file of framed records, the oldest first.
+
+The first record holds a whole list, each later one what has changed since, or another whole list. Changes
+are appended; once they take too much room, the file is written anew and put in place by a rename. During an
+upgrade both processes append, each record in one write; the file is opened for each, as the other process
+may have replaced it.
+"""
+
+import json
+import os
+import zlib
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+from .files import replacement_path
+from .journal import BLOCK_BYTES, decode_frames, encode_frame
+
+NAME = "list"
+MAX_FILE_BYTES = 96 * 1024  # holds some four thousand endpoints, compressed
+MAX_TOTAL_BYTES = 2 * MAX_FILE_BYTES  # with the replacement beside the file
+MIN_REWRITE_BYTES, REWRITE_FACTOR = 16 * 1024, 4  # a file of that many bytes, and times the whole list's
+COMPRESSION_LEVEL = 1  # the fastest: a relay's only thread compresses
+
+
+class ListTooLarge(OSError):
+    """The whole list takes more than its part of the folder."""
+
+
+@dataclass(frozen=True, slots=True)
+class SavedRecords:
+    """What the file holds: its records as plain values, and whether all of it could be read."""
+
+    records: list[dict]
+    complete: bool
+
+
+class ListFile:
+    """The file of one folder. The methods that write raise OSError, and may leave an incomplete record."""
+
+    def __init__(self, folder: str, max_bytes: int = MAX_FILE_BYTES):
+        self.path, self.max_bytes = Path(folder) / NAME, max_bytes
+        self.rewrite_at = MIN_REWRITE_BYTES
+
+    def load(self) -> SavedRecords:
+        """The records up to the first one that cannot be read."""
+        try:
+            data = self.path.read_bytes()
+        except FileNotFoundError:
+            return SavedRecords([], True)
+        except OSError:
+            return SavedRecords([], False)
+        payloads, size = decode_frames(data)
+        records = []
+        try:
+            for payload in payloads:
+                records.append(json.loads(zlib.decompress(payload)))
+        except (zlib.error, ValueError, RecursionError):
+            return SavedRecords(records, False)
+        return SavedRecords(records, size == len(data))
+
+    def remove(self) -> None:
+        """Remove the file, if there is one."""
+        with suppress(OSError):
+            self.path.unlink(missing_ok=True)
+
+    def append(self, record: dict) -> int:
+        """Append a record; returns the size of the file."""
+        data = _encode(record)
+        with open(self.path, "ab", buffering=0) as file:
+            size = os.fstat(file.fileno()).st_size + len(data)
+            if size > self.max_bytes:
+                raise ListTooLarge(f"{self.path.name} would have {size} bytes, {self.max_bytes} at most")
+            if file.write(data) != len(data):
+                raise OSError(f"short write to {self.path.name}")
+        return size
+
+    def rewrite(self, record: dict) -> None:
+        """Replace all records by that one; the old file stays until the new one is complete."""
+        data, replacement = _encode(record), replacement_path(self.path)
+        if len(data) + BLOCK_BYTES > self.max_bytes:
+            raise ListTooLarge(f"the list takes {len(data)} bytes, {self.max_bytes - BLOCK_BYTES} at most")
+        try:
+            if replacement.write_bytes(data) != len(data):
+                raise OSError(f"short write to {replacement.name}")
+            os.replace(replacement, self.path)
+        except OSError:
+            with suppress(OSError):
+                replacement.unlink(missing_ok=True)
+            raise
+        self.rewrite_at = min(self.max_bytes, max(MIN_REWRITE_BYTES, REWRITE_FACTOR * len(data)))
+
+
+def _encode(record: dict) -> bytes:
+    text = json.dumps(record, separators=(",", ":")).encode()
+    return encode_frame(zlib.compress(text, COMPRESSION_LEVEL))
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -82,6 +82,11 @@
         self.endpoint_counts: Counter[int] = Counter()
         self.emptied_at: dict[int, float] = {}
 
+    def clear(self) -> None:
+        """Forget all rows, before another list takes their place at a start."""
+        self.index, self.rows, self.removed = 0, {}, set()
+        self.endpoint_counts.clear()
+
     def apply_list(self, message: dict) -> interface.ListUpdate:
         """Put the registry's list, or a change to it, in force; raises BadList.
 
--- a/ryestack/wire/registry_watch.py
+++ b/ryestack/wire/registry_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from contextlib import suppress
 
 import aiohttp
@@ -13,53 +14,10 @@
 from .platform import PlatformClient
 
 MIN_REQUEST_INTERVAL_S = 0.1  # where answers or failures come at once; a watch continues within 200 ms
-INITIAL_FETCH_TIMEOUT_S = 0.3  # at a start: an agent on the same machine answers at once, or is down
 REQUEST_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError, BadList)
 
-
-class RegistryDirectory:
-    """A Directory that follows the list of the platform's registry. known: the list of the configuration."""
-
-    def __init__(self, platform: PlatformClient, known: dict):
-        self.platform, self.members = platform, Members()
-        self.initial_update = self.members.apply_list(known)
-
-    def initial_list(self) -> interface.ListUpdate:
-        return self.initial_update
-
-    async def fetch_initial(self) -> list[interface.ListUpdate]:
-        """The registry's current list, if it answers at once: it is in force before the first push."""
-        try:
-            query = {"from": str(self.members.index), "hold_ms": "0"}
-            status, body = await self.platform.request(
-                "GET", "/catalog/members", INITIAL_FETCH_TIMEOUT_S, params=query
-            )
-            message = json.loads(body)
-            version, _ = read_version(message)
-            if status != 200 or version < self.members.index:  # the watch asks again before it believes that
-                return []
-            return [self.members.apply_list(message)]
-        except REQUEST_ERRORS:
-            return []
-
-    async def run(self, publish) -> None:
-        await watch(self.platform, self.members, lambda update: publish([update]))
-
-    def refresh(self) -> None:
-        self.platform.refresh_requested.set()
-
-
-class FixedDirectory(RegistryDirectory):
-    """A Directory with the list of the configuration, which never changes: nothing is requested."""
-
-    async def fetch_initial(self) -> list[interface.ListUpdate]:
-        return []
-
-    def refresh(self) -> None:
-        pass
-
-    async def run(self, publish) -> None:
-        await asyncio.Event().wait()
+TakeAnswer = Callable[[dict, float, str], interface.ListUpdate]
+"""Puts an answer in force: the message, when it was requested, the registry's address. Raises BadList."""
 
 
 async def watch(platform: PlatformClient, members: Members, publish) -> None:
@@ -74,12 +32,25 @@
     decided elsewhere (`platform.refresh_requested`): relays that all ask an overloaded registry ten times a
     second keep it overloaded. At a new address the watch starts with the whole list: versions there need not
     continue the old ones.
+
+    take_answer: puts an answer in force; address: where the list in force comes from; state: of the watch at
+    its start.
     """
 
-    def __init__(self, platform: PlatformClient, members: Members, publish):
+    def __init__(
+        self,
+        platform: PlatformClient,
+        members: Members,
+        publish,
+        take_answer: TakeAnswer | None = None,
+        address: str = "",
+        state: WatchState | None = None,
+    ):
         self.platform, self.members, self.publish = platform, members, publish
+        self.take_answer = take_answer or (lambda message, *_: members.apply_list(message))
         self.clock = asyncio.get_running_loop().time
-        self.address, self.healthy, self.state = platform.address, True, WatchState(self.clock())
+        self.address, self.healthy = address or platform.address, True
+        self.state = state or WatchState(self.clock())
 
     async def run(self) -> None:
         while True:
@@ -108,7 +79,7 @@
         version, whole = read_version(message)
         if not self.state.believes(version, whole, self.members.index):
             return self.doubt(version)
-        update = self.members.apply_list(message)
+        update = self.take_answer(message, requested_at, self.address)
         if update.endpoints or update.whole or not self.healthy:
             details = {"entries": len(update.endpoints), "whole": update.whole}
             event("list.changed", version=self.members.index, **details)
--- /dev/null
+++ b/tests/list_processes.py
@@ -0,0 +1,115 @@
+"""Directories of processes that follow each other in one folder, and a stand-in for their registry."""
+
+import asyncio
+import functools
+import json
+
+from ryestack.interface import EndpointStatus
+from ryestack.lifecycle.list_keeper import ListKeeper
+from ryestack.wire.platform import PlatformClient
+from ryestack.wire.registry_directory import RegistryDirectory
+
+from .helpers import http, stand_in
+
+A, B = "127.0.0.1:1", "127.0.0.1:2"
+
+
+def in_loop(test):
+    """The test function of a coroutine function."""
+
+    @functools.wraps(test)
+    def run(**arguments):
+        asyncio.run(test(**arguments))
+
+    return run
+
+
+def row(name, port=1, group=7, status="up"):
+    return {
+        "name": name, "address": f"127.0.0.1:{port}", "zone": "z", "type": "shared", "group": group,
+        "status": status, "weight": 50.0,
+    }
+
+
+def whole(index, *rows):
+    return {"index": index, "snapshot": True, "endpoints": list(rows)}
+
+
+def changed(index, *rows):
+    return {"index": index, "snapshot": False, "endpoints": list(rows)}
+
+
+class Registry:
+    """A stand-in that answers the list as it is, or nothing while it is silent."""
+
+    def __init__(self):
+        self.message, self.silent, self.queries = whole(1), False, []
+
+    async def start(self):
+        self.server, self.address = await stand_in(self.answer)
+        return self
+
+    def answer(self, head, _):
+        self.queries.append(head.split(b" ")[1].decode())
+        return b"" if self.silent else http(200, json.dumps(self.message).encode())
+
+
+class Kept:
+    """Directories of processes that follow each other in one folder."""
+
+    def __init__(self, folder):
+        self.folder, self.registry, self.boot = str(folder), Registry(), "boot"
+
+    async def __aenter__(self):
+        await self.registry.start()
+        return self
+
+    async def __aexit__(self, *_):
+        self.registry.server.close()
+
+    def process(self, known, address=None):
+        """A directory at its start, with its keeper."""
+        keeper = ListKeeper(self.folder, self.boot)
+        platform = PlatformClient(address or self.registry.address)
+        saved = keeper.load()
+        directory = RegistryDirectory(platform, known, saved, lambda c: keeper.save(c.as_fields()))
+        keeper.export = directory.export
+        return directory, keeper
+
+    async def started(self, known, handed=None, learnt=None, address=None):
+        """The directory of a new process, and the updates that its start goes by."""
+        directory, keeper = self.process(known, address)
+        updates = [directory.initial_list(handed, learnt)]
+        keeper.save_initial(beside=handed is not None)
+        updates += await directory.fetch_initial()
+        await directory.platform.close()
+        return directory, updates
+
+
+def ready(directory, updates):
+    """The endpoints that get something new after these updates: name to address and destination."""
+    states = {}
+    for update in updates:
+        states = {} if update.whole else states
+        states |= {each.id: each.status for each in update.endpoints}
+    up = [name for name, status in states.items() if status is EndpointStatus.READY]
+    rows = directory.members.rows
+    return {name: (rows[name]["address"], rows[name]["group"]) for name in up}
+
+
+async def followed(kept, known, *messages):
+    """A process that is told these answers."""
+    kept.registry.silent = False
+    directory, _ = await kept.started(known)
+    for message in messages:
+        directory.take_answer(message, directory.clock(), directory.platform.address)
+    return directory
+
+
+KNOWN = whole(1, row("a1", 1, 7), row("b1", 2, 8))
+REPLACED = (  # a1 drains, goes, and its address is given to an endpoint of another destination
+    changed(2, row("a1", 1, 7, "draining"), row("a2", 3, 7)),
+    changed(3, row("a1", 1, 7, "removed")),
+    changed(4, row("b2", 1, 8)),
+)
+IN_FORCE = {"a2": ("127.0.0.1:3", 7), "b1": ("127.0.0.1:2", 8), "b2": ("127.0.0.1:1", 8)}
--- a/tests/test_first_word.py
+++ b/tests/test_first_word.py
@@ -10,7 +10,7 @@
 from ryestack.lifecycle.relay import Relay
 from ryestack.membership import following
 from ryestack.store.owed import Owed
-from ryestack.wire import registry_watch
+from ryestack.wire import registry_directory
 from ryestack.wire.platform import PlatformClient
 from ryestack.wire.registry_watch import watch
 
@@ -45,7 +45,7 @@
         for answer in (lambda *_: b"", lambda *_: http(500), lambda *_: http(200, b"[[")):
             started, elapsed = await self.recovered(answer)
             self.assertEqual(started, ["n"])
-            self.assertLess(elapsed, registry_watch.INITIAL_FETCH_TIMEOUT_S + 0.3)
+            self.assertLess(elapsed, registry_directory.INITIAL_FETCH_TIMEOUT_S + 0.3)
             self.tearDown()
             self.setUp()
 
--- /dev/null
+++ b/tests/test_list_file.py
@@ -0,0 +1,118 @@
+"""The file that keeps the endpoint list: damage, a failing folder, its size, and any order of versions."""
+
+import asyncio
+import os
+import tempfile
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ryestack.lifecycle.list_keeper import ListKeeper
+from ryestack.store.list_file import MAX_FILE_BYTES, ListFile
+
+from .list_processes import KNOWN, REPLACED, A, Kept, changed, followed, in_loop, ready, row, whole
+
+
+@pytest.mark.parametrize("damage", ["torn", "flipped", "empty", "nonsense"])
+@in_loop
+async def test_damaged_file_gives_the_versions_before_the_damage_and_is_written_anew(tmp_path, damage):
+    async with Kept(tmp_path) as kept:
+        kept.registry.message = KNOWN
+        await followed(kept, KNOWN, *REPLACED[:2])
+        kept.registry.silent = True
+        path = tmp_path / "list"
+        data = path.read_bytes()
+        damaged = {
+            "torn": data[:-3],
+            "flipped": data[:-3] + bytes([data[-3] ^ 1]) + data[-2:],
+            "empty": b"",
+            "nonsense": os.urandom(50),
+        }
+        path.write_bytes(damaged[damage])
+        directory, updates = await kept.started(KNOWN)
+        expected = {"a2", "b1"} if damage in ("torn", "flipped") else {"a1", "b1"}
+        assert set(ready(directory, updates)) == expected
+        keeper = ListKeeper(kept.folder, kept.boot)
+        assert keeper.load() is not None and not keeper.needs_rewrite
+
+
+@in_loop
+async def test_version_that_could_not_be_saved_is_saved_once_the_folder_can_be_written(tmp_path):
+    folder = tmp_path / "state"
+    async with Kept(folder) as kept:
+        kept.registry.message = KNOWN
+        directory, keeper = kept.process(KNOWN)
+        directory.initial_list()
+        directory.take_answer(REPLACED[0], directory.clock(), directory.platform.address)
+        assert keeper.unsaved
+        folder.mkdir()
+        async with asyncio.timeout(3.0):
+            while keeper.unsaved:
+                await asyncio.sleep(0.02)
+        await directory.platform.close()
+        assert keeper.load().rows["a1"]["status"] == "draining"
+
+
+@in_loop
+async def test_file_of_3200_endpoints_fits_its_part_and_a_change_costs_its_own_bytes(tmp_path):
+    # Sixteen times the endpoints of a usual site; unlike names and addresses compress badly.
+    rows = [row(f"s-{n * 2654435761 % 2**32:08x}", n * 7919 % 60_000, n // 4) for n in range(3200)]
+    async with Kept(tmp_path) as kept:
+        directory, keeper = kept.process(whole(1, *rows))
+        directory.initial_list()
+        keeper.save_initial(beside=False)
+        path, sizes = tmp_path / "list", []
+        for version in range(2, 400):
+            message = changed(version, {**rows[version], "status": "draining"})
+            directory.take_answer(message, directory.clock(), directory.platform.address)
+            sizes.append(path.stat().st_size)
+        growth = [after - before for before, after in zip(sizes, sizes[1:], strict=False) if after > before]
+        assert max(sizes) <= MAX_FILE_BYTES and not keeper.unsaved
+        assert max(growth) < 400 and len(growth) > 380
+        loaded = ListKeeper(kept.folder, kept.boot).load()
+        assert loaded.rows == {r["name"]: r for r in directory.current().rows} and loaded.version == 399
+        await directory.platform.close()
+
+
+def test_list_that_does_not_fit_leaves_the_file_as_it_was(tmp_path):
+    file = ListFile(str(tmp_path), max_bytes=2048)
+    file.rewrite({"rows": ["short"]})
+    with pytest.raises(OSError, match="at most"):
+        file.rewrite({"rows": [os.urandom(8).hex() for _ in range(1000)]})
+    assert [record["rows"] for record in file.load().records] == [["short"]]
+    assert os.listdir(tmp_path) == ["list"]
+
+
+NAMES, STATUSES = ("a", "b", "c"), ("up", "draining", "removed")
+MESSAGES = st.lists(
+    st.tuples(st.booleans(), st.dictionaries(st.sampled_from(NAMES), st.sampled_from(STATUSES))),
+    max_size=8,
+)
+
+
+@given(MESSAGES, st.lists(st.integers(0, 7)))
+def test_any_sequence_of_answers_and_kills_leaves_the_list_in_force(messages, kills):
+    async def play(folder):
+        kept, known = Kept(folder), whole(1, row("a"), row("b"))
+        kept.registry.address = A
+        directory, keeper = kept.process(known)
+        directory.initial_list()
+        keeper.save_initial(beside=False)
+        for version, (is_whole, states) in enumerate(messages, start=2):
+            rows = [row(name, status=status) for name, status in states.items()]
+            rows = [each for each in rows if not is_whole or each["status"] != "removed"]
+            message = {"index": version, "snapshot": is_whole, "endpoints": rows}
+            directory.take_answer(message, directory.clock(), A)
+            in_force = {each["name"]: each for each in directory.current().rows}
+            if version - 2 in kills:  # SIGKILL, and a start while the registry is silent
+                await directory.platform.close()
+                directory, keeper = kept.process(known)
+                directory.initial_list()
+                keeper.save_initial(beside=False)
+            assert {each["name"]: each for each in directory.current().rows} == in_force
+            directory.members.drop_removed()
+        await directory.platform.close()
+
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(play(folder))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,10 +13,11 @@
 from ryestack.ports import PushMessage
 from ryestack.wire.calls import CallDispatcher
 from ryestack.wire.files import FileNotices
+from ryestack.wire.fixed_directory import FixedDirectory
 from ryestack.wire.members import BadList, Members
 from ryestack.wire.notices import PlatformNotices
 from ryestack.wire.platform import MAX_ANSWER_BYTES, PlatformClient
-from ryestack.wire.registry_watch import FixedDirectory, watch
+from ryestack.wire.registry_watch import watch
 
 from .helpers import http, keep_connections, listed, members, settings, stand_in
 
--- a/tests/test_platform_answers_again.py
+++ b/tests/test_platform_answers_again.py
@@ -8,7 +8,8 @@
 from ryestack.wire.members import Members
 from ryestack.wire.notices import PlatformNotices
 from ryestack.wire.platform import PlatformClient
-from ryestack.wire.registry_watch import RegistryDirectory, watch
+from ryestack.wire.registry_directory import RegistryDirectory
+from ryestack.wire.registry_watch import watch
 
 from .helpers import http, listed
 
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -113,6 +113,7 @@
         metrics = await self.until(handled("again", "passed"), 1)
         self.assertEqual((metrics["lb_upstream_tries_total", ()], self.calls), (1, 1))
         self.assertEqual((metrics["lb_known_endpoints", ()], metrics["lb_in_progress", ()]), (1, 0))
+        self.assertEqual((metrics["lb_list_version", ()], metrics["lb_list_unsaved", ()]), (1, 0))
         self.answer = http(500)
         self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "m", "X-Class": "once"}), ACCEPTED)
         metrics = await self.until(handled("once", "bad_gateway"), 1)
