An endpoint that is listed under another destination gets no message of its former one

Cause: `CircuitBreakers.on_list` looked a route up by the endpoint's name alone and kept the destination that it was made with. The call looked the address up only as it was dialled, so that one decided before a change of the row went to where the row pointed by then.

Evidence: test_list_change on pushes to 7-a, listed under destination 8, a message of destination 7. test_calls there: a call that waits for its client's acknowledgement is written to an endpoint that has meanwhile another destination.

Why this works: the former route is drained, which calls off what still connects, and removed; the endpoint gets a new route, with nothing learnt, at its new destination. A call keeps the address and the destination that its row had when it was decided, and is not sent if the row has other ones, or is removed, as it is dialled. The run-time invariants check the destination of each push too (`sent to another destination's endpoint`).

--- a/ryestack/brain/invariants.py
+++ b/ryestack/brain/invariants.py
@@ -23,6 +23,7 @@
     TWO_OUT = "sent while a push of it is out"
     REPEATED = "repeated though it may have run"
     TO_DRAINED = "sent to a draining or removed endpoint"
+    TO_ANOTHER = "sent to another destination's endpoint"
     WITHIN_WAIT = "sent within a told wait"
     WHILE_ENDING = "started while the process ends"
     TWO_ENDS = "a second end told"
@@ -37,7 +38,7 @@
 
     def __init__(self) -> None:
         self.counts: Counter[Rule] = Counter()
-        self.ready: set[str] = set()
+        self.ready: dict[str, int] = {}  # endpoint -> its destination
         self.drained: dict[str, None] = {}  # oldest first
         self.waits: dict[str, float] = {}  # endpoint -> end of its wait, a time of the clock
         self.in_flight: dict[str, set[int]] = {}  # notification -> its pushes in flight
@@ -55,11 +56,14 @@
             self.ends_at = event.until
 
     def _observe_list(self, update: interface.ListUpdate) -> None:
-        ready = {each.id for each in update.endpoints if each.status is interface.EndpointStatus.READY}
-        gone = {each.id for each in update.endpoints} - ready
+        status = interface.EndpointStatus.READY
+        ready = {each.id: each.destination for each in update.endpoints if each.status is status}
+        gone = {each.id for each in update.endpoints} - ready.keys()
         if update.whole:
-            gone |= self.ready - ready
-        self.ready = (self.ready | ready) - gone
+            gone |= self.ready.keys() - ready.keys()
+        self.ready |= ready
+        for name in gone:
+            self.ready.pop(name, None)
         for name in ready:
             self.drained.pop(name, None)
         self.drained |= dict.fromkeys(gone)
@@ -110,6 +114,8 @@
             return self._count(Rule.REPEATED)
         if push.endpoint in self.drained:
             return self._count(Rule.TO_DRAINED)
+        if self.ready.get(push.endpoint, owed.destination) != owed.destination:
+            return self._count(Rule.TO_ANOTHER)
         if now < self.waits.get(push.endpoint, 0.0):
             return self._count(Rule.WITHIN_WAIT)
         return self._count(Rule.WHILE_ENDING) if now >= self.ends_at else None
--- a/ryestack/brain/routes.py
+++ b/ryestack/brain/routes.py
@@ -151,18 +151,32 @@
         self.changed = {id(dest): dest for _, dest in sorted(self.waiting.items())}
         listed = {e.id: e for e in update.endpoints}
         ready = {e.id for e in listed.values() if e.status is interface.EndpointStatus.READY}
+        for endpoint in listed.values():
+            self.leave_former_destination(endpoint)
         affected = [self.routes.get(e.id) or self.add_route(e) for e in listed.values()]
         affected += [r for r in self.routes.values() if r.id not in listed] if update.whole else []
         for route in affected:
             self.change_route(route, "ready" if route.id in ready else "drain")
         self.draining = {r.id: r for r in [*self.draining.values(), *affected] if r.state == "draining"}
         for route in [r for r in self.draining.values() if self.now >= r.needed_until()]:
-            del self.routes[route.id], self.draining[route.id]
-            route.dest.route_list.remove(route)
-            self.routeless.update({} if route.dest.route_list else {route.dest.number: route.dest})
+            self.remove_route(route)
         for number in [n for n, d in self.routeless.items() if not (d.parked or d.calls)]:
             del self.destinations[number], self.routeless[number]
 
+    def leave_former_destination(self, endpoint):
+        """Removes the route of an endpoint that is listed under another destination now."""
+        route = self.routes.get(endpoint.id)
+        if route and route.dest.number != endpoint.destination:
+            self.change_route(route, "drain")
+            self.remove_route(route)
+
+    def remove_route(self, route):
+        """Removes a route; its calls in flight still end at it."""
+        del self.routes[route.id]
+        self.draining.pop(route.id, None)
+        route.dest.route_list.remove(route)
+        self.routeless.update({} if route.dest.route_list else {route.dest.number: route.dest})
+
     def request_list(self, _):
         """Asks for the endpoint list."""
         self.actions.append(interface.AskForList())
--- a/ryestack/wire/call_progress.py
+++ b/ryestack/wire/call_progress.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from math import inf
 
+from .members import Target
+
 
 @dataclass(slots=True, eq=False)
 class CallProgress:
@@ -16,6 +18,7 @@
 
     endpoint: str
     ids: tuple[str, ...] = ()  # of its messages
+    target: Target | None = None  # where it was to go when it was decided
     on_status_line: object = None
     on_wait: object = None
     on_written: object = None  # called once the call's last byte is written
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -57,6 +57,7 @@
         """Start one call. It ends with the shortest timeout of its messages: whether a later answer holds for
         the others is not for this relay to decide, and the connection must not deliver it."""
         progress = CallProgress(endpoint, tuple(message.id for message in messages))
+        progress.target = self.members.target(endpoint)
         task = asyncio.get_running_loop().create_task(
             self.run(progress, messages, min(message.timeout for message in messages))
         )
@@ -124,7 +125,7 @@
                 if batch.messages:
                     if progress.too_late:  # cancelled before it began
                         raise TimeoutError
-                    answers = await self.post(progress.endpoint, batch.messages, began + timeout)
+                    answers = await self.post(progress, batch.messages, began + timeout)
         except asyncio.CancelledError:
             failure = Result.CANCELLED
         except TimeoutError:
@@ -205,10 +206,12 @@
         if timeout and not timeout.expired():
             timeout.reschedule(min(timeout.when(), asyncio.get_running_loop().time() + rest))
 
-    async def post(self, endpoint: str, messages: list[PushMessage], deadline: float) -> dict[str, Answer]:
+    async def post(
+        self, progress: CallProgress, messages: list[PushMessage], deadline: float
+    ) -> dict[str, Answer]:
         """The answer for each id, once the response is complete. deadline: a time of the clock."""
-        address = self.members.address(endpoint)
-        if address is None:  # it was removed from the list meanwhile
+        endpoint, target = progress.endpoint, self.members.target(progress.endpoint)
+        if target is None or target != progress.target:  # the list has changed since the call was decided
             return {message.id: Answer(Result.NOT_SENT) for message in messages}
         self.pool.make_room(len(set(self.running.values())))
         remaining = forms.format_duration(deadline - self.clock())
@@ -222,7 +225,7 @@
             "allow_redirects": False,
             "server_hostname": endpoint,
         }
-        async with self.session.post(f"http://{address}{path}", **options) as response:
+        async with self.session.post(f"http://{target.address}{path}", **options) as response:
             wait = CURRENT_CALL.get().wait
             content = await read_bounded(response)
             if len(messages) > 1 and response.status == 200:
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -3,6 +3,7 @@
 import time
 from collections import Counter
 from math import isfinite
+from typing import NamedTuple
 
 from .. import interface
 from ..observe.log import event
@@ -66,6 +67,13 @@
     return interface.Endpoint(name, zone, kind, int(row["group"]), listed, weight)
 
 
+class Target(NamedTuple):
+    """The address of an endpoint and the destination that it belongs to."""
+
+    address: str
+    destination: int
+
+
 class Members:
     """The rows of the list in force: the address and kind of each endpoint, and which destinations there are.
 
@@ -142,9 +150,12 @@
         """The names of the endpoints that are not removed."""
         return [name for name, row in self.rows.items() if row["status"] != "removed"]
 
-    def address(self, endpoint: str) -> str | None:
-        """The address of an endpoint, None if it is unknown."""
-        return self.rows[endpoint]["address"] if endpoint in self.rows else None
+    def target(self, endpoint: str) -> Target | None:
+        """Where calls to an endpoint go now, None if it is unknown or removed."""
+        row = self.rows.get(endpoint)
+        if row is None or row["status"] == "removed":
+            return None
+        return Target(row["address"], int(row["group"]))
 
     def kind(self, endpoint: str) -> str | None:
         """The kind of an endpoint, None if it is unknown."""
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -106,6 +106,23 @@
         self.assertEqual((outcome.result, faults), (Result.NO_CONNECTION, []))
         await calls.close()
 
+    async def test_a_call_decided_before_the_endpoints_row_changed_is_not_sent(self):
+        # The address was looked up as the call was dialled: it could be that of another destination by then.
+        requests, events = [], asyncio.Queue()
+        server, address = await stand_in(lambda head, _: requests.append(head) or http(200))
+        loop = asyncio.get_running_loop()
+        for changed in ({"group": 8}, {"address": "127.0.0.1:9"}, {"status": "removed"}):
+            endpoints, acknowledged = members(address=address), loop.create_future()
+            calls = CallDispatcher(settings(), endpoints, loop.time, events.put_nowait, 50)
+            calls.start("a", [PushMessage("n", 1, 9.0, "k", b"x", acknowledged)])
+            await asyncio.sleep(0.02)
+            endpoints.apply_list({"index": 2, "snapshot": False, "endpoints": [{"name": "a", **changed}]})
+            acknowledged.set_result(True)
+            [outcome] = await asyncio.wait_for(events.get(), 1.0)
+            self.assertEqual((outcome.result, requests), (Result.NOT_SENT, []))
+            await calls.close()
+        server.close()
+
     async def test_a_refused_call_never_ran_and_a_broken_one_may_have(self):
         [outcome], _ = await push_to(lambda *_: None)
         self.assertEqual(outcome.result, Result.BROKEN)
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -21,8 +21,8 @@
 
 
 class Checks(unittest.TestCase):
-    def check(self, checks, topic=AGAIN, now=10.0, due=20.0, may_have_run_at=INF, notice=None):
-        owed = SimpleNamespace(notice=notice)
+    def check(self, checks, topic=AGAIN, now=10.0, due=20.0, may_have_run_at=INF, notice=None, destination=7):
+        owed = SimpleNamespace(notice=notice, destination=destination)
         return checks.check_push(interface.Push("n", "a", 1.0), owed, topic, now, due, may_have_run_at)
 
     def test_allowed_pushes_pass_and_each_violation_is_counted(self):
@@ -73,6 +73,14 @@
             checks.observe(ListUpdate((ready,)), 3.0)
             self.assertIsNone(self.check(checks))
 
+    def test_endpoint_gets_nothing_of_another_destination_than_it_is_listed_under(self):
+        checks = Invariants()
+        checks.observe(ListUpdate((Endpoint("a", "z", "k", 8),), whole=True), 1.0)
+        self.assertIs(self.check(checks), Rule.TO_ANOTHER)
+        self.assertIsNone(self.check(checks, destination=8))
+        checks.observe(ListUpdate((Endpoint("a", "z", "k", 7),)), 2.0)
+        self.assertIsNone(self.check(checks))
+
     def test_number_of_remembered_removed_endpoints_is_bounded(self):
         checks = Invariants()
         for n in range(MAX_DRAINED + 50):
--- a/tests/test_list_change.py
+++ b/tests/test_list_change.py
@@ -33,8 +33,8 @@
         return super().__iter__()
 
 
-def endpoint(destination, part="a", status=EndpointStatus.READY):
-    return Endpoint(f"{destination}-{part}", "z", "shared", destination, status, 50.0)
+def endpoint(destination, part="a", status=EndpointStatus.READY, of=None):
+    return Endpoint(f"{destination}-{part}", "z", "shared", destination if of is None else of, status, 50.0)
 
 
 def module(**more):
@@ -64,6 +64,23 @@
     assert "8-a" not in made.routes and scans() == 0
 
 
+def pushes(actions):
+    return [(act.id, act.endpoint) for act in actions if isinstance(act, interface.Push)]
+
+
+def test_endpoint_under_another_destination_gets_no_message_of_its_former_one():
+    # Its route kept the destination that it was first listed under: messages went to another firm's endpoint.
+    made = module()
+    assert pushes(made.round(1.0, [notification("first", 7)])) == [("first", "7-a")]
+    actions = made.round(2.0, [ListUpdate((endpoint(7, "a", of=8),)), notification("second", 7)])
+    assert interface.CancelUnsent("7-a") in actions  # a call that still connects is called off
+    assert pushes(actions) == [("second", "7-b")]
+    made.round(3.0, [interface.Outcome("first", 0, "7-a", Result.DELIVERED, 0.1)])
+    made.round(4.0, [ListUpdate((endpoint(8, "a", EndpointStatus.DRAINING), endpoint(8, "b", of=3)))])
+    assert pushes(made.round(5.0, [notification("third", 8)])) == [("third", "7-a")]
+    assert made.destinations[7].calls == 1 and [r.id for r in made.destinations[7].route_list] == ["7-b"]
+
+
 def test_full_hold_scans_only_destinations_with_parked_notifications():
     made = module(max_open=10, slots=1)
     scans = count_scans(made)
@@ -86,6 +103,7 @@
         st.tuples(
             st.just("list"), st.integers(0, 3), st.sampled_from("ab"), st.sampled_from(list(EndpointStatus))
         ),
+        st.tuples(st.just("moved"), st.integers(0, 3), st.integers(0, 4)),
         st.tuples(st.just("whole"), st.sets(st.integers(0, 3))),
         st.tuples(st.just("new"), st.integers(0, 4)),
         st.tuples(st.just("end"), st.sampled_from(list(Result))),
@@ -103,6 +121,8 @@
         received = []
         if what == "list":
             received = [ListUpdate((endpoint(*values),))]
+        elif what == "moved":
+            received = [ListUpdate((endpoint(values[0], of=values[1]),))]
         elif what == "whole":
             received = [ListUpdate(tuple(endpoint(number) for number in sorted(values[0])), whole=True)]
         elif what == "new":
@@ -116,5 +136,8 @@
         assert set(made.waiting.values()) == {dest for dest in made.destinations.values() if dest.parked}
         assert set(made.draining.values()) == {r for r in made.routes.values() if r.state == "draining"}
         assert made.routeless == {n: dest for n, dest in made.destinations.items() if not dest.route_list}
-        if what in ("list", "whole"):
+        for update in received if what in ("list", "moved", "whole") else ():
+            kept = [each for each in update.endpoints if each.id in made.routes]
+            assert all(made.routes[each.id].dest.number == each.destination for each in kept)
+        if what in ("list", "moved", "whole"):
             assert all(dest.route_list or dest.parked or dest.calls for dest in made.destinations.values())
