What was learnt of an endpoint before a restart no longer overrules the list

Cause: `learned_state.restore` keeps a state by the endpoint's name and took `draining` for the truth though the list of the start says `up`. It was also restored after the registry's news, so that it fell on whatever the name stood for by then, another destination's endpoint too.

Tests seen to fail before: test_list_change (up again), test_owner (learnt under, also run by test_retune). test_drain_restored_from_the_previous_process_ends_normally restored a drain onto a list by which the endpoint is up, which is the fault; its list drains now, as it would, and it asks the same: the restored drain is indexed and ends.

--- a/ryestack/lifecycle/learned_state.py
+++ b/ryestack/lifecycle/learned_state.py
@@ -91,14 +91,18 @@
 
 
 def restore(brain: Brain, learned: dict) -> None:
-    """Restores exported state into a module that has the endpoint list; unknown parts are ignored."""
+    """Restores exported state into a module that has the endpoint list; unknown parts are ignored.
+
+    Whether a route drains is for the list to say: the endpoint may be back since.
+    """
     for name, parts in learned.get("routes", {}).items():
         if route := brain.routes.get(name):
             drains = route.state == "draining"
             _learn(_of_route(route), parts)
-            route.state = "draining" if drains else route.state
-            if route.state == "draining":
-                brain.draining[name] = route
+            if drains:
+                route.state = "draining"
+            elif route.state == "draining":
+                route.state = "closed"
             if route.state == "open":
                 brain.schedule(route.open_until, Brain.on_open_end, route)
     for number, parts in learned.get("dests", {}).items():
--- a/ryestack/lifecycle/recovery.py
+++ b/ryestack/lifecycle/recovery.py
@@ -28,16 +28,19 @@
     ) -> None:
         """Give the open notifications of earlier processes to the module, which decides on each.
 
-        learnt: the learnt state of the previous process; beside: another process is running, whether or not
-        it sent its learnt state; failed: after a time without a process, the routes that failed before it.
+        known: the list that the previous process went by, and what the registry has told since. learnt: the
+        learnt state of the previous process; beside: another process is running, whether or not it sent its
+        learnt state; failed: after a time without a process, the routes that failed before it.
         """
-        self.round(list(known))
+        self.round(known[:1])
         try:
             if learnt is not None:
                 learned_state.restore(self.brain, learnt)
         except (TypeError, ValueError, KeyError, AttributeError) as problem:
             event("line.broken", why=f"what it has learnt makes no sense: {problem!r}")
             learnt = None
+        if known[1:]:  # changes since then apply to what is learnt as in any round
+            self.round(known[1:])
         if failed is not None:
             learned_state.assume_down(self.brain, learned_state.failing(self.brain) | failed)
         if learnt is None and beside:
--- a/tests/test_list_change.py
+++ b/tests/test_list_change.py
@@ -90,7 +90,8 @@
 
 
 def test_drain_restored_from_the_previous_process_ends_normally():
-    made = module()
+    made, draining = module(), endpoint(7, status=EndpointStatus.DRAINING)
+    made.round(0.0, [interface.WaitRequested("7-a", 5.0), ListUpdate((draining,))])
     learned = learned_state.export(module())["routes"]["7-a"]
     learned_state.restore(made, {"routes": {"7-a": [{**learned[0], "state": "draining"}, *learned[1:]]}})
     assert list(made.draining) == ["7-a"]
@@ -98,6 +99,14 @@
     assert "7-a" not in made.routes
 
 
+def test_endpoint_that_drained_before_the_restart_and_is_up_again_gets_messages():
+    # What was learnt overruled the list: messages for a healthy endpoint were handed back.
+    made = module()
+    learned = learned_state.export(module())["routes"]["7-a"]
+    learned_state.restore(made, {"routes": {"7-a": [{**learned[0], "state": "draining"}, *learned[1:]]}})
+    assert pushes(made.round(1.0, [notification("n", 7)])) == [("n", "7-a")] and not made.draining
+
+
 EVENTS = st.lists(
     st.one_of(
         st.tuples(
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -1,18 +1,20 @@
 """The owner: the order of journal, answer and push, recovery, and terms."""
 
 import asyncio
+import tempfile
 import unittest
 from types import SimpleNamespace
 from unittest.mock import patch
 
 from ryestack import interface
 from ryestack.interface import Result
+from ryestack.lifecycle import learned_state
 from ryestack.lifecycle.owner import Owner
 from ryestack.ports import Submission, Verdict
 from ryestack.store.journal import Journal
 from ryestack.store.ledger import Ledger
 
-from .helpers import Folder, settings, take
+from .helpers import Folder, brain, end, settings, take
 
 
 class OwnerFixture(Folder):
@@ -54,6 +56,23 @@
 
 
 class OwnerTask(OwnerFixture, unittest.IsolatedAsyncioTestCase):
+    async def test_what_is_learnt_holds_for_the_list_that_it_was_learnt_under(self):
+        # It was restored after the registry's news, onto an endpoint of another destination of that name.
+        row = ("a", "z", "shared", 7)
+        before = brain(routes=("a",))
+        before.round(9.0, [take(f"n{i}") for i in range(3)])
+        before.round(9.1, [end(f"n{i}", "a", Result.ERROR) for i in range(3)])
+        learnt = learned_state.export(before)
+        self.assertEqual(before.routes["a"].state, "open")
+        for update, state in (
+            (interface.Endpoint("a", "z", "shared", 8), "closed"),
+            (interface.Endpoint(*row, interface.EndpointStatus.DRAINING), "draining"),
+            (interface.Endpoint(*row), "open"),
+        ):
+            owner = self.owner(tempfile.mkdtemp(dir=self.folder))
+            owner.recover([self.listed, interface.ListUpdate((update,))], learnt)
+            self.assertEqual(owner.brain.routes["a"].state, state, update)
+
     async def test_a_failed_list_request_is_retried_with_backoff_until_one_succeeds(self):
         owner, asked, loop = self.owner(asks_for_list=True), [], asyncio.get_running_loop()
         owner.directory = SimpleNamespace(refresh=lambda: asked.append(self.now))
