--- a/tests/test_control_relay.py
+++ b/tests/test_control_relay.py
@@ -202,7 +202,7 @@
     members.change([destination(7, "a:1", "b:1")], [], 1)
     delta = members.change([destination(7, "c:1")], [], 2)
     assert listed(delta) == {"0@7": EndpointStatus.READY, "1@7": EndpointStatus.GONE} and not delta.whole
-    assert members.address("0@7") == "c:1"
+    assert members.target("0@7") == ("c:1", 7)
 
 
 def test_two_destinations_may_have_endpoints_of_the_same_name():
@@ -216,7 +216,7 @@
     members = ScopedMembers(clock)
     members.change([destination(7, "a:1"), destination(8, "a:1"), destination(9)], [], 1)
     assert not members.change([], ["destination/7", "destination/8", "destination/9"], 2).endpoints
-    assert not any(map(members.has, (7, 8, 9))) and members.address("0@7") == "a:1"
+    assert not any(map(members.has, (7, 8, 9))) and members.target("0@7") == ("a:1", 7)
     assert not members.remove_drained({7}).endpoints  # a notification may be on its way to the ledger
     clock.now = SETTLE_SECONDS
     assert listed(members.remove_drained({7})) == {"0@8": EndpointStatus.GONE}
