A scope that a relay has acknowledged is in its folder by then

What callers would see, with `[control]`: a destination's endpoints change, the relay acknowledges the version, is killed within a second and started while no control machine answers: messages go to the endpoints before the change, though the machines count the version as in force everywhere.

The scope was saved at the next check, up to 1 s after it was applied and acknowledged; one that could not be written was tried again after 60 s.

Why this works: the client tells when a version is in force, and the scope is saved there, before the next poll can acknowledge it. A failed write is repeated at each check, a second apart.

Tests seen to fail before: both of test_scope_kept, 2 of 2.

--- a/ryestack/control/client.py
+++ b/ryestack/control/client.py
@@ -40,7 +40,8 @@
     """Keeps the scope of one relay up to date; `run` does so until it is cancelled.
 
     hold: seconds for which a poll may be held; clock: the event loop's clock in seconds; session: a shared
-    session, which the client does not close; snapshot: the holdings of the previous process.
+    session, which the client does not close; snapshot: the holdings of the previous process; on_commit:
+    called once a version is in force, before it is acknowledged.
     """
 
     def __init__(
@@ -56,9 +57,10 @@
         session: aiohttp.ClientSession | None = None,
         snapshot: HoldingsSnapshot | None = None,
         on_failure: OnFailure | None = None,
+        on_commit: Callable[[], None] = lambda: None,
     ) -> None:
         self._apply, self._check, self._clock = apply, check, clock
-        self._on_failure, self._failing = on_failure, False
+        self._on_failure, self._failing, self._on_commit = on_failure, False, on_commit
         self._owns_session, self._session = session is None, session or new_session()
         self.subscriber = Subscriber(identity, machines, hold, rng, clock(), snapshot)
         self.requests, self.failures = 0, 0
@@ -97,6 +99,7 @@
         if rejection is None:
             self._apply(update.entries, update.removed, update.version)
             self.subscriber.commit(self._clock())
+            self._on_commit()
         else:
             self.subscriber.reject(rejection.key, rejection.reason, self._clock())
 
--- a/ryestack/lifecycle/scope/directory.py
+++ b/ryestack/lifecycle/scope/directory.py
@@ -56,6 +56,7 @@
             rng=random.Random(f"{seed}:{self.relay}:{self.session}"),
             snapshot=self.saved.kept if self.saved else None,
             on_failure=self._trouble,
+            on_commit=self._save,
         )
         self._following: asyncio.Future | None = None
         self._updates: list[interface.ListUpdate] = []  # until the owner runs
@@ -166,7 +167,6 @@
         if SETTINGS_KEY in removed:
             self._take_settings(None, {})
         event("control.applied", version=version, entries=len(entries), removed=len(removed))
-        self._saved_at = -inf  # saved later: the client's holdings include it only once this returns
 
     def _trouble(self, why: str) -> None:
         if why:
@@ -206,7 +206,8 @@
         is_saved = scope_file.save(self.folder, saved, self.max_bytes)
         if self._is_saved and not is_saved:
             event("control.unsaved", most=self.max_bytes)
-        self._saved_at, self._is_saved = self.owner.clock(), is_saved
+        # What could not be saved is tried again at the next check, before a kill makes it an old scope.
+        self._saved_at, self._is_saved = self.owner.clock() if is_saved else -inf, is_saved
 
 
 def _object(entry: Entry) -> dict:
