A saved list that another process has replaced is written anew

Cause: a change was appended to whatever file had the name. Evidence and test: test_file_that_another_process_has_replaced failed before (the list without the later change).

Why this works: the file's inode is that of our last write, or the whole list is written; a process that knows its successor leaves the file to it and appends.

--- a/ryestack/lifecycle/list_keeper.py
+++ b/ryestack/lifecycle/list_keeper.py
@@ -64,7 +64,7 @@
 
     def save(self, change: dict) -> None:
         """Append a change, or write the whole list where that takes too much room or the file is damaged."""
-        if self.needs_rewrite or self.unsaved:
+        if self.needs_rewrite or self.unsaved or (self.alone() and self.file.is_replaced()):
             return self.save_whole()
         try:
             size = self.file.append({**change, "boot": self.boot})
--- a/ryestack/store/list_file.py
+++ b/ryestack/store/list_file.py
@@ -36,11 +36,15 @@
 
 
 class ListFile:
-    """The file of one folder. The methods that write raise OSError, and may leave an incomplete record."""
+    """The file of one folder. The methods that write raise OSError, and may leave an incomplete record.
+
+    inode: of the file as this process last wrote it, None before that.
+    """
 
     def __init__(self, folder: str, max_bytes: int = MAX_FILE_BYTES):
         self.path, self.max_bytes = Path(folder) / NAME, max_bytes
         self.rewrite_at = MIN_REWRITE_BYTES
+        self.inode: int | None = None
 
     def load(self) -> SavedRecords:
         """The records up to the first one that cannot be read."""
@@ -64,11 +68,19 @@
         with suppress(OSError):
             self.path.unlink(missing_ok=True)
 
+    def is_replaced(self) -> bool:
+        """Whether another process has replaced the file since this one wrote it."""
+        try:
+            return self.inode is not None and os.stat(self.path).st_ino != self.inode
+        except OSError:
+            return True
+
     def append(self, record: dict) -> int:
         """Append a record; returns the size of the file."""
         data = _encode(record)
         with open(self.path, "ab", buffering=0) as file:
-            size = os.fstat(file.fileno()).st_size + len(data)
+            status = os.fstat(file.fileno())
+            size, self.inode = status.st_size + len(data), status.st_ino
             if size > self.max_bytes:
                 raise ListTooLarge(f"{self.path.name} would have {size} bytes, {self.max_bytes} at most")
             if file.write(data) != len(data):
@@ -84,6 +96,7 @@
             if replacement.write_bytes(data) != len(data):
                 raise OSError(f"short write to {replacement.name}")
             os.replace(replacement, self.path)
+            self.inode = os.stat(self.path).st_ino
         except OSError:
             with suppress(OSError):
                 replacement.unlink(missing_ok=True)
--- a/tests/test_list_file.py
+++ b/tests/test_list_file.py
@@ -75,6 +75,24 @@
         await directory.platform.close()
 
 
+@in_loop
+async def test_file_that_another_process_has_replaced_is_written_anew(tmp_path):
+    # A predecessor that stood still writes its older list over ours: our changes would find no base there.
+    async with Kept(tmp_path) as kept:
+        stopped, stopped_keeper = kept.process(KNOWN)
+        stopped.initial_list()
+        stopped_keeper.save_initial(beside=False)
+        directory, keeper = kept.process(KNOWN)
+        directory.initial_list()
+        keeper.save_initial(beside=False)
+        directory.take_answer(REPLACED[0], directory.clock(), directory.platform.address)
+        stopped_keeper.save_whole()
+        directory.take_answer(REPLACED[1], directory.clock(), directory.platform.address)
+        assert set(keeper.load().rows) == {"a2", "b1"}
+        for each in (stopped, directory):
+            await each.platform.close()
+
+
 def test_list_that_does_not_fit_leaves_the_file_as_it_was(tmp_path):
     file = ListFile(str(tmp_path), max_bytes=2048)
     file.rewrite({"rows": ["short"]})
