--- a/ryestack/wire/registry_directory.py
+++ b/ryestack/wire/registry_directory.py
@@ -168,7 +168,8 @@
         self.source = Source.REGISTRY
         if update.whole:
             self.withheld = frozenset()
-        rows = self.members.rows.items()
+        told = self.members.rows if update.whole else [each.id for each in update.endpoints]
+        rows = ((name, self.members.rows[name]) for name in told)
         changed = tuple(row for name, row in rows if rows_before.get(name) != row)
         if not has_base:
             self._report(self.current())
