Free ports of the lab are drawn from the system's randomness

Measured: with the generator seeded with 0 before each draw, two different ports; before, the same one by construction.

--- a/ryestack/lab/trial.py
+++ b/ryestack/lab/trial.py
@@ -87,10 +87,10 @@
 
 
 def free_port() -> int:
-    """A free port below the range that the system uses for outgoing connections, so that none of them takes
-    it before its user does."""
+    """A free port below the range for outgoing connections, so that none of them takes it first. It is drawn
+    from the system's randomness: another run on this machine may have the same seed."""
     while True:
-        port = random.randrange(20_000, 32_000)
+        port = random.SystemRandom().randrange(20_000, 32_000)
         with suppress(OSError), socket.create_server(("127.0.0.1", port)):
             return port
 
