--- a/ryestack/store/scope_file.py
+++ b/ryestack/store/scope_file.py
@@ -38,16 +38,11 @@
 
 
 def save(folder: str, saved: SavedScope, max_bytes: int) -> bool:
-    """Returns whether it was saved. max_bytes: for the file and its replacement together.
-
-    One that does not fit takes the older one away: a start without control machines must not go by that.
-    """
+    """Returns whether it was saved. max_bytes: for the file and its replacement together."""
     text = msgspec.msgpack.encode(saved)
     data = zlib.crc32(text).to_bytes(CHECKSUM_BYTES, "big") + text
     replacement = Path(folder) / f"{NAME}.new"
     if len(data) > max_bytes // 2:
-        with suppress(OSError):
-            (Path(folder) / NAME).unlink(missing_ok=True)
         return False
     try:
         replacement.write_bytes(data)
