A registry's row whose name is a number does not end the relay

What callers would see: the registry sends one row whose name is a JSON number, and the relay ends with status 1.

Cause, brought by: `take_answer` looks the rows of an answer up by the endpoint's id, which is text, while `Members` kept them under the name as sent: a KeyError that the watch does not expect.

Evidence: the test fails with KeyError: '5' without the fix. Why this works: a row is kept under its name as text everywhere, as the decisions know it. 44 tests of the five files that touch it pass.

--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -44,11 +44,12 @@
         raise BadList(f"{type(error).__name__}: {error}") from None
     for entry in entries:
         try:
-            row = {**known.get(entry["name"], {}), **entry}
-            if row["status"] == "removed" and entry["name"] not in known:
+            name = str(entry["name"])
+            row = {**known.get(name, {}), **entry, "name": name}
+            if row["status"] == "removed" and name not in known:
                 continue  # never listed, or removed before
             endpoints.append(read_row(row))
-            rows[row["name"]] = row
+            rows[name] = row
         except INVALID_VALUE_ERRORS as error:
             event("list.row_bad", version=index, why=repr(error))
     return index, interface.ListUpdate(tuple(endpoints), whole=complete), rows
--- a/tests/test_list_kept.py
+++ b/tests/test_list_kept.py
@@ -14,6 +14,7 @@
     B,
     Kept,
     Registry,
+    changed,
     followed,
     in_loop,
     ready,
@@ -160,6 +161,19 @@
         assert ready(directory, updates[:-1]) == IN_FORCE and updates[-1].confirmed_at == -inf
 
 
+@in_loop
+async def test_row_whose_name_is_a_number_does_not_end_the_watch(tmp_path):
+    # The directory looked for it under its text: a KeyError ended the process.
+    async with Kept(tmp_path) as kept:
+        kept.registry.message = KNOWN
+        message = changed(2, {**row("a2", 3), "name": 5})
+        directory = await followed(kept, KNOWN, message)
+        assert directory.figures()["list_version"] == 2
+        kept.registry.silent = True
+        again, updates = await kept.started(KNOWN)
+        assert ready(again, updates)["5"] == ("127.0.0.1:3", 7)
+
+
 def test_predecessors_list_goes_before_an_older_one_of_the_folder_and_after_a_newer_one():
     known = {"index": 1}
     configured = KnownList(A, 1, {}, 0.0, (identity(known),))
