The list's code in the field's words, and a figure for where the list comes from

The directory gets the state of each route, not another process's learnt state, whose form it had to know. Invalid names of destinations as text are compared as numbers. lb_list_source{source} tells where the list in force comes from; a saved list that ends in records that cannot be read is told by list.unsaved.

--- a/ryestack/lifecycle/admin.py
+++ b/ryestack/lifecycle/admin.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from ..brain.invariants import Rule
+from ..membership.list_versions import Source
 from ..observe import figures
 from ..ports import CloseReason, EndpointCloseReason
 from .admission import Refusal
@@ -38,10 +39,17 @@
         }
         if parts.control:
             values |= parts.control.figures()
-        if parts.keeper:
-            values |= {**parts.directory.figures(), "list_unsaved": int(parts.keeper.unsaved)}
+        if parts.list_saver:
+            values |= {**parts.directory.figures(), "list_unsaved": int(parts.list_saver.unsaved)}
         topics = [topic.name for topic in owner.settings.topic_types]
-        return 200, figures.CONTENT_TYPE, figures.render(owner.ended, topics, values, self.labelled_counts())
+        labelled = {**self.labelled_counts(), **self.list_sources()}
+        return 200, figures.CONTENT_TYPE, figures.render(owner.ended, topics, values, labelled)
+
+    def list_sources(self) -> dict[str, dict[str, int]]:
+        """The figure that tells where the list in force comes from, if a registry is followed."""
+        if not self.parts.list_saver:
+            return {}
+        return {"list_source": {each.value: int(self.parts.directory.source is each) for each in Source}}
 
     def labelled_counts(self) -> dict[str, dict[str, int]]:
         """The counters that have a label, with a zero for each label value not seen yet."""
--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -16,7 +16,7 @@
 from ..wire.registry_directory import RegistryDirectory
 from ..wire.server import ClientListener
 from .config import Config
-from .list_keeper import ListKeeper
+from .list_saver import ListSaver
 from .owner import Owner
 from .terms import Terms
 
@@ -30,8 +30,8 @@
 @dataclass(slots=True)
 class Parts:
     """The components of one relay. peering: None unless the operator file has peers; control: the directory
-    if the operator file names control machines, else None; keeper: of the registry's list, None if none is
-    followed."""
+    if the operator file names control machines, else None; list_saver: of the registry's list, None if none
+    is followed."""
 
     ledger: Ledger
     owner: Owner
@@ -43,7 +43,7 @@
     terms: Terms
     peering: object = None
     control: object = None
-    keeper: ListKeeper | None = None
+    list_saver: ListSaver | None = None
 
 
 def assemble(config: Config, clock, wall: float) -> Parts:
@@ -57,7 +57,7 @@
     ledger = Ledger(Journal(config.state, journal_bytes))
     owner = Owner(settings, config.seed, ledger, clock, wall)
     platform = PlatformClient(config.discovery)
-    keeper = None
+    list_saver = None
     if scoped:
         from .scope.directory import ScopeDirectory  # imported only where it is used: most relays have none
 
@@ -66,9 +66,9 @@
         )
     elif operator.directory.source == "fixed":
         directory = FixedDirectory(platform, config.known)
-        ListKeeper(config.state, "").discard()
+        ListSaver(config.state, "").discard()
     else:
-        directory, keeper = _followed_directory(config, platform, owner)
+        directory, list_saver = _followed_directory(config, platform, owner)
     owner.directory = directory
     max_clients = max(MIN_CONNECTIONS, int(config.sockets * CLIENT_SOCKET_SHARE))
     max_endpoint_connections = max(MIN_CONNECTIONS, config.sockets - max_clients - RESERVED_SOCKETS)
@@ -101,21 +101,21 @@
         terms,
         peering,
         control,
-        keeper,
+        list_saver,
     )
 
 
 def _followed_directory(
     config: Config, platform: PlatformClient, owner: Owner
-) -> tuple[RegistryDirectory, ListKeeper]:
+) -> tuple[RegistryDirectory, ListSaver]:
     """The directory that follows the registry, and what keeps its list for other processes of this relay."""
-    keeper = ListKeeper(config.state, read_clock().boot)
+    list_saver = ListSaver(config.state, read_clock().boot)
 
     def list_changed(change: ListChange) -> None:
         fields = change.as_fields()
-        keeper.save(fields)
+        list_saver.save(fields)
         owner.notify_siblings("list", fields)
 
-    directory = RegistryDirectory(platform, config.known, keeper.load(), list_changed)
-    keeper.export = directory.export
-    return directory, keeper
+    directory = RegistryDirectory(platform, config.known, list_saver.load(), list_changed)
+    list_saver.export = directory.export
+    return directory, list_saver
--- a/ryestack/lifecycle/learned_state.py
+++ b/ryestack/lifecycle/learned_state.py
@@ -90,6 +90,14 @@
     }
 
 
+def route_states(learned: object) -> dict[str, str]:
+    """The state of each route by its endpoint; empty if `learned` holds none."""
+    try:
+        return {name: str(parts[0]["state"]) for name, parts in learned["routes"].items()}
+    except (TypeError, KeyError, IndexError, AttributeError):
+        return {}
+
+
 def restore(brain: Brain, learned: dict) -> None:
     """Restores exported state into a module that has the endpoint list; unknown parts are ignored.
 
--- a/ryestack/lifecycle/list_keeper.py
+++ b/ryestack/lifecycle/list_saver.py
@@ -1,4 +1,4 @@
-"""Keeps the endpoint list for the processes after this one, in the relay's folder."""
+"""Saves the endpoint list in the relay's folder, for the processes after this one."""
 
 import asyncio
 from collections.abc import Callable
@@ -12,7 +12,7 @@
 WRITE_RETRY_S = 0.5  # between attempts to write the whole list, once a write has failed
 
 
-class ListKeeper:
+class ListSaver:
     """Saves each version of the list as it comes into force, before anything is decided by it.
 
     A list is saved as the fields of a ListChange. boot: identifies the boot that times of the monotonic clock
@@ -34,12 +34,14 @@
         """The list that the processes before this one left; None if there is none that can be read."""
         saved, known = self.file.load(), None
         self.needs_rewrite = not (saved.complete and saved.records)
+        if not saved.complete:
+            event("list.unsaved", why=f"of the saved list {len(saved.records)} records could be read")
         for fields in saved.records:
             try:
                 known = applied(known, read_change(fields))
                 same_boot = bool(self.boot) and fields["boot"] == self.boot
             except (KeyError, TypeError, ValueError, AttributeError) as problem:
-                event("list.unsaved", why=f"the saved list makes no sense: {problem!r}")
+                event("list.unsaved", why=f"the saved list is invalid: {problem!r}")
                 self.needs_rewrite = True
                 break
             self.needs_rewrite |= not same_boot
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -38,8 +38,8 @@
         self.channel_listener = ChannelListener(config.state, self.successor_connected)
         self.parts = assemble(config, self.clock, wall)
         self.ledger, self.owner = self.parts.ledger, self.parts.owner
-        if self.parts.keeper:
-            self.parts.keeper.alone = lambda: self.succession.successor == "none"
+        if self.parts.list_saver:
+            self.parts.list_saver.alone = lambda: self.succession.successor == "none"
         if self.parts.control:
             self.parts.control.bind(self.read_control_settings, self.take_control_settings)
         self.tasks, self.stop_requested, self.stop_at = [], asyncio.Event(), 0.0
@@ -184,8 +184,8 @@
         for part in (self.parts.peering, self.parts.control):
             if part:
                 await part.close()
-        if self.parts.keeper:
-            self.parts.keeper.close()
+        if self.parts.list_saver:
+            self.parts.list_saver.close()
         self.ledger.journal.close()
 
     async def reread_on_signal(self) -> None:
--- a/ryestack/lifecycle/scope/directory.py
+++ b/ryestack/lifecycle/scope/directory.py
@@ -70,7 +70,9 @@
             if entry.key == SETTINGS_KEY and self._check([entry]) is None:
                 self._change_settings(entry)
 
-    def initial_list(self, handed: dict | None = None, learnt: dict | None = None) -> interface.ListUpdate:
+    def initial_list(
+        self, handed: dict | None = None, route_states: dict[str, str] | None = None
+    ) -> interface.ListUpdate:
         """The saved scope, including destinations that had left it. It is read from the folder only."""
         if self.saved is None:
             return interface.ListUpdate(whole=True)
--- a/ryestack/lifecycle/starting.py
+++ b/ryestack/lifecycle/starting.py
@@ -33,9 +33,9 @@
         except (TypeError, ValueError, KeyError) as problem:
             event("line.broken", why=f"the calls that it has out make no sense: {problem!r}")
         handed = learnt.get(learned_state.LIST) if self.channel and isinstance(learnt, dict) else None
-        initial = self.parts.directory.initial_list(handed, learnt)
-        if self.parts.keeper:
-            self.parts.keeper.save_initial(self.succession.predecessor != "none")
+        initial = self.parts.directory.initial_list(handed, learned_state.route_states(learnt))
+        if self.parts.list_saver:
+            self.parts.list_saver.save_initial(self.succession.predecessor != "none")
         known = [initial, *await self.parts.directory.fetch_initial()]
         self.owner.recover(known, learnt, beside, failed)
 
--- a/ryestack/lifecycle/upgrade/handover.py
+++ b/ryestack/lifecycle/upgrade/handover.py
@@ -54,8 +54,8 @@
         relation("gone")
         event("kin.gone")
         self.share()
-        if self.parts.keeper:  # both have written to the file: one version may hide behind a replacement
-            self.parts.keeper.save_whole()
+        if self.parts.list_saver:  # both have written to the file: one version may hide behind a replacement
+            self.parts.list_saver.save_whole()
         self.adoption_requested.set()
 
     async def exchange_messages(self, channel: Channel, relation) -> None:
--- a/ryestack/membership/list_versions.py
+++ b/ryestack/membership/list_versions.py
@@ -158,12 +158,13 @@
 def _disputed(configured: KnownList, followed: KnownList) -> frozenset[str]:
     """Endpoints of a list that may be older than another one by which they drain, or by which they or their
     addresses belong to another destination."""
-    destinations = {row["address"]: row["group"] for row in followed.rows.values()}
+    destinations = {str(row["address"]): int(row["group"]) for row in followed.rows.values()}
     disputed = set()
     for name, row in configured.rows.items():
-        other = followed.rows.get(name, row)
-        at_address = destinations.get(row["address"], row["group"])
-        if at_address != row["group"] or other["group"] != row["group"] or other["status"] == DRAINING:
+        destination, other = int(row["group"]), followed.rows.get(name, row)
+        has_moved = int(other["group"]) != destination
+        is_reused = destinations.get(str(row["address"]), destination) != destination
+        if has_moved or is_reused or other["status"] == DRAINING:
             disputed.add(name)
     return frozenset(disputed)
 
--- a/ryestack/observe/figures.py
+++ b/ryestack/observe/figures.py
@@ -45,6 +45,7 @@
     ("list_withheld_endpoints", "gauge", "endpoints that get nothing until the registry has told the list"),
     ("list_unsaved", "gauge", "1 while the folder lacks the list in force"),
 )
+LIST_SOURCE = ("list_source", "source", "1 for where the endpoint list in force comes from, else 0")
 
 
 def render(
@@ -57,7 +58,7 @@
 
     handled: counts by (topic type, outcome); categories: topic types to list even without notifications;
     values: by name, for FIGURES, CONTROL_FIGURES and LIST_FIGURES; labelled: counts by label, for the
-    names in LABELLED.
+    names in LABELLED and, where a registry is followed, LIST_SOURCE.
     """
     lines = _head("handled_total", "counter", "messages ended: delivered; refused or handed back; failed")
     for category in sorted({*categories, *(topic for topic, _ in handled)}):
@@ -69,12 +70,20 @@
     for name, kind, meaning in (*FIGURES, *scoped, *followed):
         lines += [*_head(name, kind, meaning), f"{PREFIX}{name} {values[name]}"]
     for name, label, meaning in LABELLED if labelled is not None else ():
-        lines += _head(name, "counter", meaning)
-        for value, count in sorted(labelled[name].items()):
-            lines.append(f'{PREFIX}{name}{{{label}="{_escaped(value)}"}} {count}')
+        lines += _labelled_lines(name, label, "counter", meaning, labelled[name])
+    name, label, meaning = LIST_SOURCE
+    if labelled is not None and name in labelled:
+        lines += _labelled_lines(name, label, "gauge", meaning, labelled[name])
     return "\n".join(lines) + "\n"
 
 
+def _labelled_lines(name: str, label: str, kind: str, meaning: str, counts: dict[str, int]) -> list[str]:
+    lines = [
+        f'{PREFIX}{name}{{{label}="{_escaped(value)}"}} {count}' for value, count in sorted(counts.items())
+    ]
+    return [*_head(name, kind, meaning), *lines]
+
+
 def _head(name: str, kind: str, meaning: str) -> list[str]:
     return [f"# HELP {PREFIX}{name} {meaning}", f"# TYPE {PREFIX}{name} {kind}"]
 
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -183,11 +183,13 @@
 class Directory(Protocol):
     """Follows the list of endpoints."""
 
-    def initial_list(self, handed: dict | None = None, learnt: dict | None = None) -> interface.ListUpdate:
+    def initial_list(
+        self, handed: dict | None = None, route_states: dict[str, str] | None = None
+    ) -> interface.ListUpdate:
         """The list that is known before anything is requested.
 
-        handed: `export` of the process that this one replaces, as plain values; learnt: the learnt state of
-        the process before.
+        handed: `export` of the process that this one replaces; route_states: the state of each route that the
+        process before had, by endpoint, if it told them.
         """
 
     async def fetch_initial(self) -> list[interface.ListUpdate]:
--- a/ryestack/wire/fixed_directory.py
+++ b/ryestack/wire/fixed_directory.py
@@ -9,7 +9,9 @@
 class FixedDirectory(RegistryDirectory):
     """A Directory with the list of the configuration, which never changes: nothing is requested."""
 
-    def initial_list(self, handed: dict | None = None, learnt: dict | None = None) -> interface.ListUpdate:
+    def initial_list(
+        self, handed: dict | None = None, route_states: dict[str, str] | None = None
+    ) -> interface.ListUpdate:
         return self.initial_update
 
     async def fetch_initial(self) -> list[interface.ListUpdate]:
--- a/ryestack/wire/registry_directory.py
+++ b/ryestack/wire/registry_directory.py
@@ -36,21 +36,14 @@
 CONFIRM_INTERVAL_S = 2.0  # between reports that the list is confirmed, while it does not change
 
 
-def _route_states(learnt: object) -> dict[str, str] | None:
-    """The state of each route in a process's learnt state; None if that holds none."""
-    try:
-        return {name: str(parts[0]["state"]) for name, parts in learnt["routes"].items()} or None
-    except (TypeError, KeyError, IndexError, AttributeError):
-        return None
-
-
 class RegistryDirectory:
     """A Directory that follows the list of the platform's registry.
 
     known: the list of the configuration; saved: that of the folder. on_change(ListChange): called for each
     version. registry: the address that the list in force came from; confirmed_at: when it was last confirmed,
     a time of the machine's monotonic clock. configured: identities of the configured lists that it
-    supersedes. generation: as of ListChange. source: where the list in force came from.
+    supersedes. generation: as of ListChange. source: where the list in force came from. withheld: endpoints
+    that get nothing new until the whole list is told. reported_at: when on_change was called last.
     """
 
     def __init__(
@@ -70,12 +63,14 @@
 
     # -- the start ----------------------------------------------------------------------------------
 
-    def initial_list(self, handed: dict | None = None, learnt: dict | None = None) -> interface.ListUpdate:
+    def initial_list(
+        self, handed: dict | None = None, route_states: dict[str, str] | None = None
+    ) -> interface.ListUpdate:
         rows = {name: self.members.rows[name] for name in self.members.listed_names()}
         known = KnownList(self.registry, self.members.index, rows, self.confirmed_at, self.configured)
         initial = choose(known, self.saved, self._read_handed(handed))
-        if states := _route_states(learnt):
-            initial = withhold_unlearnt(initial, states)
+        if route_states:
+            initial = withhold_unlearnt(initial, route_states)
         if initial.source is not Source.CONFIGURATION:
             self._replace_list(initial)
         self.source, self.withheld = initial.source, initial.withheld
@@ -97,7 +92,7 @@
         try:
             return known_list(read_change(handed))
         except INVALID_VALUE_ERRORS as problem:
-            event("line.broken", why=f"the list that it goes by makes no sense: {problem!r}")
+            event("line.broken", why=f"the predecessor's list is invalid: {problem!r}")
             return None
 
     def _replace_list(self, initial: InitialList) -> None:
--- a/tests/list_processes.py
+++ b/tests/list_processes.py
@@ -5,7 +5,7 @@
 import json
 
 from ryestack.interface import EndpointStatus
-from ryestack.lifecycle.list_keeper import ListKeeper
+from ryestack.lifecycle.list_saver import ListSaver
 from ryestack.wire.platform import PlatformClient
 from ryestack.wire.registry_directory import RegistryDirectory
 
@@ -54,7 +54,7 @@
         return b"" if self.silent else http(200, json.dumps(self.message).encode())
 
 
-class Kept:
+class FolderFixture:
     """Directories of processes that follow each other in one folder."""
 
     def __init__(self, folder):
@@ -68,19 +68,19 @@
         self.registry.server.close()
 
     def process(self, known, address=None):
-        """A directory at its start, with its keeper."""
-        keeper = ListKeeper(self.folder, self.boot)
+        """A directory at its start, with its saver."""
+        saver = ListSaver(self.folder, self.boot)
         platform = PlatformClient(address or self.registry.address)
-        saved = keeper.load()
-        directory = RegistryDirectory(platform, known, saved, lambda c: keeper.save(c.as_fields()))
-        keeper.export = directory.export
-        return directory, keeper
+        saved = saver.load()
+        directory = RegistryDirectory(platform, known, saved, lambda c: saver.save(c.as_fields()))
+        saver.export = directory.export
+        return directory, saver
 
-    async def started(self, known, handed=None, learnt=None, address=None):
+    async def started(self, known, handed=None, route_states=None, address=None):
         """The directory of a new process, and the updates that its start goes by."""
-        directory, keeper = self.process(known, address)
-        updates = [directory.initial_list(handed, learnt)]
-        keeper.save_initial(beside=handed is not None)
+        directory, saver = self.process(known, address)
+        updates = [directory.initial_list(handed, route_states)]
+        saver.save_initial(beside=handed is not None)
         updates += await directory.fetch_initial()
         await directory.platform.close()
         return directory, updates
@@ -97,10 +97,10 @@
     return {name: (rows[name]["address"], rows[name]["group"]) for name in up}
 
 
-async def followed(kept, known, *messages):
+async def followed(fixture, known, *messages):
     """A process that is told these answers."""
-    kept.registry.silent = False
-    directory, _ = await kept.started(known)
+    fixture.registry.silent = False
+    directory, _ = await fixture.started(known)
     for message in messages:
         directory.take_answer(message, directory.clock(), directory.platform.address)
     return directory
--- a/tests/test_list_file.py
+++ b/tests/test_list_file.py
@@ -8,20 +8,20 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ryestack.lifecycle.list_keeper import ListKeeper
+from ryestack.lifecycle.list_saver import ListSaver
 from ryestack.membership.list_versions import ListChange
 from ryestack.store.list_file import MAX_FILE_BYTES, ListFile
 
-from .list_processes import KNOWN, REPLACED, A, Kept, changed, followed, in_loop, ready, row, whole
+from .list_processes import KNOWN, REPLACED, A, FolderFixture, changed, followed, in_loop, ready, row, whole
 
 
 @pytest.mark.parametrize("damage", ["torn", "flipped", "empty", "nonsense"])
 @in_loop
 async def test_damaged_file_gives_the_versions_before_the_damage_and_is_written_anew(tmp_path, damage):
-    async with Kept(tmp_path) as kept:
-        kept.registry.message = KNOWN
-        await followed(kept, KNOWN, *REPLACED[:2])
-        kept.registry.silent = True
+    async with FolderFixture(tmp_path) as fixture:
+        fixture.registry.message = KNOWN
+        await followed(fixture, KNOWN, *REPLACED[:2])
+        fixture.registry.silent = True
         path = tmp_path / "list"
         data = path.read_bytes()
         damaged = {
@@ -31,54 +31,54 @@
             "nonsense": os.urandom(50),
         }
         path.write_bytes(damaged[damage])
-        directory, updates = await kept.started(KNOWN)
+        directory, updates = await fixture.started(KNOWN)
         expected = {"a2", "b1"} if damage in ("torn", "flipped") else {"a1", "b1"}
         assert set(ready(directory, updates)) == expected
-        keeper = ListKeeper(kept.folder, kept.boot)
-        assert keeper.load() is not None and not keeper.needs_rewrite
+        saver = ListSaver(fixture.folder, fixture.boot)
+        assert saver.load() is not None and not saver.needs_rewrite
         # A change that comes before the file is written anew is not appended behind the damage.
         path.write_bytes(damaged[damage])
-        directory, keeper = kept.process(KNOWN)
+        directory, saver = fixture.process(KNOWN)
         directory.initial_list()
         directory.take_answer(changed(9, row("c", 9)), directory.clock(), directory.platform.address)
-        assert "c" in keeper.load().rows
+        assert "c" in saver.load().rows
         await directory.platform.close()
 
 
 @in_loop
 async def test_version_that_could_not_be_saved_is_saved_once_the_folder_can_be_written(tmp_path):
     folder = tmp_path / "state"
-    async with Kept(folder) as kept:
-        kept.registry.message = KNOWN
-        directory, keeper = kept.process(KNOWN)
+    async with FolderFixture(folder) as fixture:
+        fixture.registry.message = KNOWN
+        directory, saver = fixture.process(KNOWN)
         directory.initial_list()
         directory.take_answer(REPLACED[0], directory.clock(), directory.platform.address)
-        assert keeper.unsaved
+        assert saver.unsaved
         folder.mkdir()
         async with asyncio.timeout(3.0):
-            while keeper.unsaved:
+            while saver.unsaved:
                 await asyncio.sleep(0.02)
         await directory.platform.close()
-        assert keeper.load().rows["a1"]["status"] == "draining"
+        assert saver.load().rows["a1"]["status"] == "draining"
 
 
 @in_loop
 async def test_file_of_3200_endpoints_fits_its_part_and_a_change_costs_its_own_bytes(tmp_path):
     # Sixteen times the endpoints of a usual site; unlike names and addresses compress badly.
     rows = [row(f"s-{n * 2654435761 % 2**32:08x}", n * 7919 % 60_000, n // 4) for n in range(3200)]
-    async with Kept(tmp_path) as kept:
-        directory, keeper = kept.process(whole(1, *rows))
+    async with FolderFixture(tmp_path) as fixture:
+        directory, saver = fixture.process(whole(1, *rows))
         directory.initial_list()
-        keeper.save_initial(beside=False)
+        saver.save_initial(beside=False)
         path, sizes = tmp_path / "list", []
         for version in range(2, 400):
             message = changed(version, {**rows[version], "status": "draining"})
             directory.take_answer(message, directory.clock(), directory.platform.address)
             sizes.append(path.stat().st_size)
         growth = [after - before for before, after in zip(sizes, sizes[1:], strict=False) if after > before]
-        assert max(sizes) <= MAX_FILE_BYTES and not keeper.unsaved
+        assert max(sizes) <= MAX_FILE_BYTES and not saver.unsaved
         assert max(growth) < 400 and len(growth) > 380
-        loaded = ListKeeper(kept.folder, kept.boot).load()
+        loaded = ListSaver(fixture.folder, fixture.boot).load()
         assert loaded.rows == {r["name"]: r for r in directory.current().rows} and loaded.version == 399
         await directory.platform.close()
 
@@ -86,17 +86,17 @@
 @in_loop
 async def test_file_that_another_process_has_replaced_is_written_anew(tmp_path):
     # A predecessor that stood still writes its older list over ours: our changes would find no base there.
-    async with Kept(tmp_path) as kept:
-        stopped, stopped_keeper = kept.process(KNOWN)
+    async with FolderFixture(tmp_path) as fixture:
+        stopped, stopped_saver = fixture.process(KNOWN)
         stopped.initial_list()
-        stopped_keeper.save_initial(beside=False)
-        directory, keeper = kept.process(KNOWN)
+        stopped_saver.save_initial(beside=False)
+        directory, saver = fixture.process(KNOWN)
         directory.initial_list()
-        keeper.save_initial(beside=False)
+        saver.save_initial(beside=False)
         directory.take_answer(REPLACED[0], directory.clock(), directory.platform.address)
-        stopped_keeper.save_whole()
+        stopped_saver.save_whole()
         directory.take_answer(REPLACED[1], directory.clock(), directory.platform.address)
-        assert set(keeper.load().rows) == {"a2", "b1"}
+        assert set(saver.load().rows) == {"a2", "b1"}
         for each in (stopped, directory):
             await each.platform.close()
 
@@ -104,28 +104,28 @@
 @in_loop
 async def test_versions_without_a_change_leave_no_gap_before_the_next_change(tmp_path):
     # They were not saved: the change behind them had no base in the file; a start went by the list before.
-    async with Kept(tmp_path) as kept:
-        directory, keeper = kept.process(KNOWN)
+    async with FolderFixture(tmp_path) as fixture:
+        directory, saver = fixture.process(KNOWN)
         directory.initial_list()
-        keeper.save_initial(beside=False)
+        saver.save_initial(beside=False)
         for message in (changed(2), changed(3), changed(4, row("a1", 1, 7, "draining"))):
             directory.take_answer(message, directory.clock(), directory.platform.address)
-        assert keeper.load().rows["a1"]["status"] == "draining"
+        assert saver.load().rows["a1"]["status"] == "draining"
         # A version that the other process of an upgrade was told, and could not save.
         told = ListChange(directory.registry, 6, (row("b1", 2, 8, "draining"),), directory.clock(), 4)
         directory.take_change(told.as_fields())
         directory.take_answer(changed(7, row("c", 9)), directory.clock(), directory.platform.address)
-        assert keeper.load().rows == {each["name"]: each for each in directory.current().rows}
+        assert saver.load().rows == {each["name"]: each for each in directory.current().rows}
         await directory.platform.close()
 
 
 @in_loop
 async def test_registry_that_answers_the_whole_list_each_time_costs_what_has_changed(tmp_path):
     rows = [row(f"e{n}", n, n // 4) for n in range(200)]
-    async with Kept(tmp_path) as kept:
-        directory, keeper = kept.process(whole(1, *rows))
+    async with FolderFixture(tmp_path) as fixture:
+        directory, saver = fixture.process(whole(1, *rows))
         directory.initial_list()
-        keeper.save_initial(beside=False)
+        saver.save_initial(beside=False)
         sizes = [(tmp_path / "list").stat().st_size]
         for version in range(2, 12):
             message = whole(version, *rows[version:])
@@ -133,7 +133,7 @@
             directory.members.drop_removed()
             sizes.append((tmp_path / "list").stat().st_size)
         assert sizes == sorted(sizes) and sizes[-1] < sizes[0] + 10 * 400
-        assert set(keeper.load().rows) == {each["name"] for each in rows[11:]}
+        assert set(saver.load().rows) == {each["name"] for each in rows[11:]}
         await directory.platform.close()
 
 
@@ -156,11 +156,11 @@
 @given(MESSAGES, st.lists(st.integers(0, 7)))
 def test_any_sequence_of_answers_and_kills_leaves_the_list_in_force(messages, kills):
     async def play(folder):
-        kept, known = Kept(folder), whole(1, row("a"), row("b"))
-        kept.registry.address = A
-        directory, keeper = kept.process(known)
+        fixture, known = FolderFixture(folder), whole(1, row("a"), row("b"))
+        fixture.registry.address = A
+        directory, saver = fixture.process(known)
         directory.initial_list()
-        keeper.save_initial(beside=False)
+        saver.save_initial(beside=False)
         for version, (is_whole, states) in enumerate(messages, start=2):
             rows = [row(name, status=status) for name, status in states.items()]
             rows = [each for each in rows if not is_whole or each["status"] != "removed"]
@@ -169,9 +169,9 @@
             in_force = {each["name"]: each for each in directory.current().rows}
             if version - 2 in kills:  # SIGKILL, and a start while the registry is silent
                 await directory.platform.close()
-                directory, keeper = kept.process(known)
+                directory, saver = fixture.process(known)
                 directory.initial_list()
-                keeper.save_initial(beside=False)
+                saver.save_initial(beside=False)
             assert {each["name"]: each for each in directory.current().rows} == in_force
             directory.members.drop_removed()
         await directory.platform.close()
--- a/tests/test_staff.py
+++ b/tests/test_staff.py
@@ -114,6 +114,9 @@
         self.assertEqual((metrics["lb_upstream_tries_total", ()], self.calls), (1, 1))
         self.assertEqual((metrics["lb_known_endpoints", ()], metrics["lb_in_progress", ()]), (1, 0))
         self.assertEqual((metrics["lb_list_version", ()], metrics["lb_list_unsaved", ()]), (1, 0))
+        sources = ("configuration", "folder", "predecessor", "registry")
+        found = [metrics["lb_list_source", (("source", each),)] for each in sources]
+        self.assertEqual(found, [0, 0, 0, 1] if metrics["lb_list_told", ()] else [1, 0, 0, 0])
         self.answer = http(500)
         self.assertEqual(await self.ask("POST", "/api", **{"X-Request-Id": "m", "X-Class": "once"}), ACCEPTED)
         metrics = await self.until(handled("once", "bad_gateway"), 1)
