--- a/ryestack/cli/soak.py
+++ b/ryestack/cli/soak.py
@@ -10,7 +10,7 @@
 
 from ..lab.soak.fault_control import NoCompiler
 from ..lab.soak.invariants import Verdict, judge_soak
-from ..lab.soak.scenario import Scenario, SoakPlan
+from ..lab.soak.scenario import LIFETIME_S, WINDOW_S, Scenario, SoakPlan
 from ..lab.trial import TrialFailed
 from .interrupts import end_from_within
 from .output import FOUND, Json, Seed, print_json, say, unusable
@@ -42,6 +42,15 @@
     one_way_links: Annotated[
         bool, typer.Option("--one-way-links", help="Also links that hold one direction, or are slow.")
     ] = False,
+    hold_ups: Annotated[
+        bool, typer.Option("--hold-ups", help="Also slow disks, and links that hold some connections.")
+    ] = False,
+    window: Annotated[
+        float, typer.Option(min=0.5, max=60, help="Seconds in which partners drop repeats.")
+    ] = WINDOW_S,
+    lifetime: Annotated[
+        float, typer.Option(min=0.5, max=60, help="Seconds that a notification may be delivered.")
+    ] = LIFETIME_S,
     keep: Annotated[
         str | None, typer.Option(help="A directory in which to keep all logs, books and journals.")
     ] = None,
@@ -53,7 +62,17 @@
         for number in range(seed, seed + seeds):
             folder = Path(keep or temporary) / f"seed-{number}"
             folder.mkdir(parents=True)
-            plan = SoakPlan(number, relays, partners, rate, seconds, one_way_links=one_way_links)
+            plan = SoakPlan(
+                number,
+                relays,
+                partners,
+                rate,
+                seconds,
+                one_way_links=one_way_links,
+                hold_ups=hold_ups,
+                window=window,
+                lifetime=lifetime,
+            )
             try:
                 verdict, injected = asyncio.run(_play(plan, folder, say if not as_json else lambda _: None))
             except asyncio.CancelledError:
--- a/ryestack/lab/soak/endpoint_rules.py
+++ b/ryestack/lab/soak/endpoint_rules.py
@@ -1,10 +1,11 @@
-"""Checks the calls that endpoints received: none to a drained one, in a wait, or past a cold one's budget.
+"""Checks the calls that endpoints received: none to a drained one, in a wait, past a cold one's budget, past
+a notification's time, or past the window of repeats.
 
 No I/O.
 """
 
 from collections import defaultdict
-from math import sqrt
+from math import inf, sqrt
 
 from ...standins.books import Arrival
 from .verdict import Evidence, Verdict
@@ -14,6 +15,7 @@
 WAIT_PROPAGATION_S = 0.1  # after a wait was sent, in which calls may still arrive
 MAX_LINK_DELAY_S = 1.0  # of a late link, in either direction
 SMALL_BUDGET_CALLS = 30
+SOCKET_TOLERANCE_S = 0.05  # by which each time limit grows on sockets
 
 
 def check_drains(evidence: Evidence, verdict: Verdict) -> None:
@@ -56,6 +58,29 @@
             waits[key] = arrival.at, arrival.at + arrival.wait
 
 
+def check_times(evidence: Evidence, verdict: Verdict) -> None:
+    """No call arrives past its notification's time, and no repeat past its window.
+
+    The window counts from the first call that may have run, at the earliest from its arrival.
+    """
+    attempts = {attempt.id: attempt for attempt in evidence.attempts}
+    first: dict[str, float] = {}
+    for arrival in sorted(evidence.books.arrivals, key=lambda row: row.at):
+        attempt = attempts.get(arrival.id)
+        if attempt is None:
+            continue
+        if arrival.at > attempt.due + SOCKET_TOLERANCE_S:
+            what = f"called {arrival.at - attempt.due:.3f} s past its time"
+            verdict.add("call past its time", arrival.id, what)
+        may_have_run_at = first.get(arrival.id, inf)
+        late = arrival.at - may_have_run_at - evidence.window
+        if attempt.effect == "collapsible" and late > SOCKET_TOLERANCE_S:
+            what = f"called again {late:.3f} s past the window, {arrival.endpoint}: {arrival.how}"
+            verdict.add("repeat past its window", arrival.id, what)
+        if arrival.how != "full":
+            first.setdefault(arrival.id, arrival.at)
+
+
 def budget(allowed: float) -> float:
     """Maximum calls to a cold partner in a window in which its settings allow this mean number.
 
--- a/ryestack/lab/soak/fault_control.py
+++ b/ryestack/lab/soak/fault_control.py
@@ -34,9 +34,15 @@
     RECEIVE_SHORT = 9
     RECEIVE_FAILS = 10
     WAIT_INTERRUPTED = 11
+    DISK_SLOW = 12  # its errno is the longest time of an operation in milliseconds
 
 
-DEFAULT_ERRNOS = {Fault.WAIT_INTERRUPTED: errno.EINTR, Fault.RECEIVE_FAILS: errno.ETIMEDOUT}
+MAX_DISK_DELAY_MS = 300
+DEFAULT_ERRNOS = {
+    Fault.WAIT_INTERRUPTED: errno.EINTR,
+    Fault.RECEIVE_FAILS: errno.ETIMEDOUT,
+    Fault.DISK_SLOW: MAX_DISK_DELAY_MS,
+}
 SIZE = WALL_OFFSET.size + len(Fault) * (FAULT_SETTING.size + INJECTED_COUNT.size)
 
 
--- a/ryestack/lab/soak/faults.c
+++ b/ryestack/lab/soak/faults.c
@@ -25,7 +25,7 @@
 
 enum fault {
     ACCEPT_FAILS, SOCKET_FAILS, CONNECT_FAILS, WRITE_FAILS, WRITE_SHORT, TRUNCATE_FAILS, RENAME_FAILS,
-    OPEN_FAILS, SEND_SHORT, RECEIVE_SHORT, RECEIVE_FAILS, WAIT_INTERRUPTED, FAULTS
+    OPEN_FAILS, SEND_SHORT, RECEIVE_SHORT, RECEIVE_FAILS, WAIT_INTERRUPTED, DISK_SLOW, FAULTS
 };
 
 struct control {
@@ -85,6 +85,12 @@
     return 1;
 }
 
+static void stand_still(void)
+{
+    int longest = control->faults[DISK_SLOW].error; /* milliseconds; at least 10 */
+    usleep(10000 + draw() % (uint32_t)((longest > 10 ? longest - 10 : 1) * 1000));
+}
+
 static int armed(enum fault which)
 {
     return control && control->faults[which].parts_per_million;
@@ -118,6 +124,19 @@
     return whole && strncmp(path, folder, whole) == 0 && path[whole] == '/';
 }
 
+/* A file operation in the folder that takes long, without an error. */
+static void slow_path(const char *path)
+{
+    if (armed(DISK_SLOW) && path_is_ours(path) && strikes(DISK_SLOW))
+        stand_still();
+}
+
+static void slow_descriptor(int descriptor)
+{
+    if (armed(DISK_SLOW) && descriptor_is_ours(descriptor) && strikes(DISK_SLOW))
+        stand_still();
+}
+
 /* -- clocks ------------------------------------------------------------------------------------------ */
 
 static void shift(struct timespec *when)
@@ -226,6 +245,7 @@
 
 ssize_t write(int descriptor, const void *data, size_t size)
 {
+    slow_descriptor(descriptor);
     if (armed(WRITE_FAILS) || armed(WRITE_SHORT)) {
         if (descriptor_is_ours(descriptor)) {
             if (strikes(WRITE_FAILS))
@@ -244,16 +264,25 @@
 
 int ftruncate(int descriptor, off_t length)
 {
+    slow_descriptor(descriptor);
     return truncate_fails(descriptor) ? -1 : REAL(ftruncate)(descriptor, length);
 }
 
 int ftruncate64(int descriptor, off64_t length)
 {
+    slow_descriptor(descriptor);
     return truncate_fails(descriptor) ? -1 : REAL(ftruncate64)(descriptor, length);
 }
 
+int unlink(const char *path)
+{
+    slow_path(path);
+    return REAL(unlink)(path);
+}
+
 int rename(const char *from, const char *to)
 {
+    slow_path(to);
     if (armed(RENAME_FAILS) && path_is_ours(to) && strikes(RENAME_FAILS))
         return -1;
     return REAL(rename)(from, to);
--- a/ryestack/lab/soak/invariants.py
+++ b/ryestack/lab/soak/invariants.py
@@ -8,7 +8,7 @@
 import re
 
 from ..oracle import Handed, judge
-from .endpoint_rules import budget, check_budgets, check_drains, check_waits
+from .endpoint_rules import budget, check_budgets, check_drains, check_times, check_waits
 from .model import INCOMPLETE, MUST_ANSWER, Answer, Attempt, Behaviour
 from .verdict import Evidence, Finding, Verdict
 
@@ -43,6 +43,7 @@
     check_drains(evidence, verdict)
     check_waits(evidence, verdict)
     check_budgets(evidence, verdict)
+    check_times(evidence, verdict)
     for relay, log in evidence.logs.items():
         for name, pattern in LOG_FAULT_PATTERNS:
             if count := len(pattern.findall(log)):
--- a/ryestack/lab/soak/model.py
+++ b/ryestack/lab/soak/model.py
@@ -37,19 +37,22 @@
     LINK_OUT = "link holds requests"
     LINK_BACK = "link holds answers"
     LINK_SLOW = "link slow"
+    DISK_SLOW = "disk slow"
+    LINK_HOLDS = "link holds some connections"
 
 
 RESTARTS = (Kind.KILL, Kind.STOP, Kind.UPGRADE)
 OF_RELAYS = (
     *RESTARTS, Kind.RELOAD, Kind.PAUSE, Kind.CLOCK_STEP, Kind.DISK_FAILS, Kind.DISK_SHORT, Kind.ACCEPT_FAILS,
-    Kind.CONNECT_FAILS, Kind.SOCKET_IO, Kind.CONNECTIONS_BREAK, Kind.CROWD,
+    Kind.CONNECT_FAILS, Kind.SOCKET_IO, Kind.CONNECTIONS_BREAK, Kind.CROWD, Kind.DISK_SLOW,
 )  # fmt: skip
 OF_PARTNERS = (
     Kind.PARTNER_OUTAGE, Kind.PARTNER_HANGS, Kind.PARTNER_RESETS, Kind.PARTNER_LIMITS, Kind.PARTNER_ERRORS,
     Kind.PARTNER_BUSY, Kind.LINK_LOST, Kind.LINK_RESETS, Kind.LINK_LATE, Kind.ANSWERS_AGAIN, Kind.DRAIN,
-    Kind.LINK_OUT, Kind.LINK_BACK, Kind.LINK_SLOW,
+    Kind.LINK_OUT, Kind.LINK_BACK, Kind.LINK_SLOW, Kind.LINK_HOLDS,
 )  # fmt: skip
 ONE_WAY_LINKS = (Kind.LINK_OUT, Kind.LINK_BACK, Kind.LINK_SLOW)  # drawn only if asked for
+HOLD_UPS = (Kind.DISK_SLOW, Kind.LINK_HOLDS)  # drawn only if asked for
 
 
 class Trouble(msgspec.Struct, frozen=True):
--- a/ryestack/lab/soak/scenario.py
+++ b/ryestack/lab/soak/scenario.py
@@ -21,20 +21,19 @@
 from .schedule import draw
 from .troubles import ENDPOINTS, Troubles
 
-TOPICS = [
-    Topic("balance", "repeatable", 6.0),
-    Topic("points", "collapsible", 6.0),
-    Topic("charge", "once-only", 6.0),
-]
-WINDOW_S = 3.0
+EFFECTS = {"balance": "repeatable", "points": "collapsible", "charge": "once-only"}  # by topic
+LIFETIME_S, WINDOW_S = 6.0, 3.0
 CUSTOMER = "acme"
 COLD_START = {"cold_time": 6.0, "cold_share": 0.15, "fall_factor": 1.3, "fall_time": 1.0}
 UNREACHABLE_FALL_FACTOR = 100.0  # partners must not fall: the checker counts how far calls exceed the budget
-SETTLE_TIME_S = 9.0  # after the last request: the longest TTL and a margin for a restart
+SETTLE_TIME_S = 3.0  # after the end of the last request's time: a margin for a restart
 
 
 class SoakPlan(msgspec.Struct, frozen=True):
-    """relays, partners: how many; rate: requests a second at each relay; seconds: their duration."""
+    """relays, partners: how many; rate: requests a second at each relay; seconds: their duration.
+
+    window: of collapsible topics; lifetime: seconds that a notification may be delivered.
+    """
 
     seed: int
     relays: int = 8
@@ -43,6 +42,9 @@
     seconds: float = 30.0
     weight: float = 30.0
     one_way_links: bool = False
+    hold_ups: bool = False
+    window: float = WINDOW_S
+    lifetime: float = LIFETIME_S
 
 
 class Scenario(Troubles):
@@ -50,7 +52,9 @@
 
     def __init__(self, plan: SoakPlan, folder: Path, log: Callable[[str], None], troubles=None):
         self.plan, self.folder, self.log = plan, folder, log
-        drawn = draw(plan.seed, plan.seconds, plan.relays, plan.partners, plan.one_way_links)
+        size = plan.seed, plan.seconds, plan.relays, plan.partners
+        drawn = draw(*size, plan.one_way_links, plan.hold_ups)
+        self.topics = [Topic(name, effect, plan.lifetime) for name, effect in EFFECTS.items()]
         self.troubles: list[Trouble] = drawn if troubles is None else troubles
         self.rng = Random(f"scenario {plan.seed}")
         self.ports = Ports()
@@ -77,7 +81,7 @@
             await asyncio.gather(*(client.process.wait() for client in self.clients))
             for relay in self.relays:
                 relay.faults.clear()
-            await asyncio.sleep(SETTLE_TIME_S)
+            await asyncio.sleep(self.plan.lifetime + SETTLE_TIME_S)
             return await self.evidence()
         finally:
             await asyncio.gather(*(each.close() for each in self.all()), return_exceptions=True)
@@ -152,12 +156,13 @@
 
     def config(self, number: int, discovery: str, known: dict) -> dict:
         config = platform_config(
-            self.ports.address(), discovery, known, TOPICS, self.plan.seed * 100 + number
+            self.ports.address(), discovery, known, self.topics, self.plan.seed * 100 + number
         )
         config["name"] = f"r{number}"
         settings = config["settings"]
         settings["balancers"] = self.plan.relays
-        settings["grades"] = [{**grade, "windowMs": WINDOW_S * 1000.0} for grade in settings["grades"]]
+        window = {"windowMs": self.plan.window * 1000.0}
+        settings["grades"] = [{**grade, **window} for grade in settings["grades"]]
         settings["rules"] = {
             "coldShare": COLD_START["cold_share"], "coldMs": COLD_START["cold_time"] * 1000.0,
             "overloadFactor": COLD_START["fall_factor"], "fallMs": COLD_START["fall_time"] * 1000.0,
@@ -165,7 +170,7 @@
         return config
 
     async def start_clients(self, begin: float) -> None:
-        topics = [ClientTopic(t.name, t.effect, t.ttl) for t in TOPICS]
+        topics = [ClientTopic(t.name, t.effect, t.ttl) for t in self.topics]
         destinations = list(range(1, self.plan.partners + 1))
         for relay in self.relays:
             report = str(self.folder / f"client-{relay.number}.jsonl")
@@ -213,7 +218,7 @@
             crowded=self.crowded,
             logs=logs,
             problems=problems,
-            window=WINDOW_S,
+            window=self.plan.window,
             now=time.time(),
         )
 
--- a/ryestack/lab/soak/schedule.py
+++ b/ryestack/lab/soak/schedule.py
@@ -5,7 +5,7 @@
 
 from random import Random
 
-from .model import OF_PARTNERS, OF_RELAYS, ONE_WAY_LINKS, RESTARTS, Kind, Trouble
+from .model import HOLD_UPS, OF_PARTNERS, OF_RELAYS, ONE_WAY_LINKS, RESTARTS, Kind, Trouble
 
 TRACKS = 3  # number of troubles that may overlap; misbehaving clients come on top
 CALM_START_S, CALM_END_S = 2.0, 6.0  # no new trouble at the start and at the end
@@ -31,15 +31,24 @@
     Kind.CONNECT_FAILS: (0.05, 0.5),
     Kind.SOCKET_IO: (0.2, 0.9),
     Kind.CONNECTIONS_BREAK: (0.002, 0.02),
+    Kind.DISK_SLOW: (0.01, 0.1),
 }
 # Restarts during other troubles of the same relay are the most likely to expose faults: drawn more often.
 KIND_WEIGHTS = {kind: 3.0 for kind in RESTARTS} | {Kind.CLOCK_STEP: 2.0, Kind.DISK_FAILS: 2.0}
 FOCUS_PROBABILITY = 0.5  # fraction of troubles that hit the same relay or partner, so that they coincide
 
 
-def draw(seed: int, seconds: float, relays: int, partners: int, one_way_links: bool = False) -> list[Trouble]:
-    """Draws all troubles, sorted by their begin. one_way_links: also those of ONE_WAY_LINKS."""
-    kinds = [kind for kind in Kind if one_way_links or kind not in ONE_WAY_LINKS]
+def draw(
+    seed: int,
+    seconds: float,
+    relays: int,
+    partners: int,
+    one_way_links: bool = False,
+    hold_ups: bool = False,
+) -> list[Trouble]:
+    """Draws all troubles, sorted by their begin. one_way_links, hold_ups: also those of that name."""
+    left_out = (() if one_way_links else ONE_WAY_LINKS) + (() if hold_ups else HOLD_UPS)
+    kinds = [kind for kind in Kind if kind not in left_out]
     rng = Random(f"soak {seed}")
     focus = {"relay": rng.randrange(relays), "partner": rng.randrange(partners)}
     troubles: list[Trouble] = []
--- a/ryestack/lab/soak/troubles.py
+++ b/ryestack/lab/soak/troubles.py
@@ -36,6 +36,7 @@
     Kind.LINK_OUT: "out",
     Kind.LINK_BACK: "back",
     Kind.LINK_SLOW: "slow",
+    Kind.LINK_HOLDS: "holds",
 }
 
 
@@ -73,6 +74,7 @@
             Kind.SOCKET_IO: self.transfer_short, Kind.PARTNER_OUTAGE: self.partner_outage,
             Kind.REGISTRY_SILENT: self.silence_registry, Kind.DRAIN: self.drain,
             Kind.CROWD: self.gather_crowd, Kind.PLATFORM_AGAIN: self.repeat_platform,
+            Kind.DISK_SLOW: self.slow_disk,
         }[trouble.kind]  # fmt: skip
 
     async def kill(self, trouble: Trouble) -> None:
@@ -117,6 +119,9 @@
     async def write_short(self, trouble: Trouble) -> None:
         await self.inject_faults(trouble, (Fault.WRITE_SHORT, Fault.TRUNCATE_FAILS), errno.EIO)
 
+    async def slow_disk(self, trouble: Trouble) -> None:
+        await self.inject_faults(trouble, (Fault.DISK_SLOW,), 0)
+
     async def transfer_short(self, trouble: Trouble) -> None:
         faults = Fault.SEND_SHORT, Fault.RECEIVE_SHORT, Fault.WAIT_INTERRUPTED
         await self.inject_faults(trouble, faults, 0)
--- a/ryestack/standins/links.py
+++ b/ryestack/standins/links.py
@@ -10,8 +10,9 @@
 
 from .answer_faults import AnswerFaults
 
-MODES = ("ok", "refuse", "hole", "out", "back", "reset", "late", "slow", "again")
+MODES = ("ok", "refuse", "hole", "out", "back", "reset", "late", "slow", "again", "holds")
 FAULTY_ANSWERS = 0.25  # fraction of answers out of order in mode `again`
+HELD_FRACTION, MAX_HOLD_S = 1 / 3, 3.0  # of callers' chunks that mode `holds` holds, and how long
 CHUNK = 16 * 1024
 POLL_INTERVAL_S = 0.02  # between checks whether a held link has healed
 
@@ -32,7 +33,8 @@
     mode: `refuse` closes each connection at once; `hole` holds both directions, `out` holds bytes to the
     target, `back` holds bytes from it; `reset` resets a connection in the middle of its data; `late` delays
     each chunk by 0.5 to 1.5 times delay (seconds); `slow` limits throughput to rate bytes a second; `again`
-    repeats and cuts answers as AnswerFaults draws it, taking each read for one answer.
+    repeats and cuts answers as AnswerFaults draws it, taking each read for one answer; `holds` holds some of
+    what callers send, for up to MAX_HOLD_S.
     """
 
     def __init__(self, target: tuple[str, int], seed: int, drop_on_close: bool = False):
@@ -84,9 +86,13 @@
         faults = AnswerFaults(self.rng, FAULTY_ANSWERS)
         with suppress(OSError, ConnectionError):
             while data := await reader.read(CHUNK):
-                held = self.mode in ("hole", "late", direction)
+                held = self.mode in ("hole", "late", "slow", "holds", direction)
                 if self.mode == "late":
                     await asyncio.sleep(self.delay * self.rng.uniform(0.5, 1.5))
+                if self.mode == "slow":
+                    await asyncio.sleep(len(data) / self.rate)
+                if self.mode == "holds" and direction == "out" and self.rng.random() < HELD_FRACTION:
+                    await asyncio.sleep(self.rng.uniform(0.0, MAX_HOLD_S))
                 while self.mode in ("hole", direction):
                     await asyncio.sleep(POLL_INTERVAL_S)
                 if held and self.drop_on_close and self.has_ended(reader):
@@ -94,8 +100,6 @@
                 if self.mode == "reset":
                     writer.write(data[: len(data) // 2])
                     break
-                if self.mode == "slow":
-                    await asyncio.sleep(len(data) / self.rate)
                 self.carried += len(data)
                 self.reads += 1
                 if direction == "back" and self.mode == "again":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 from ryestack.lab.soak import schedule
 from ryestack.lab.soak.invariants import Evidence, budget, judge_soak
 from ryestack.lab.soak.model import (
+    HOLD_UPS,
     ONE_WAY_LINKS,
     RESTARTS,
     Answer,
@@ -39,6 +40,12 @@
     return Run(name, "", "p0-0", at, at, answered, 48)
 
 
+MERGED = attempt(effect="collapsible")
+LATE = Arrival("r0-1-1", "p0-0", 106.06, "silent")  # 0.06 s past its time
+FIRST = Arrival("r0-1-1", "p0-0", 100.1, "run")
+AGAIN = Arrival("r0-1-1", "p0-0", 103.16, "full")  # 3.06 s after the first, at a window of 3 s
+
+
 def evidence(attempts=(), runs=(), notices=(), arrivals=(), **more):
     books = Books(runs=list(runs), notices=list(notices), arrivals=list(arrivals))
     empty = {"restarts": [], "drained": [], "returned": [], "disturbed": [], "crowded": [], "logs": {},
@@ -60,10 +67,11 @@
         self.assertNotEqual(first, schedule.draw(8, 60.0, 8, 8))
         self.assertGreater(schedule.overlaps(first), len(first) / 2)
 
-    def test_one_way_links_are_drawn_only_if_asked_for(self):
+    def test_one_way_links_and_hold_ups_are_drawn_only_if_asked_for(self):
         plain = {trouble.kind for seed in range(40) for trouble in schedule.draw(seed, 60.0, 8, 8)}
-        asked = {trouble.kind for seed in range(40) for trouble in schedule.draw(seed, 60.0, 8, 8, True)}
-        self.assertEqual((asked - plain, asked), (set(ONE_WAY_LINKS), set(Kind)))
+        draws = [schedule.draw(seed, 60.0, 8, 8, one_way_links=True, hold_ups=True) for seed in range(40)]
+        asked = {trouble.kind for troubles in draws for trouble in troubles}
+        self.assertEqual((asked - plain, asked), ({*ONE_WAY_LINKS, *HOLD_UPS}, set(Kind)))
 
     def test_two_restarts_of_one_relay_never_overlap(self):
         for seed in range(30):
@@ -96,6 +104,8 @@
             ("answered twice", evidence([attempt(answered_twice=True)], [run()])),
             ("drain", evidence(arrivals=[Arrival("r0-1-1", "p0-0", 99.0, "run")], drained=drained)),
             ("budget", evidence(arrivals=cold, returned=[Returned("p0-0", 100.0)])),
+            ("call past its time", evidence([attempt()], [run()], arrivals=[LATE])),
+            ("repeat past its window", evidence([MERGED], [run()], arrivals=[FIRST, AGAIN])),
             ("traceback", evidence(logs={0: "Traceback (most recent call last):\n"})),
             ("process", evidence(problems=["relay 0 is gone"])),
         ):
