Logs and figures of hold-ups: file operations, late timers, and what allows a push

The relay's records could not tell a slow disk from a busy machine, nor by which permission a message was sent again. New: events folder.slow (operation, seconds) and loop.held_up; push.began tells what allows the push and the seconds left of its time and window; lb_folder_seconds_total, lb_folder_slow_total, lb_loop_held_up_total, lb_loop_held_up_seconds_total, lb_repeats_total{permission}. No decision changes.

--- a/ryestack/brain/invariants.py
+++ b/ryestack/brain/invariants.py
@@ -30,6 +30,29 @@
     UNANSWERED = "a request read and closed with no answer"
 
 
+class Permission(Enum):
+    """What allows a push; the values are the counter's labels and appear in the log."""
+
+    FIRST = "the first push"
+    NEVER_RAN = "no earlier push ran"
+    REPEATABLE = "a repeat does no harm"
+    WINDOW = "within the window of repeats"
+
+
+REPEAT_PERMISSIONS = tuple(Permission)[1:]
+
+
+def permission(pushes: int, may_have_run_at: float, topic: interface.TopicType | None) -> Permission:
+    """What allows the next push. pushes: made before; may_have_run_at: inf if none of them may have run;
+    topic: the terms of the acceptance, needed where one may have."""
+    if not pushes:
+        return Permission.FIRST
+    if may_have_run_at == inf:
+        return Permission.NEVER_RAN
+    repeatable = topic is not None and topic.effect is interface.Effect.REPEATABLE
+    return Permission.REPEATABLE if repeatable else Permission.WINDOW
+
+
 class Invariants:
     """Follows events and pushes, and checks pushes and final answers.
 
--- a/ryestack/lifecycle/admin.py
+++ b/ryestack/lifecycle/admin.py
@@ -3,10 +3,11 @@
 import asyncio
 from collections import Counter
 
-from ..brain.invariants import Rule
+from ..brain.invariants import REPEAT_PERMISSIONS, Rule
 from ..membership.list_versions import Source
 from ..observe import figures
 from ..ports import CloseReason, EndpointCloseReason
+from ..store.folder_times import FOLDER_TIMES, Operation
 from .admission import Refusal
 from .phases import ACCEPT_AFTER_STOP_S, PHASES, READY, REFUSED_IN
 from .pushing import Unsent
@@ -36,6 +37,8 @@
             "skipped_endpoints": len(owner.brain.skipped_endpoints(listed)),
             "loads_total": self.loads["accepted"],
             "load_errors_total": self.loads["rejected"],
+            "loop_held_up_total": owner.held_up_count,
+            "loop_held_up_seconds_total": round(owner.held_up_seconds, 3),
         }
         if parts.control:
             values |= parts.control.figures()
@@ -51,7 +54,7 @@
             return {}
         return {"list_source": {each.value: int(self.parts.directory.source is each) for each in Source}}
 
-    def labelled_counts(self) -> dict[str, dict[str, int]]:
+    def labelled_counts(self) -> dict[str, dict[str, float]]:
         """The counters that have a label, with a zero for each label value not seen yet."""
         owner = self.owner
         closed = sum((listener.closed_connections for listener in self.parts.listeners), Counter())
@@ -59,6 +62,9 @@
             "invariant_violations_total": {rule.value: owner.invariants.counts[rule] for rule in Rule},
             "refused_total": {why.value: owner.refused[why] for why in Refusal},
             "pushes_unsent_total": {why.value: owner.unsent[why] for why in Unsent},
+            "repeats_total": {why.value: owner.permissions[why] for why in REPEAT_PERMISSIONS},
+            "folder_seconds_total": {o.value: round(FOLDER_TIMES.seconds[o], 6) for o in Operation},
+            "folder_slow_total": {o.value: FOLDER_TIMES.slow[o] for o in Operation},
             "retries_total": {after or "a life before": count for after, count in owner.retries.items()},
             "client_connections_closed_total": {why.value: closed[why] for why in CloseReason},
             "endpoint_connections_closed_total": {
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -22,6 +22,8 @@
 from .upgrade.siblings import RemoteEvent, Siblings
 from .watched import Watched
 
+HELD_UP_S = 0.1  # by which a timer fires late, before that is logged
+
 
 class Owner(Admission, Pushing, Ending, Recovery):
     """Runs the decision module in rounds and carries out its actions.
@@ -47,6 +49,7 @@
         self.counts = Counter()
         self.retries: Counter[str] = Counter()  # retried pushes by the result of the previous push
         self.ended: Counter[tuple[str, str]] = Counter()  # by topic type and result
+        self.held_up_count, self.held_up_seconds = 0, 0.0  # of timers that fired late
         # Submissions of the current round, not in the journal yet.
         self.new_hand_ins: dict[str, Submission] = {}
 
@@ -134,7 +137,17 @@
         for _ in actions[interface.AskForList]:
             self.directory.refresh()
         for action in actions[interface.SetTimer]:
-            asyncio.get_running_loop().call_later(action.after, self.put, [interface.TimerFired()])
+            loop = asyncio.get_running_loop()
+            loop.call_later(action.after, self.timer_fired, loop.time() + action.after)
+
+    def timer_fired(self, due: float) -> None:
+        """Queue a timer of the module. due: a time of the loop's clock; much later, the loop stood still."""
+        late = asyncio.get_running_loop().time() - due
+        if late > HELD_UP_S:
+            self.held_up_count += 1
+            self.held_up_seconds += late
+            event("loop.held_up", seconds=round(late, 3))
+        self.put([interface.TimerFired()])
 
     def handle_outcome(self, outcome: interface.Outcome):
         """Record the end of a push; returns it for the module."""
--- a/ryestack/lifecycle/pushing.py
+++ b/ryestack/lifecycle/pushing.py
@@ -6,7 +6,7 @@
 from math import inf
 
 from .. import interface
-from ..brain.invariants import Invariants, Rule
+from ..brain.invariants import Invariants, Permission, Rule, permission
 from ..interface import Result
 from ..observe.log import event, is_debug_enabled
 from ..ports import PushMessage
@@ -23,12 +23,16 @@
 
 
 class Pushing:
-    """The part of the owner that starts calls. unsent: number of pushes not started, by reason."""
+    """The part of the owner that starts calls.
+
+    unsent: number of pushes not started, by reason; permissions: of those started, by what allowed them.
+    """
 
     def __init__(self):
         super().__init__()
         self.invariants = Invariants()
         self.unsent: Counter[Unsent] = Counter()
+        self.permissions: Counter[Permission] = Counter()
 
     def push(self, pushes: list[interface.Push]) -> None:
         """Start the pushes, with one call for all pushes to an endpoint."""
@@ -50,25 +54,44 @@
         owed = self.ledger.owed.get(push.id)
         if owed is None:  # just refused because the journal has no room
             return Unsent.NOT_OWED
-        if rule := self.broken_rule(push, owed):
+        may_have_run_at, topic = owed.first_may_have_run_at() - self.wall, self.topic_of(owed)
+        due = owed.due - self.wall
+        if rule := self.invariants.check_push(push, owed, topic, self.clock(), due, may_have_run_at):
             self.report_violation(rule, push.id, push.endpoint)
             return Unsent.RULE
-        number = owed.pushes
+        number, allowed = owed.pushes, permission(owed.pushes, may_have_run_at, topic)
         if not self.ledger.push(push.id, number, self.clock() + self.wall):
             return Unsent.NOT_WRITTEN
-        permission = self.replication.begin_push(push, owed)
-        if permission is None:
+        lease = self.replication.begin_push(push, owed)
+        if lease is None:
             return Unsent.NO_LEASE
-        return PushMessage(push.id, number, push.timeout, owed.key, owed.body, owed.heard, *permission)
-
-    def broken_rule(self, push: interface.Push, owed: Owed) -> Rule | None:
-        """The invariant that the push would violate, if any."""
-        may_have_run_at, topic = owed.first_may_have_run_at() - self.wall, None
-        if may_have_run_at < inf:
-            topic, _ = decode_terms(owed.topic_type, owed.terms)
-            topic = topic or next((t for t in self.settings.topic_types if t.name == owed.topic_type), None)
-        return self.invariants.check_push(
-            push, owed, topic, self.clock(), owed.due - self.wall, may_have_run_at
+        self.permissions[allowed] += 1
+        if is_debug_enabled():
+            window_left = topic.window - (self.clock() - may_have_run_at) if topic else inf
+            self.log_began(push, owed, allowed, due - self.clock(), window_left)
+        return PushMessage(push.id, number, push.timeout, owed.key, owed.body, owed.heard, *lease)
+
+    def topic_of(self, owed: Owed) -> interface.TopicType | None:
+        """The terms of its acceptance, where a push of it may have run; else None."""
+        if owed.first_may_have_run_at() == inf:
+            return None
+        topic, _ = decode_terms(owed.topic_type, owed.terms)
+        return topic or next((t for t in self.settings.topic_types if t.name == owed.topic_type), None)
+
+    def log_began(
+        self, push: interface.Push, owed: Owed, allowed: Permission, left: float, window_left: float
+    ) -> None:
+        """Log why a push may be made. left, window_left: seconds of its time and of its window."""
+        event(
+            "push.began",
+            id=push.id,
+            push=owed.pushes - 1,
+            route=push.endpoint,
+            destination=owed.destination,
+            after=owed.last_result or "none",
+            permission=allowed.value,
+            left=round(left, 3),
+            window=round(window_left, 3),
         )
 
     def unanswered(self) -> None:
@@ -97,8 +120,4 @@
             if item.push:
                 self.retries[self.ledger.owed[item.id].last_result] += 1
         self.dispatcher.start(endpoint, items)
-        for item in items if is_debug_enabled() else ():
-            owed = self.ledger.owed[item.id]
-            facts = {"destination": owed.destination, "after": owed.last_result or "none"}
-            event("push.began", id=item.id, push=item.push, route=endpoint, **facts)
         self.notify_began(endpoint, items)
--- a/ryestack/observe/figures.py
+++ b/ryestack/observe/figures.py
@@ -16,6 +16,8 @@
     ("in_progress", "gauge", "messages taken and not ended"),
     ("known_endpoints", "gauge", "endpoints in the list"),
     ("skipped_endpoints", "gauge", "listed endpoints that the relay avoids now"),
+    ("loop_held_up_total", "counter", "timers that fired over 0.1 s late: the process stood still"),
+    ("loop_held_up_seconds_total", "counter", "by how much these were late, in all"),
     ("loads_total", "counter", "configuration files taken at SIGHUP"),
     ("load_errors_total", "counter", "configuration files turned down at SIGHUP"),
 )
@@ -28,6 +30,9 @@
     ),
     ("refused_total", "why", "hand-ins that were not taken on"),
     ("pushes_unsent_total", "why", "pushes that were decided and not started"),
+    ("repeats_total", "permission", "pushes again, by what allowed them"),
+    ("folder_seconds_total", "operation", "in file operations in the state folder"),
+    ("folder_slow_total", "operation", "file operations in the state folder that took over 0.05 s"),
     ("retries_total", "after", "pushes again, by how the one before ended"),
     ("client_connections_closed_total", "why", "clients' connections by what ended them"),
     ("endpoint_connections_closed_total", "why", "connections to endpoints that this relay closed"),
@@ -52,7 +57,7 @@
     handled: Counter,
     categories: Iterable[str],
     values: dict[str, float],
-    labelled: dict[str, dict[str, int]] | None = None,
+    labelled: dict[str, dict[str, float]] | None = None,
 ) -> str:
     """All metrics as text.
 
--- a/ryestack/observe/registry_faults.py
+++ b/ryestack/observe/registry_faults.py
@@ -16,6 +16,22 @@
         "a callback of the event loop failed (with traceback); what it was to do may not have happened",
         "keep the log, and report it to the maintainers",
     ),
+    (
+        "loop.held_up",
+        "WARNING",
+        "seconds",
+        "a timer fired late by `seconds`: the process stood still, or the machine gave it no time",
+        "check the machine's load, and `folder.slow`",
+        "*",
+    ),
+    (
+        "folder.slow",
+        "WARNING",
+        "operation seconds",
+        "a file operation in the state folder took `seconds`",
+        "check the disk: hand-ins and calls wait for it",
+        "operation",
+    ),
     (
         "loop.broken",
         "DEBUG",
@@ -34,8 +50,9 @@
     (
         "push.began",
         "DEBUG",
-        "id push route destination after",
-        "a push was handed to the dispatcher; `after`: how the previous push ended",
+        "id push route destination after permission left window",
+        "a push was handed to the dispatcher; `after`: how the previous push ended; `permission`: what "
+        "allows it; `left`, `window`: seconds left of its time and of its window of repeats",
     ),
     (
         "push.ended",
--- a/ryestack/store/journal.py
+++ b/ryestack/store/journal.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from . import files
+from .folder_times import FOLDER_TIMES, Operation
 
 FRAME = struct.Struct(">II")  # length, checksum
 BLOCK_BYTES = 512  # a file's size on disk is counted in whole blocks
@@ -142,6 +143,10 @@
         if self.tail_remains:
             raise OSError("the journal ends in an incomplete record: it must be rewritten before an append")
         data = b"".join(map(encode_frame, payloads))
+        with FOLDER_TIMES.measure(Operation.JOURNAL_APPEND):
+            self._append_data(data)
+
+    def _append_data(self, data: bytes) -> None:
         written = self.file.write(data)
         if written != len(data):  # an incomplete record would hide all that follow it
             self.truncate_tail()
@@ -150,7 +155,12 @@
 
     def rewrite(self, payloads: list[bytes]) -> None:
         """Replace all records by these; the old file stays until the new one is complete."""
-        data, path = b"".join(map(encode_frame, payloads)), files.replacement_path(self.path)
+        data = b"".join(map(encode_frame, payloads))
+        with FOLDER_TIMES.measure(Operation.JOURNAL_REWRITE):
+            self._replace_data(data)
+
+    def _replace_data(self, data: bytes) -> None:
+        path = files.replacement_path(self.path)
         replacement = open(path, "ab", buffering=0)  # noqa: SIM115 - it becomes the file
         try:
             if not files.try_lock(replacement.fileno()):  # the name must never refer to an unlocked file
--- a/ryestack/store/list_file.py
+++ b/ryestack/store/list_file.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from .files import replacement_path
+from .folder_times import FOLDER_TIMES, Operation
 from .journal import BLOCK_BYTES, decode_frames, encode_frame
 
 NAME = "list"
@@ -78,7 +79,7 @@
     def append(self, record: dict) -> int:
         """Append a record; returns the size of the file."""
         data = _encode(record)
-        with open(self.path, "ab", buffering=0) as file:
+        with FOLDER_TIMES.measure(Operation.LIST), open(self.path, "ab", buffering=0) as file:
             status = os.fstat(file.fileno())
             size, self.inode = status.st_size + len(data), status.st_ino
             if size > self.max_bytes:
@@ -93,9 +94,10 @@
         if len(data) + BLOCK_BYTES > self.max_bytes:
             raise ListTooLarge(f"the list takes {len(data)} bytes, {self.max_bytes - BLOCK_BYTES} at most")
         try:
-            if replacement.write_bytes(data) != len(data):
-                raise OSError(f"short write to {replacement.name}")
-            os.replace(replacement, self.path)
+            with FOLDER_TIMES.measure(Operation.LIST):
+                if replacement.write_bytes(data) != len(data):
+                    raise OSError(f"short write to {replacement.name}")
+                os.replace(replacement, self.path)
             self.inode = os.stat(self.path).st_ino
         except OSError:
             with suppress(OSError):
--- a/ryestack/store/remembered.py
+++ b/ryestack/store/remembered.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from .folder_times import FOLDER_TIMES, Operation
+
 LEARNT, FAILING = "learnt", "failing"
 # Bytes of the folder's allowance that each may take, with the replacement beside the old file.
 MAX_FILE_BYTES = {LEARNT: 256 * 1024, FAILING: 64 * 1024}
@@ -82,8 +84,9 @@
     if len(data) > MAX_FILE_BYTES[name] // 2:
         return
     try:
-        replacement.write_bytes(data)
-        os.replace(replacement, Path(folder) / name)
+        with FOLDER_TIMES.measure(Operation.LEARNT):
+            replacement.write_bytes(data)
+            os.replace(replacement, Path(folder) / name)
     except OSError:
         with suppress(OSError):
             replacement.unlink()
