A hold-up no longer moves the end of a permission: one deadline from decision to last byte

Cause: a decision named spans (seconds left), and each layer turned them into times by its own reading of the clock: the call's task when it first ran, asyncio.timeout, the start timer. A hold-up in between moved the end by its length. The last check stands before the first byte, and now knows the message's time too.

--- a/ryestack/interface/messages.py
+++ b/ryestack/interface/messages.py
@@ -165,7 +165,8 @@
 class Push:
     """Send the notification to the endpoint.
 
-    timeout: seconds for the whole call; begin_timeout: seconds within which its first byte must be written.
+    timeout: seconds for the whole call; begin_timeout: seconds within which its first byte must be written;
+    both from the time of the round.
     """
 
     id: str
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -117,6 +117,7 @@
             if each
         ]
         actions, now = defaultdict(list), self.clock()
+        self.decided_at = now
         for checked in inputs:
             self.invariants.observe(checked, now)
         for action in self.brain.round(now, inputs):
--- a/ryestack/lifecycle/pushing.py
+++ b/ryestack/lifecycle/pushing.py
@@ -26,6 +26,7 @@
     """The part of the owner that starts calls.
 
     unsent: number of pushes not started, by reason; permissions: of those started, by what allowed them.
+    decided_at: the time of the round, a time of the clock: the spans that a decision names count from it.
     """
 
     def __init__(self):
@@ -33,6 +34,7 @@
         self.invariants = Invariants()
         self.unsent: Counter[Unsent] = Counter()
         self.permissions: Counter[Permission] = Counter()
+        self.decided_at = 0.0
 
     def push(self, pushes: list[interface.Push]) -> None:
         """Start the pushes, with one call for all pushes to an endpoint."""
@@ -60,16 +62,17 @@
             self.report_violation(rule, push.id, push.endpoint)
             return Unsent.RULE
         number, allowed = owed.pushes, permission(owed.pushes, may_have_run_at, topic)
-        if not self.ledger.push(push.id, number, self.clock() + self.wall):
+        if not self.ledger.push(push.id, number, self.decided_at + self.wall):
             return Unsent.NOT_WRITTEN
-        lease = self.replication.begin_push(push, owed)
+        deadline = self.decided_at + push.timeout
+        lease = self.replication.begin_push(owed, deadline, self.decided_at + push.begin_timeout)
         if lease is None:
             return Unsent.NO_LEASE
         self.permissions[allowed] += 1
         if is_debug_enabled():
             window_left = topic.window - (self.clock() - may_have_run_at) if topic else inf
             self.log_began(push, owed, allowed, due - self.clock(), window_left)
-        return PushMessage(push.id, number, push.timeout, owed.key, owed.body, owed.heard, *lease)
+        return PushMessage(push.id, number, deadline, owed.key, owed.body, owed.heard, *lease)
 
     def topic_of(self, owed: Owed) -> interface.TopicType | None:
         """The terms of its acceptance, where a push of it may have run; else None."""
--- a/ryestack/lifecycle/replication/replicated.py
+++ b/ryestack/lifecycle/replication/replicated.py
@@ -159,23 +159,23 @@
         if not message.verdict.done():  # the client may have disconnected meanwhile
             message.verdict.set_result((verdict, 0.0))
 
-    def begin_push(self, push, owed) -> tuple | None:
+    def begin_push(self, owed, deadline: float, begin_by: float) -> tuple | None:
         shard = self.shard_of.get(owed.id)
         if shard is None:
-            return push.begin_timeout, None
-        lease_left = shard.acts_until() - self.now()
-        if lease_left <= 0.0:
+            return begin_by, None
+        acts_until = shard.acts_until()
+        if self.now() >= acts_until:
             return None
         number = owed.pushes - 1
-        until = self.now() + self.owner.wall + push.timeout
+        until = deadline + self.owner.wall
         position = self.write(
             shard, [record_codec.encode_push(owed, number, owed.open_pushes.get(number, 0.0), until)]
         )
         if owed.effect(self.owner.settings) is Effect.REPEATABLE:
-            return min(push.begin_timeout, lease_left), None
+            return min(begin_by, acts_until), None
         may_send = asyncio.get_running_loop().create_future()
         self.wait(shard, position, partial(self.push_covered, may_send))
-        return min(push.begin_timeout, lease_left), may_send
+        return min(begin_by, acts_until), may_send
 
     def push_covered(self, may_send: asyncio.Future, covered: bool) -> None:
         """Release or cancel a push, once its record is covered or too late."""
--- a/ryestack/lifecycle/replication/unreplicated.py
+++ b/ryestack/lifecycle/replication/unreplicated.py
@@ -19,10 +19,12 @@
         through Owner.adopt."""
         return inherited
 
-    def begin_push(self, push, owed) -> tuple | None:
-        """(seconds within which the first byte must be sent, a future to wait for before that or None);
-        None if the push is not allowed now."""
-        return push.begin_timeout, None
+    def begin_push(self, owed, deadline: float, begin_by: float) -> tuple | None:
+        """Until when the first byte may be sent, and a future to wait for before that or None.
+
+        None if the push is not allowed now. deadline, begin_by: of the push; all are times of the clock.
+        """
+        return begin_by, None
 
     def push_ended(self, owed, push: int, never_ran: bool) -> None:
         """The outcome of a push is in the journal."""
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -81,19 +81,19 @@
 class PushMessage:
     """One notification in a call to an endpoint.
 
-    timeout: seconds, for the whole call. acknowledged: whether the client was told that the notification is
-    accepted (None: it was). start_timeout: seconds within which the first byte of the call must be written;
-    after that it is not sent. permitted: whether it may be sent at all, once that is known (None: it may);
+    deadline: a time of the clock, by which the call ends. acknowledged: whether the client was told that the
+    notification is accepted (None: it was). begin_by: a time of the clock; nothing of the call may be written
+    later. permitted: whether it may be sent at all, once that is known (None: it may);
     one that may not counts as not sent.
     """
 
     id: str
     push: int
-    timeout: float
+    deadline: float
     key: str
     body: bytes
     acknowledged: Future[bool] | None
-    start_timeout: float = inf
+    begin_by: float = inf
     permitted: Future[bool] | None = None
 
 
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -54,12 +54,12 @@
             self.start_call(endpoint, messages[first : first + batch_size])
 
     def start_call(self, endpoint: str, messages: list[PushMessage]) -> None:
-        """Start one call. It ends with the shortest timeout of its messages: whether a later answer holds for
+        """Start one call. It ends with the first deadline of its messages: whether a later answer holds for
         the others is not for this relay to decide, and the connection must not deliver it."""
         progress = CallProgress(endpoint, tuple(message.id for message in messages))
         progress.target = self.members.target(endpoint)
         task = asyncio.get_running_loop().create_task(
-            self.run(progress, messages, min(message.timeout for message in messages))
+            self.run(progress, messages, min(message.deadline for message in messages))
         )
         self.progress[task] = progress
         task.add_done_callback(partial(self.finished, messages))
@@ -114,10 +114,10 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self.session.close()
 
-    async def run(self, progress: CallProgress, messages: list[PushMessage], timeout: float) -> None:
-        """Make one call and report the outcome of each message. timeout: seconds."""
+    async def run(self, progress: CallProgress, messages: list[PushMessage], deadline: float) -> None:
+        """Make one call and report the outcome of each message. deadline: a time of the clock."""
         began, batch, answers = self.clock(), Batch(messages), {}
-        start_timer = self.prepare(progress, batch, timeout)
+        start_timer = self.prepare(progress, batch, deadline)
         failure = Result.BROKEN
         try:
             async with progress.timeout:
@@ -125,7 +125,7 @@
                 if batch.messages:
                     if progress.too_late:  # cancelled before it began
                         raise TimeoutError
-                    answers = await self.post(progress, batch.messages, began + timeout)
+                    answers = await self.post(progress, batch.messages, deadline)
         except asyncio.CancelledError:
             failure = Result.CANCELLED
         except TimeoutError:
@@ -144,18 +144,18 @@
             failure = Result.NOT_SENT if progress.not_attempted else Result.NO_CONNECTION
         self.report_outcomes(progress, batch, answers, failure, self.clock() - began)
 
-    def prepare(self, progress: CallProgress, batch: Batch, timeout: float) -> asyncio.TimerHandle | None:
+    def prepare(self, progress: CallProgress, batch: Batch, deadline: float) -> asyncio.TimerHandle | None:
         """Connect a call's callbacks; returns the timer that ends it if it does not begin in time."""
-        loop, start_timeout = asyncio.get_running_loop(), min(m.start_timeout for m in batch.messages)
-        progress.timeout = asyncio.timeout(timeout)
+        begin_by = min(message.begin_by for message in batch.messages)
+        progress.start_deadline = min(deadline, begin_by)
+        progress.timeout = asyncio.timeout_at(deadline)
         progress.on_status_line = lambda: self.status_line_received(progress, len(batch.messages) == 1)
         progress.on_wait = partial(self.wait_received, progress)
         progress.on_written = lambda: self.call_written(len(batch.messages))
         CURRENT_CALL.set(progress)  # of this task, which makes no other call
-        if start_timeout == inf:
+        if begin_by >= deadline:  # the end of the whole call is enough
             return None
-        progress.start_deadline = loop.time() + start_timeout
-        return loop.call_at(progress.start_deadline, self.end_unless_sent, progress)
+        return asyncio.get_running_loop().call_at(begin_by, self.end_unless_sent, progress)
 
     def report_outcomes(
         self,
--- a/tests/endpoint_sockets.py
+++ b/tests/endpoint_sockets.py
@@ -3,17 +3,18 @@
 import asyncio
 import socket
 import unittest
+from math import inf
 
 from ryestack import interface
 from ryestack.interface import Result
-from ryestack.ports import PushMessage
 from ryestack.wire.calls import CallDispatcher
 
-from .helpers import http, keep_connections, members, settings
+from .helpers import http, keep_connections, members, push_message, settings
 
 
-def message(name="n", push=0, timeout=5.0, body=b"x", acknowledged=None, **more):
-    return PushMessage(name, push, timeout, "k", body, acknowledged, **more)
+def message(name="n", push=0, timeout=5.0, body=b"x", acknowledged=None, begin_within=inf):
+    """timeout, begin_within: seconds from now."""
+    return push_message(name, push, timeout, "k", body, acknowledged, begin_within)
 
 
 class EndpointSockets(unittest.IsolatedAsyncioTestCase):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import tempfile
+from math import inf
 
 from ryestack import interface
 from ryestack.brain import Brain
@@ -106,6 +107,12 @@
     return f"HTTP/1.1 {status} x\r\nContent-Length: {len(body)}\r\n{lines}\r\n".encode() + body
 
 
+def push_message(name, push, timeout, key, body, acknowledged, begin_within=inf):
+    """timeout, begin_within: seconds from now."""
+    now = asyncio.get_running_loop().time()
+    return PushMessage(name, push, now + timeout, key, body, acknowledged, now + begin_within)
+
+
 async def push_to(answer, names=("n",), kind="shared", timeout=1.0, address=None):
     """Push notifications in one round to a server that answers so; returns the outcomes and the requests."""
     requests, events = [], asyncio.Queue()
@@ -120,7 +127,7 @@
     calls = CallDispatcher(
         settings(connection_idle=5.0), known, clock, events.put_nowait, 50
     )
-    calls.start("a", [PushMessage(name, 0, timeout, f"k{name}", b"body\r\n", None) for name in names])
+    calls.start("a", [push_message(name, 0, timeout, f"k{name}", b"body\r\n", None) for name in names])
     outcomes = []
     while len(outcomes) < len(names):
         outcomes += [
--- a/tests/test_call_connections.py
+++ b/tests/test_call_connections.py
@@ -5,10 +5,10 @@
 import unittest
 
 from ryestack.interface import Result
-from ryestack.ports import EndpointCloseReason, PushMessage
+from ryestack.ports import EndpointCloseReason
 from ryestack.wire.calls import CallDispatcher
 
-from .helpers import http, keep_connections, listed, members, settings, stand_in
+from .helpers import http, keep_connections, listed, members, push_message, settings, stand_in
 
 
 class CallConnectionsTest(unittest.IsolatedAsyncioTestCase):
@@ -26,7 +26,7 @@
             keep_connections(calls, "a")
             outcomes = []
             for name in "nmo":
-                calls.start("a", [PushMessage(name, 0, 1.0, "", b"", None)])
+                calls.start("a", [push_message(name, 0, 1.0, "", b"", None)])
                 connections.append(len(calls.pool.connections))
                 outcomes += await events.get()
             number = next(iter(calls.pool.connections)).number
@@ -42,7 +42,7 @@
         clock, endpoints = asyncio.get_running_loop().time, members(address=address)
         calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
         for name in "nmo":
-            calls.start("a", [PushMessage(name, 0, 1.0, "", b"", None)])
+            calls.start("a", [push_message(name, 0, 1.0, "", b"", None)])
             [outcome] = await events.get()
             await asyncio.sleep(0.02)
             self.assertEqual((outcome.result, len(calls.pool.connections)), (Result.DELIVERED, 0))
@@ -56,7 +56,7 @@
         clock, endpoints = asyncio.get_running_loop().time, members(address=address)
         calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
         keep_connections(calls, "a", "b")
-        calls.start("a", [PushMessage("n", 0, 1.0, "", b"", None)])
+        calls.start("a", [push_message("n", 0, 1.0, "", b"", None)])
         await events.get()
         calls.close_idle("b")
         self.assertEqual(len(calls.pool.connections), 1)
@@ -73,11 +73,11 @@
         clock, endpoints = asyncio.get_running_loop().time, members(address=address)
         calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
         keep_connections(calls, "a", "b")
-        calls.start("a", [PushMessage("n", 0, 1.0, "", b"", None)])
+        calls.start("a", [push_message("n", 0, 1.0, "", b"", None)])
         [first] = await events.get()
         [connection] = calls.pool.connections
         connection.data_received(http(503))
-        calls.start("a", [PushMessage("m", 0, 1.0, "", b"", None)])
+        calls.start("a", [push_message("m", 0, 1.0, "", b"", None)])
         [second] = await events.get()
         self.assertNotIn(connection, calls.pool.connections)
         await calls.close()
@@ -90,15 +90,15 @@
         clock, endpoints = asyncio.get_running_loop().time, members(address=address)
         calls = CallDispatcher(settings(connection_idle=5.0), endpoints, clock, events.put_nowait, 50)
         keep_connections(calls, "a", "b")
-        calls.start("a", [PushMessage("n", 0, 1.0, "", b"", None)])
+        calls.start("a", [push_message("n", 0, 1.0, "", b"", None)])
         await events.get()
         other = {**listed(address=address)["endpoints"][0], "name": "b"}
         endpoints.apply_list({**listed(index=2), "endpoints": [other]})
-        calls.start("b", [PushMessage("m", 0, 1.0, "", b"", None)])
+        calls.start("b", [push_message("m", 0, 1.0, "", b"", None)])
         await events.get()
         self.assertEqual([c.endpoint for c in calls.pool.connections], ["a", "b"])
         calls.drop_removed_endpoints()  # a whole list arrived without a
-        calls.start("a", [PushMessage("o", 0, 1.0, "", b"", None)])
+        calls.start("a", [push_message("o", 0, 1.0, "", b"", None)])
         [last] = await events.get()
         connected = [connection.endpoint for connection in calls.pool.connections]
         self.assertEqual((connected, last.result), (["b"], Result.NOT_SENT))
@@ -112,7 +112,7 @@
         server, address = await stand_in(lambda *_: http(200))
         calls = CallDispatcher(settings(), members(address=address), loop.time, events.put_nowait, 50)
         calls.end_unless_sent = lambda *_: None  # the connection comes up before the timer fires
-        calls.start("a", [PushMessage("n", 2, 9.0, "k", b"x", None, start_timeout=-0.1)])
+        calls.start("a", [push_message("n", 2, 9.0, "k", b"x", None, begin_within=-0.1)])
         [outcome] = await asyncio.wait_for(events.get(), 1.0)
         gc.collect()
         await calls.close()
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -5,10 +5,9 @@
 import unittest
 
 from ryestack.interface import Result
-from ryestack.ports import PushMessage
 from ryestack.wire.calls import CallDispatcher
 
-from .helpers import http, keep_connections, members, push_to, settings, stand_in
+from .helpers import http, keep_connections, members, push_message, push_to, settings, stand_in
 
 
 class CallDispatcherTest(unittest.IsolatedAsyncioTestCase):
@@ -46,16 +45,16 @@
             sock.connect_ex(stalled.getsockname())
         endpoints = members(address=f"127.0.0.1:{stalled.getsockname()[1]}")
         calls = CallDispatcher(settings(), endpoints, loop.time, events.put_nowait, 50)
-        calls.start("a", [PushMessage("n", 1, 9.0, "k", b"x", None, start_timeout=0.1)])
+        calls.start("a", [push_message("n", 1, 9.0, "k", b"x", None, begin_within=0.1)])
         [outcome] = await asyncio.wait_for(events.get(), 1.0)
         self.assertEqual((outcome.result, calls.written), (Result.NOT_SENT, 0))
         server, address = await stand_in(lambda *_: http(200))
         endpoints.rows["a"]["address"] = address
         calls.end_unless_sent = lambda *_: None  # the connection comes up before the timer fires
-        calls.start("a", [PushMessage("n", 2, 9.0, "k", b"x", None, start_timeout=-0.1)])
+        calls.start("a", [push_message("n", 2, 9.0, "k", b"x", None, begin_within=-0.1)])
         [outcome] = await asyncio.wait_for(events.get(), 1.0)
         self.assertEqual((outcome.result, calls.written), (Result.NOT_SENT, 0))
-        calls.start("a", [PushMessage("n", 3, 9.0, "k", b"x", None, start_timeout=5.0)])
+        calls.start("a", [push_message("n", 3, 9.0, "k", b"x", None, begin_within=5.0)])
         [outcome] = await asyncio.wait_for(events.get(), 1.0)
         self.assertEqual((outcome.result, calls.written), (Result.DELIVERED, 1))
         await calls.close()
@@ -72,7 +71,7 @@
             sock.connect_ex(stalled.getsockname())
         endpoints = members(address=f"127.0.0.1:{stalled.getsockname()[1]}")
         calls = CallDispatcher(settings(), endpoints, loop.time, events.put_nowait, 50)
-        calls.start("a", [PushMessage("n", 0, 9.0, "k", b"x", None)])
+        calls.start("a", [push_message("n", 0, 9.0, "k", b"x", None)])
         await asyncio.sleep(0.05)
         calls.cancel_unsent("b")
         await asyncio.sleep(0.05)
@@ -81,13 +80,13 @@
         [outcome] = await asyncio.wait_for(events.get(), 1.0)
         self.assertEqual((outcome.result, calls.written), (Result.NOT_SENT, 0))
         calls.batch_sizes["shared"] = 2  # a message whose timeout ends while its call connects is not sent
-        calls.start("a", [PushMessage(n, 0, t, "k", b"x", None) for n, t in (("k", 0.1), ("l", 9.0))])
+        calls.start("a", [push_message(n, 0, t, "k", b"x", None) for n, t in (("k", 0.1), ("l", 9.0))])
         outcomes = await asyncio.wait_for(events.get(), 1.0)
         results = [(outcome.id, outcome.result, calls.written) for outcome in outcomes]
         self.assertEqual(results, [(name, Result.NO_CONNECTION, 0) for name in "kl"])
         server, address = await stand_in(lambda *_: b"")  # it takes the call and does not answer
         endpoints.rows["a"]["address"] = address
-        calls.start("a", [PushMessage("m", 0, 0.3, "k", b"x", None)])
+        calls.start("a", [push_message("m", 0, 0.3, "k", b"x", None)])
         await asyncio.sleep(0.1)
         calls.cancel_unsent("a")
         [outcome] = await asyncio.wait_for(events.get(), 1.0)
@@ -100,7 +99,7 @@
         loop, events, faults = asyncio.get_running_loop(), asyncio.Queue(), []
         loop.set_exception_handler(lambda _, context: faults.append(context))
         calls = CallDispatcher(settings(), members(address="127.0.0.1:9"), loop.time, events.put_nowait, 50)
-        calls.start("a", [PushMessage("n", 1, 9.0, "k", b"x", None, start_timeout=0.05)])
+        calls.start("a", [push_message("n", 1, 9.0, "k", b"x", None, begin_within=0.05)])
         [outcome] = await asyncio.wait_for(events.get(), 1.0)
         await asyncio.sleep(0.1)
         self.assertEqual((outcome.result, faults), (Result.NO_CONNECTION, []))
@@ -114,7 +113,7 @@
         for changed in ({"group": 8}, {"address": "127.0.0.1:9"}, {"status": "removed"}):
             endpoints, acknowledged = members(address=address), loop.create_future()
             calls = CallDispatcher(settings(), endpoints, loop.time, events.put_nowait, 50)
-            calls.start("a", [PushMessage("n", 1, 9.0, "k", b"x", acknowledged)])
+            calls.start("a", [push_message("n", 1, 9.0, "k", b"x", acknowledged)])
             await asyncio.sleep(0.02)
             endpoints.apply_list({"index": 2, "snapshot": False, "endpoints": [{"name": "a", **changed}]})
             acknowledged.set_result(True)
@@ -137,7 +136,7 @@
         keep_connections(calls, "a", "b")
         results = []
         for name in "nm":
-            calls.start("a", [PushMessage(name, 0, 1.0, "", b"", None)])
+            calls.start("a", [push_message(name, 0, 1.0, "", b"", None)])
             results += [(outcome.result, outcome.stale) for outcome in await events.get()]
         await calls.close()
         server.close()
--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -138,7 +138,7 @@
         body = b"b" * 32 * 1024 * 1024  # more than the buffers of both systems
         for end, options in (
             (lambda: self.calls.cancel_unsent("a"), {}),
-            (lambda: None, {"start_timeout": 0.3}),
+            (lambda: None, {"begin_within": 0.3}),
         ):
             self.calls.start("a", [message(body=body, **options)])
             sock = await self.accept()
--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -1,13 +1,17 @@
 """A link that holds a repeat, a slow disk and a relay that is held up make no call and no end late."""
 
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
+from ryestack.interface import Result
 from ryestack.lab.soak.invariants import judge_soak
 from ryestack.lab.soak.model import Kind, Trouble
 from ryestack.lab.soak.scenario import Scenario, SoakPlan
 
+from .endpoint_sockets import EndpointSockets, message
+
 SECONDS, PARTNERS = 10.0, 2
 HOLD_UP_S = 0.15  # that a relay may be held up between reading its clock and writing
 SLOW_FRACTION = 0.05  # of the file operations in the folder
@@ -38,5 +42,15 @@
         self.assertEqual(await self.findings(64, [held_up, slow_disk]), [])
 
 
+class HeldUpBeforeTheCall(EndpointSockets):
+    async def test_hold_up_between_decision_and_call_does_not_move_the_permission(self):
+        for late in ({"begin_within": 0.1}, {"timeout": 0.1}):
+            self.calls.start("a", [message(**late)])
+            time.sleep(HOLD_UP_S)  # the process is held up before the call's task runs
+            outcome = await self.next_event()
+            self.assertIn(outcome.result, (Result.NOT_SENT, Result.NO_CONNECTION))
+            self.assertEqual(self.calls.written, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,6 @@
 import aiohttp
 
 from ryestack.interface import EndpointStatus
-from ryestack.ports import PushMessage
 from ryestack.wire.calls import CallDispatcher
 from ryestack.wire.files import FileNotices
 from ryestack.wire.fixed_directory import FixedDirectory
@@ -19,7 +18,7 @@
 from ryestack.wire.platform import MAX_ANSWER_BYTES, PlatformClient
 from ryestack.wire.registry_watch import watch
 
-from .helpers import http, keep_connections, listed, members, settings, stand_in
+from .helpers import http, keep_connections, listed, members, push_message, settings, stand_in
 
 
 class PlatformTest(unittest.IsolatedAsyncioTestCase):
@@ -51,7 +50,7 @@
         keep_connections(calls, "a")
         for names in ("no", "p"):
             for name in names:
-                calls.start("a", [PushMessage(name, 0, 1.0, "", b"", None)])
+                calls.start("a", [push_message(name, 0, 1.0, "", b"", None)])
             await events.get()
         oldest, *_ = sorted(calls.pool.connections, key=lambda c: c.idle_since)
         await asyncio.sleep(0.01)
--- a/tests/test_races_left.py
+++ b/tests/test_races_left.py
@@ -14,14 +14,14 @@
 from ryestack.interface import Result
 from ryestack.lifecycle.owner import Owner
 from ryestack.lifecycle.terms import Terms
-from ryestack.ports import PushMessage, Submission, Verdict
+from ryestack.ports import Submission, Verdict
 from ryestack.store.journal import Journal
 from ryestack.store.ledger import Ledger
 from ryestack.wire.calls import CallDispatcher
 from ryestack.wire.endpoint_connection import EndpointConnection
 from ryestack.wire.server import ClientListener
 
-from .helpers import http, keep_connections, members, settings, take
+from .helpers import http, keep_connections, members, push_message, settings, take
 from .test_wire import RAW
 
 WHOLE = RAW % 1 + b"x"
@@ -73,8 +73,8 @@
         listener.close()
 
 
-def push(name="n", body=b"x") -> PushMessage:
-    return PushMessage(name, 0, 5.0, "k", body, None)
+def push(name="n", body=b"x"):
+    return push_message(name, 0, 5.0, "k", body, None)
 
 
 def test_after_a_refusal_before_our_last_byte_the_rest_is_not_sent():
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -12,11 +12,10 @@
 from ryestack.lab.soak.fault_control import Fault, FaultControl, build
 from ryestack.lifecycle import loop_errors
 from ryestack.observe import log
-from ryestack.ports import PushMessage
 from ryestack.wire.calls import CallDispatcher
 from ryestack.wire.server import ACCEPTED
 
-from .helpers import http, members, settings, stand_in
+from .helpers import http, members, push_message, settings, stand_in
 from .test_client_connection import WHOLE, Served
 from .test_lifecycle import Program
 
@@ -123,7 +122,7 @@
         host, port = listener.getsockname()
         endpoints = members(address=f"{host}:{port}")
         calls = CallDispatcher(settings(), endpoints, loop.time, events.put_nowait, 50)
-        calls.start("a", [PushMessage("n", 0, 0.4, "k", BODY, None)])
+        calls.start("a", [push_message("n", 0, 0.4, "k", BODY, None)])
         endpoint, _ = await loop.sock_accept(listener)
         [outcome] = await asyncio.wait_for(events.get(), 3.0)
         self.assertIs(outcome.result, Result.TIMED_OUT)
