A repeat that its link holds is given up before its window ends

Cause: the window was looked at when a repeat began, and nothing took the permission back while the call was under way: its end was that of the message, seconds later. A link that is silent and heals delivers the call then. Fix (brain/guard.py call_end): a call that carries a repeat ends, by a close or a reset, a hold-up (0.15 s) before its window does, so that no link can deliver it later. What it costs is an answer that would have come after that: so a repeat begins only where a median push still fits (last_repeat), as it is with a message's own end. A repeat that runs at the endpoint as it is given up ran within its window; the message then ends as failed.

--- a/ryestack/brain/guard.py
+++ b/ryestack/brain/guard.py
@@ -58,11 +58,22 @@
         collapses = held.topic.group == "all" or (
             held.topic.group == "zone" and zone == held.may_have_run_zone != ""
         )
-        return collapses and self.begin_timeout(held) > 0.0
+        return collapses and self.now < self.last_repeat(held)
 
     def begin_timeout(self, held):
         """Seconds within which a push may begin, also on a connection that is set up late."""
-        return min(held.due, self.window_end(held)) - self.HOLD_UP_S - self.now
+        return min(held.due - self.HOLD_UP_S, self.last_repeat(held)) - self.now
+
+    def call_end(self, held):
+        """When a call that carries it ends: before its deadline, and a repeat before its window's end.
+
+        A link may hold the call; once it is given up, nothing delivers it.
+        """
+        return min(held.due - self.DEADLINE_MARGIN_S, self.window_end(held) - self.HOLD_UP_S)
+
+    def last_repeat(self, held):
+        """When a repeat may begin at the latest, so that its answer comes before the call's end."""
+        return self.window_end(held) - self.HOLD_UP_S - held.dest.expected_duration()
 
     def window_end(self, held):
         """When its window of repeats ends; inf where nothing may have run, or a repeat does no harm."""
--- a/ryestack/brain/notifications.py
+++ b/ryestack/brain/notifications.py
@@ -86,7 +86,7 @@
         if not held.dest.parked:
             held.dest.waiting_since = held.due - held.topic.ttl
         held.dest.parked[held.id], self.waiting[held.dest.created] = held, held.dest
-        # The end of its time less a push's duration, or the end of its window if that is sooner.
+        # The end of its time less a push's duration, or of its window if that is sooner.
         ends = min(held.due - held.dest.expected_duration(), self.now + self.begin_timeout(held))
         self.schedule(ends, lambda self, held: self.change_notification(held, "given up"), held)
         self.mark_changed(held.dest)
--- a/ryestack/brain/rounds.py
+++ b/ryestack/brain/rounds.py
@@ -123,11 +123,11 @@
     def joinable_call(self, route, held=None):
         """The call of this round to the route that the notification may join, else None.
 
-        A call ends with the earliest due time of its notifications, so that one short of time goes alone.
+        A call ends with the earliest end of its notifications, so that one short of time goes alone.
         """
-        call = self.new_calls.get(route.id)
-        short = call and held and 2 * min(held.due, call.due) - self.now < max(held.due, call.due)
-        short = short and min(held.due, call.due) - self.now < route.dest.durations.quantile(0.9)
+        call, end = self.new_calls.get(route.id), self.call_end(held) if held else inf
+        short = call and held and 2 * min(end, call.ends) - self.now < max(end, call.ends)
+        short = short and min(end, call.ends) - self.now < route.dest.durations.quantile(0.9)
         return call if call and not short and len(call.items) < route.dest.kind.batch else None
 
     def serve(self):
@@ -194,7 +194,7 @@
                 self.now + max(floor, (self.OVERDUE_FACTOR - few) * duration), Outcomes.on_overdue, call
             )
         call.items, call.pending = [*call.items, (held, push)], call.pending + 1
-        call.due = min(call.due, held.due)
+        call.ends = min(call.ends, self.call_end(held))
         self.in_flight[held.id, push] = call, held
 
     def push(self, held, route):
@@ -204,7 +204,7 @@
         self.unpark(held)
         held.dest.retry_credit -= held.refused
         self.change_notification(held, "pushed")
-        left = held.due - self.DEADLINE_MARGIN_S - self.now
+        left = self.call_end(held) - self.now
         usual = self.TIMEOUT_FACTOR * route.dest.durations.quantile(0.9)
         longest = inf if held.topic.effect is ONCE else max(self.MIN_TIMEOUT_S, usual)
         self.actions.append(interface.Push(held.id, route.id, min(left, longest), self.begin_timeout(held)))
--- a/ryestack/brain/routes.py
+++ b/ryestack/brain/routes.py
@@ -29,7 +29,7 @@
 
     def __init__(self, route, sent):
         self.route, self.sent, self.pending, self.is_late = route, sent, 0, False
-        self.items, self.due = [], inf  # (notification, push number); the earliest due time among them
+        self.items, self.ends = [], inf  # (notification, push number); the earliest end among them
 
 
 class Route:
