--- a/ryestack/lifecycle/admission.py
+++ b/ryestack/lifecycle/admission.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from enum import Enum
+from functools import partial
 
 from .. import interface
 from ..observe.log import event, is_debug_enabled
@@ -74,7 +75,7 @@
         return self.held() + sum(self.held_by_sibling.values())
 
     def take(self, message: Submission) -> None:
-        """Write an accepted notification to the journal and answer its client."""
+        """Record an accepted notification in the journal; its client is answered then."""
         notification = message.notification
         due = notification.due + self.wall
         terms = encode_terms(notification.terms, notification.max_pushes) if notification.terms else None
@@ -88,14 +89,19 @@
             message.key,
         )
         owed = Owed(*head, message.body, terms)
-        if self.ledger.take(owed):
+        self.ledger.take(owed, partial(self.hand_in_recorded, owed, message))
+        if staged := self.ledger.owed.get(notification.id):
+            staged.heard = message.acknowledged
+
+    def hand_in_recorded(self, owed: Owed, message: Submission, written: bool) -> None:
+        """Answer the client, once the journal has the notification or cannot have it."""
+        if written:
             self.counts["taken"] += 1
             self.log_taken(owed)
-            self.ledger.owed[notification.id].heard = message.acknowledged
             self.replication.hand_in_accepted(owed, message)
         else:
             self.reject(message, Refusal.JOURNAL_FAILS)
-            self.put([interface.Withdrawn(notification.id)])
+            self.put([interface.Withdrawn(owed.id)])
 
     def log_taken(self, owed: Owed) -> None:
         if is_debug_enabled():
@@ -111,11 +117,11 @@
         """Refuse without a decision of the module. retry_after: seconds, 0 if none is given."""
         self.count_refusal(message, reason)
         if reason in (Refusal.ID_IN_USE, Refusal.ID_ENDED):
-            message.verdict.set_result((Verdict.REJECTED, 0.0))
+            message.decide(Verdict.REJECTED)
             return
         self.counts["turned away"] += 1
         self.ended[message.notification.topic_type, "throttled"] += 1
-        message.verdict.set_result((Verdict.THROTTLED, retry_after))
+        message.decide(Verdict.THROTTLED, retry_after)
 
     def count_refusal(self, message: Submission, reason: Refusal) -> None:
         self.refused[reason] += 1
--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import Counter, defaultdict
+from dataclasses import replace
 from functools import partial
 
 from .. import interface
@@ -152,10 +153,13 @@
 
     def handle_outcome(self, outcome: interface.Outcome):
         """Record the end of a push; returns it for the module."""
-        if not outcome.attempted:
-            return outcome
         self.invariants.ended(outcome.id, outcome.push)
         self.notify_ended(outcome)
+        owed = self.ledger.owed.get(outcome.id)
+        if owed and outcome.result in NEVER_RAN and outcome.push >= owed.pushes:  # it could not be recorded
+            outcome = replace(outcome, attempted=False)
+        if not outcome.attempted:
+            return outcome
         self.counts[outcome.result.value] += 1
         if is_debug_enabled():
             facts = {name: round(getattr(outcome, name), 3) for name in ("elapsed", "wait", "limit")}
@@ -194,7 +198,7 @@
 
     def settled(self) -> bool:
         """Whether no event is queued and nothing is owed."""
-        return not self.queue and not self.ledger.owed
+        return not self.queue and not self.ledger.owed and self.ledger.idle
 
     HANDLERS = {
         Submission: Admission.handle_hand_in,
--- a/ryestack/lifecycle/pushing.py
+++ b/ryestack/lifecycle/pushing.py
@@ -1,8 +1,10 @@
 """Carries out decided pushes: each is checked, written to the journal and started. The decision module gets
 an outcome for each push that is not started."""
 
+import asyncio
 from collections import Counter, defaultdict
 from enum import Enum
+from functools import partial
 from math import inf
 
 from .. import interface
@@ -22,6 +24,12 @@
     RULE = "it would break a rule"
 
 
+def _settle(future: asyncio.Future, value: bool) -> None:
+    """Set the result of a future, unless the call that waited for it was cancelled."""
+    if not future.done():
+        future.set_result(value)
+
+
 class Pushing:
     """The part of the owner that starts calls.
 
@@ -62,7 +70,9 @@
             self.report_violation(rule, push.id, push.endpoint)
             return Unsent.RULE
         number, allowed = owed.pushes, permission(owed.pushes, may_have_run_at, topic)
-        if not self.ledger.push(push.id, number, self.decided_at + self.wall):
+        recorded = asyncio.get_running_loop().create_future() if self.ledger.commits else None
+        done = partial(_settle, recorded) if recorded else None
+        if not self.ledger.push(push.id, number, self.decided_at + self.wall, done):
             return Unsent.NOT_WRITTEN
         deadline = self.decided_at + push.timeout
         lease = self.replication.begin_push(owed, deadline, self.decided_at + push.begin_timeout)
@@ -72,7 +82,7 @@
         if is_debug_enabled():
             window_left = topic.window - (self.clock() - may_have_run_at) if topic else inf
             self.log_began(push, owed, allowed, due - self.clock(), window_left)
-        return PushMessage(push.id, number, deadline, owed.key, owed.body, owed.heard, *lease)
+        return PushMessage(push.id, number, deadline, owed.key, owed.body, owed.heard, *lease, recorded)
 
     def topic_of(self, owed: Owed) -> interface.TopicType | None:
         """The terms of its acceptance, where a push of it may have run; else None."""
--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -30,6 +30,7 @@
     """One relay process: its parts, its tasks, and the transitions between its phases."""
 
     def __init__(self, config: Config):
+        super().__init__()
         self.config, self.phase = config, "starting"
         loop = asyncio.get_running_loop()
         self.clock, wall = loop.time, time.time() - loop.time()
@@ -103,6 +104,8 @@
     async def open_listeners(self) -> None:
         """Effect: start the background tasks and serve clients, the channel and operators."""
         parts = self.parts
+        if not parts.peering:
+            self.ledger.write_in_groups()
         background = [
             self.owner.run(),
             parts.notices.run(),
@@ -157,6 +160,7 @@
         await self.parts.dispatcher.close()
         if self.owner.queue:
             self.owner.round(self.owner.take_queue())
+        self.ledger.flush()
         # If this phase starts late, the time for the last notices is shorter.
         until = min(self.clock(), self.stop_at + STOP_DEADLINE_S) + FINAL_NOTICES_S
         while self.clock() < until and (self.parts.notices.pending_count() or self.has_open_requests()):
@@ -186,7 +190,7 @@
                 await part.close()
         if self.parts.list_saver:
             self.parts.list_saver.close()
-        self.ledger.journal.close()
+        self.ledger.close()
 
     async def reread_on_signal(self) -> None:
         """Reload the configuration once per SIGHUP, until cancelled."""
--- a/ryestack/lifecycle/replication/unreplicated.py
+++ b/ryestack/lifecycle/replication/unreplicated.py
@@ -12,7 +12,7 @@
 
     def hand_in_accepted(self, owed, message) -> None:
         """The notification is in the journal: answer the client once that is allowed."""
-        message.verdict.set_result((Verdict.ACCEPTED, 0.0))
+        message.decide(Verdict.ACCEPTED)
 
     def actionable(self, inherited: list) -> list:
         """Of the notifications of earlier processes, those that may be acted on now; the rest follows later,
--- a/ryestack/ports.py
+++ b/ryestack/ports.py
@@ -76,6 +76,11 @@
     acknowledged: Future[bool]
     answer_by: float = inf
 
+    def decide(self, verdict: Verdict, retry_after: float = 0.0) -> None:
+        """Give the verdict, unless its client has gone and nobody waits for it."""
+        if not self.verdict.done():
+            self.verdict.set_result((verdict, retry_after))
+
 
 @dataclass(slots=True)
 class PushMessage:
@@ -83,8 +88,9 @@
 
     deadline: a time of the clock, by which the call ends. acknowledged: whether the client was told that the
     notification is accepted (None: it was). begin_by: a time of the clock; nothing of the call may be written
-    later. permitted: whether it may be sent at all, once that is known (None: it may);
-    one that may not counts as not sent.
+    later. permitted: whether it may be sent at all, once that is known (None: it may); one that may not
+    counts as not sent. recorded: whether the journal has the push, which waits for that (None: it has); one
+    that could not be recorded does not count as a push.
     """
 
     id: str
@@ -95,6 +101,7 @@
     acknowledged: Future[bool] | None
     begin_by: float = inf
     permitted: Future[bool] | None = None
+    recorded: Future[bool] | None = None
 
 
 PublishEvents = Callable[[Iterable[object]], None]
--- a/ryestack/store/adoption.py
+++ b/ryestack/store/adoption.py
@@ -31,6 +31,7 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.adopted: set[FileIdentity] = set()
         self.ids_from_own_file: set[str] = set()
         self.retry_needed = False
--- a/ryestack/wire/batch.py
+++ b/ryestack/wire/batch.py
@@ -13,23 +13,32 @@
 
     messages: those that may be sent, or of which it is not known yet. unacknowledged: those whose clients
     were not told that the notification is accepted. not_permitted: those that may not be sent yet.
+    unrecorded: those whose push the journal could not record.
     """
 
     messages: list[PushMessage]
     unacknowledged: list[PushMessage] = field(default_factory=list)
     not_permitted: list[PushMessage] = field(default_factory=list)
+    unrecorded: list[PushMessage] = field(default_factory=list)
 
     async def wait_until_ready(self) -> None:
         """Wait until it is known of each message whether its client was told, and whether it may be sent.
 
+        It may not before the journal has its push.
+
         The futures are shielded: a call that ends while it waits must not cancel what the next one waits for.
         """
-        acknowledged = [m.acknowledged is None or await asyncio.shield(m.acknowledged) for m in self.messages]
-        self.unacknowledged = [m for m, known in zip(self.messages, acknowledged, strict=True) if not known]
-        self.messages = [message for message in self.messages if message not in self.unacknowledged]
-        permitted = [m.permitted is None or await asyncio.shield(m.permitted) for m in self.messages]
-        self.not_permitted = [m for m, may in zip(self.messages, permitted, strict=True) if not may]
-        self.messages = [message for message in self.messages if message not in self.not_permitted]
+        self.unrecorded = await self.take_out("recorded")
+        self.unacknowledged = await self.take_out("acknowledged")
+        self.not_permitted = await self.take_out("permitted")
+
+    async def take_out(self, condition: str) -> list[PushMessage]:
+        """Take out the messages of which that condition is not met, and return them."""
+        futures = [getattr(message, condition) for message in self.messages]
+        met = [future is None or await asyncio.shield(future) for future in futures]
+        failed = [message for message, holds in zip(self.messages, met, strict=True) if not holds]
+        self.messages = [message for message in self.messages if message not in failed]
+        return failed
 
 
 def request_of(messages: list[PushMessage]) -> tuple[str, bytes, dict[str, str]]:
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -172,9 +172,15 @@
         stale = failure is Result.BROKEN and progress.reused and not progress.bytes_received
         outcomes = [
             interface.Outcome(
-                m.id, m.push, progress.endpoint, Result.NOT_SENT, elapsed, m in batch.unacknowledged
+                m.id,
+                m.push,
+                progress.endpoint,
+                Result.NOT_SENT,
+                elapsed,
+                m in batch.unacknowledged,
+                attempted=m not in batch.unrecorded,
             )
-            for m in batch.unacknowledged + batch.not_permitted
+            for m in batch.unacknowledged + batch.not_permitted + batch.unrecorded
         ]
         for message in batch.messages:
             result, ended, wait, limit, left = answers[message.id]
--- /dev/null
+++ b/tests/test_group_commit.py
@@ -0,0 +1,138 @@
+"""A journal written in groups on a thread: what waits for a slow or failing disk, and what does not."""
+
+import asyncio
+import errno
+import random
+import time
+import unittest
+
+from ryestack import interface
+from ryestack.interface import Result
+from ryestack.ports import Verdict
+from ryestack.store.journal import Journal, decode_frames
+from ryestack.store.ledger import Ledger
+
+from .helpers import Folder
+from .test_failing_writes import OPERATIONS, FailingJournal, change
+from .test_owner import OwnerFixture
+
+SLOW_WRITE_S, SEEDS = 0.3, 10
+
+
+class SlowDisk(OwnerFixture, unittest.IsolatedAsyncioTestCase):
+    def slow_owner(self):
+        """An owner whose appends take SLOW_WRITE_S, each."""
+        owner, loop = self.owner(), asyncio.get_running_loop()
+        append, began = owner.ledger.journal.append, loop.time()
+        owner.clock = lambda: 10.0 + loop.time() - began
+
+        def append_slowly(*payloads):
+            time.sleep(SLOW_WRITE_S)
+            append(*payloads)
+
+        owner.ledger.journal.append = append_slowly
+        owner.ledger.write_in_groups()
+        self.addCleanup(owner.ledger.close)
+        return owner
+
+    async def test_slow_write_holds_up_the_client_that_needs_it_and_not_the_loop(self):
+        owner, message, loop = self.slow_owner(), self.hand_in("n"), asyncio.get_running_loop()
+        began = loop.time()
+        owner.round([message])
+        await asyncio.sleep(0.05)
+        self.assertLess(loop.time() - began, SLOW_WRITE_S / 2)
+        self.assertFalse(message.verdict.done())
+        self.assertEqual(await message.verdict, (Verdict.ACCEPTED, 0.0))
+        self.assertGreaterEqual(loop.time() - began, SLOW_WRITE_S)
+
+    async def test_notice_whose_deadline_passes_within_a_write_is_sent_at_the_deadline(self):
+        owner, loop = self.slow_owner(), asyncio.get_running_loop()
+        owner.round([self.hand_in("n", "once", due=10.8)])
+        await asyncio.sleep(0.65)  # taken and pushed, both written
+        began = loop.time()
+        owner.round([self.hand_in("m", due=30.0)])
+        await asyncio.sleep(0.02)  # a write for another notification is out, and the end's must follow it
+        owner.round([interface.Outcome("n", 0, "a", Result.BROKEN)])
+        self.assertEqual(self.sent_notices, [])
+        while not self.sent_notices:
+            await asyncio.sleep(0.01)
+        self.assertLess(owner.clock(), 10.8 + 0.2)
+        self.assertLess(loop.time() - began, 2 * SLOW_WRITE_S)
+
+    async def test_nothing_staged_is_lost_at_an_exit(self):
+        owner = self.slow_owner()
+        owner.round([self.hand_in("n")])
+        owner.ledger.close()
+        read = Ledger(Journal(self.folder, 100_000))
+        read.recover()
+        read.journal.close()
+        self.assertEqual(list(read.owed), ["n"])
+
+
+class FailingDisk(OwnerFixture, unittest.IsolatedAsyncioTestCase):
+    def fail(self, owner):
+        def append(*_):
+            raise OSError(errno.ENOSPC, "no space left")
+
+        working, owner.ledger.journal.append = owner.ledger.journal.append, append
+        return working
+
+    async def test_hand_in_whose_group_fails_is_refused_and_not_owed(self):
+        owner, message = self.owner(), self.hand_in("n")
+        owner.ledger.write_in_groups()
+        self.addCleanup(owner.ledger.close)
+        self.fail(owner)
+        owner.round([message])
+        self.assertEqual((await message.verdict)[0], Verdict.THROTTLED)
+        self.assertEqual((owner.ledger.owed, owner.ledger.live_bytes), ({}, 0))
+        owner.round(owner.take_queue())
+        self.assertEqual(owner.brain.notifications, {})
+
+    async def test_push_whose_group_fails_does_not_count_and_is_made_again(self):
+        owner, message = self.owner(), self.hand_in("n")
+        owner.round([message])
+        owner.ledger.write_in_groups()
+        self.addCleanup(owner.ledger.close)
+        working, items = self.fail(owner), []
+        owner.dispatcher.start = lambda _, started: items.extend(started)
+        owner.round([interface.Outcome("n", 0, "a", Result.FULL)])
+        self.now += 1.0
+        owner.round([interface.TimerFired()])
+        self.assertFalse(await items[0].recorded)
+        owner.round([interface.Outcome("n", 1, "a", Result.NOT_SENT, attempted=False)])
+        owner.ledger.journal.append = working
+        self.now += 1.0
+        owner.round([interface.TimerFired()])
+        self.assertEqual([item.push for item in items], [1, 1])
+        self.assertTrue(await items[1].recorded)
+        held = owner.brain.notifications["n"]
+        self.assertEqual((owner.ledger.owed["n"].pushes, held.pushes), (2, 2))
+
+
+class RandomFailures(Folder, unittest.IsolatedAsyncioTestCase):
+    def histories(self, ledger):
+        rows = ledger.owed.values()
+        return {one.id: (one.pushes, one.first_may_have_run_at(), one.notice) for one in rows}
+
+    async def test_file_holds_what_is_known_once_writes_that_failed_are_made_up_for(self):
+        for seed in range(SEEDS):
+            rng = random.Random(seed)
+            ledger = Ledger(FailingJournal(self.folder, rng, partial=True))
+            ledger.recover()
+            ledger.write_in_groups()
+            for number in range(OPERATIONS):
+                change(ledger, rng, number)
+                if rng.random() < 0.3:
+                    await asyncio.sleep(0)
+            while not ledger.write_all():
+                ledger.flush()
+                await asyncio.sleep(0)
+            read = Ledger(ledger.journal)
+            self.assertEqual(read.read(decode_frames(ledger.journal.path.read_bytes())[0]), 0, seed)
+            self.assertEqual(self.histories(read), self.histories(ledger), seed)
+            ledger.close()
+            ledger.journal.path.unlink()
+
+
+if __name__ == "__main__":
+    unittest.main()
