What is learnt and which routes fail are saved on a thread, not on the event loop's

Cause: two best-effort files are written and renamed on the loop's thread, every 2 s and at each change of the failing routes; nothing needs them before the next start. Fix: the state is collected on the loop, written on a thread, one file at a time. Tests of saved state, restarts, signals and upgrades pass (53).

--- a/ryestack/lifecycle/relay.py
+++ b/ryestack/lifecycle/relay.py
@@ -168,7 +168,7 @@
 
     async def end(self) -> None:
         """Effect: save the state and log a last summary."""
-        self.save_state()
+        await self.save_state()
         self.summary()
 
     async def close(self) -> None:
--- a/ryestack/lifecycle/state_saver.py
+++ b/ryestack/lifecycle/state_saver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import zlib
+from collections.abc import Callable
 
 from ..store import remembered
 from ..store.remembered import Moment, SavedState
@@ -12,13 +13,20 @@
 
 
 class StateSaver:
-    """The part of a relay that saves state on a best-effort basis, so that it survives a kill."""
+    """The part of a relay that saves state on a best-effort basis, so that it survives a kill.
+
+    It writes on threads: a slow disk must not hold up the event loop. saving: held while a file is written.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.saving = asyncio.Lock()
 
     async def save_regularly(self) -> None:
         """Save the learnt state at intervals, until cancelled."""
         while True:
             await asyncio.sleep(SAVE_LEARNT_INTERVAL_S)
-            self.save_state()
+            await self.save_state()
 
     async def save_failing(self) -> None:
         """Save the failing routes as soon as one begins to fail or delivers again, until cancelled."""
@@ -26,14 +34,21 @@
             await self.owner.failing_changed.wait()
             self.owner.failing_changed.clear()
             if not self.channels:
-                remembered.save_failing(self.config.state, failing(self.owner.brain), self.moment())
+                state = self.config.state, failing(self.owner.brain), self.moment()
+                await self.save_on_thread(remembered.save_failing, *state)
             await asyncio.sleep(SAVE_FAILING_INTERVAL_S)
 
-    def save_state(self) -> None:
+    async def save_state(self) -> None:
         """Save the learnt state, unless another process is running: that one gets it over the channel."""
         if not self.channels:
             learnt = export(self.owner.brain)
-            remembered.save(self.config.state, learnt, self.settings_checksum(), self.moment())
+            state = self.config.state, learnt, self.settings_checksum(), self.moment()
+            await self.save_on_thread(remembered.save, *state)
+
+    async def save_on_thread(self, save: Callable, *arguments) -> None:
+        """Write a file on a thread, one at a time."""
+        async with self.saving:
+            await asyncio.to_thread(save, *arguments)
 
     def settings_checksum(self) -> str:
         """Identifies the settings and the format that the learnt state depends on."""
