A client whose hand-in the disk holds up gets its answer before it gives up

Fix: at 0.35 s, the bound of the door, it is answered as failed, and withdrawn behind its record. Not as refused: after a kill the next process may find the record, and a repeat would run twice. Test: test_client_whose_hand_in_is_not_recorded_in_time_...: without the change the verdict is the acceptance, 0.3 s after its client's bound.

--- a/ryestack/lifecycle/admission.py
+++ b/ryestack/lifecycle/admission.py
@@ -1,8 +1,10 @@
 """Admission of hand-ins: accepted once they are in the journal, or refused with a reason."""
 
+import asyncio
 from collections import Counter
 from enum import Enum
 from functools import partial
+from math import inf
 
 from .. import interface
 from ..observe.log import event, is_debug_enabled
@@ -22,6 +24,7 @@
     JOURNAL_FULL = "no room in the journal"
     TOO_LATE = "its client has gone or is about to"
     JOURNAL_FAILS = "the journal cannot be written"
+    NOT_RECORDED_IN_TIME = "the journal took too long"
     DECIDED = "the decisions gave it up"
 
 
@@ -92,9 +95,27 @@
         self.ledger.take(owed, partial(self.hand_in_recorded, owed, message))
         if staged := self.ledger.owed.get(notification.id):
             staged.heard = message.acknowledged
+        if self.ledger.commits and message.answer_by < inf:
+            left, loop = message.answer_by - self.clock(), asyncio.get_running_loop()
+            in_doubt = loop.call_later(left, self.answer_in_doubt, owed.id, message)
+            message.verdict.add_done_callback(lambda _: in_doubt.cancel())
+
+    def answer_in_doubt(self, name: str, message: Submission) -> None:
+        """Answer a client whose hand-in is not recorded in time: it may be in the journal by now or not.
+
+        To say that a repeat is harmless would be wrong after a kill, so the answer is a failure.
+        """
+        if message.verdict.done():
+            return
+        self.count_refusal(message, Refusal.NOT_RECORDED_IN_TIME)
+        self.ended[message.notification.topic_type, "expired"] += 1
+        message.decide(Verdict.EXPIRED)
+        self.put([interface.Withdrawn(name)])
 
     def hand_in_recorded(self, owed: Owed, message: Submission, written: bool) -> None:
         """Answer the client, once the journal has the notification or cannot have it."""
+        if message.verdict.done():  # the client has gone, or was answered in doubt
+            return
         if written:
             self.counts["taken"] += 1
             self.log_taken(owed)
--- a/tests/test_group_commit.py
+++ b/tests/test_group_commit.py
@@ -59,6 +59,16 @@
         self.assertLess(owner.clock(), 10.8 + 0.2)
         self.assertLess(loop.time() - began, 2 * SLOW_WRITE_S)
 
+    async def test_client_whose_hand_in_is_not_recorded_in_time_gets_its_answer_and_nothing_is_pushed(self):
+        owner, message = self.slow_owner(), self.hand_in("n", "once")
+        message.answer_by = owner.clock() + SLOW_WRITE_S / 2
+        owner.round([message])
+        self.assertEqual((await message.verdict)[0], Verdict.EXPIRED)  # it may be in the journal after a kill
+        owner.round(owner.take_queue())
+        await asyncio.sleep(2 * SLOW_WRITE_S + 0.1)
+        self.assertEqual((owner.ledger.owed, owner.brain.notifications), ({}, {}))
+        self.assertTrue(owner.settled())
+
     async def test_nothing_staged_is_lost_at_an_exit(self):
         owner = self.slow_owner()
         owner.round([self.hand_in("n")])
