After a hold-up, a wait that lies unread in a socket is heard before the next call

Cause: after the process stood still, what was ready before runs first: a round decided with a wait or a drain unread in a socket, and a call decided before was written ahead of the round that would have called it off. Fix: the owner lets the loop poll and read before each round (two iterations, as readers run behind what was ready); a call that begins over 0.05 s after its decision waits for a round (0.015 s) first, and is called off by it as ever. Tests, test_held_up: the wait known to the next decision, and the call that a wait calls off: both fail without the change (the second 3 of 3). 54 tests of calls and owner pass.

--- a/ryestack/lifecycle/owner.py
+++ b/ryestack/lifecycle/owner.py
@@ -98,10 +98,19 @@
         """Run rounds until cancelled, one per quantum at most."""
         while True:
             await self.filled.wait()
+            await self.read_sockets()
             self.filled.clear()
             self.round(self.take_queue())
             await asyncio.sleep(self.settings.quantum)
 
+    async def read_sockets(self) -> None:
+        """Let the loop read what has come by now: after a hold-up a wait or a drain may lie in a socket.
+
+        The loop polls before its next iteration, and runs the readers behind what was ready before.
+        """
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
     def take_queue(self) -> list:
         """Remove and return all queued events."""
         events, self.queue = self.queue, []
--- a/ryestack/wire/call_progress.py
+++ b/ryestack/wire/call_progress.py
@@ -17,6 +17,7 @@
     """
 
     endpoint: str
+    decided_at: float  # a time of the loop's clock
     ids: tuple[str, ...] = ()  # of its messages
     target: Target | None = None  # where it was to go when it was decided
     on_status_line: object = None
--- a/ryestack/wire/calls.py
+++ b/ryestack/wire/calls.py
@@ -56,11 +56,10 @@
     def start_call(self, endpoint: str, messages: list[PushMessage]) -> None:
         """Start one call. It ends with the first deadline of its messages: whether a later answer holds for
         the others is not for this relay to decide, and the connection must not deliver it."""
-        progress = CallProgress(endpoint, tuple(message.id for message in messages))
+        loop = asyncio.get_running_loop()
+        progress = CallProgress(endpoint, loop.time(), tuple(message.id for message in messages))
         progress.target = self.members.target(endpoint)
-        task = asyncio.get_running_loop().create_task(
-            self.run(progress, messages, min(message.deadline for message in messages))
-        )
+        task = loop.create_task(self.run(progress, messages, min(message.deadline for message in messages)))
         self.progress[task] = progress
         task.add_done_callback(partial(self.finished, messages))
         for message in messages:
--- a/ryestack/wire/endpoint_connection.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -6,6 +6,7 @@
 bytes. `ConnectionReuse` decides how many calls a connection carries.
 """
 
+import asyncio
 from itertools import count
 
 import aiohttp
@@ -32,6 +33,8 @@
 
 WAIT_HEADER = "X-Retry-In-Ms"
 ABANDONED_HEAD_TIMEOUT_S = 0.15  # for the head of an answer to an abandoned call; a later wait is useless
+FRESH_S = 0.05  # after its decision a call is up to date for so long
+NEWS_DELAY_S = 0.015  # for a round of decisions with what has come
 CONNECTION_NUMBERS = count(1)
 
 
@@ -112,6 +115,11 @@
         if self.stream.last:
             self.force_close()  # once this call is over; the library keeps it no longer
 
+    async def hear_late_news(self) -> None:
+        """Before a call begins long after it was decided, let a wait or a drain that has come call it off."""
+        if self._loop.time() > self.call.decided_at + FRESH_S:
+            await asyncio.sleep(NEWS_DELAY_S)
+
     def check_may_begin(self, unexpected_bytes: bool = False) -> None:
         """Raise aiohttp.ClientConnectionError if the call must not begin; its connection may be late."""
         if unexpected_bytes or self.call.start_deadline < self._loop.time():
--- a/ryestack/wire/endpoint_session.py
+++ b/ryestack/wire/endpoint_session.py
@@ -19,6 +19,7 @@
 
     async def send(self, conn) -> aiohttp.ClientResponse:
         """Raise aiohttp.ClientConnectionError if the call must not begin: the library then closes conn."""
+        await conn.protocol.hear_late_news()
         conn.protocol.check_may_begin()
         if conn.protocol.stream.last:
             self.headers[hdrs.CONNECTION] = "close"
--- a/tests/test_held_up.py
+++ b/tests/test_held_up.py
@@ -1,19 +1,25 @@
 """A link that holds a repeat, a slow disk and a relay that is held up make no call and no end late."""
 
+import asyncio
+import socket
 import tempfile
 import time
 import unittest
 from pathlib import Path
 
+from ryestack import interface
 from ryestack.interface import Result
 from ryestack.lab.soak.invariants import judge_soak
 from ryestack.lab.soak.model import Kind, Trouble
 from ryestack.lab.soak.scenario import Scenario, SoakPlan
 
 from .endpoint_sockets import EndpointSockets, message
+from .helpers import http
+from .test_owner import OwnerFixture
 
 SECONDS, PARTNERS = 10.0, 2
 HOLD_UP_S = 0.15  # that a relay may be held up between reading its clock and writing
+ROUND_S = 0.01  # until the next round of decisions
 SLOW_FRACTION = 0.05  # of the file operations in the folder
 
 
@@ -51,6 +57,39 @@
             self.assertIn(outcome.result, (Result.NOT_SENT, Result.NO_CONNECTION))
             self.assertEqual(self.calls.written, 0)
 
+    async def test_wait_that_lies_unread_after_a_hold_up_calls_off_the_next_call(self):
+        def decide(events):  # a round later, as the decision module does
+            if isinstance(events[0], interface.WaitRequested):
+                self.loop.call_later(ROUND_S, self.calls.cancel_unsent, "a")
+
+        self.calls.publish = decide
+        self.calls.start("a", [message("first")])
+        sock = await self.accept()
+        await self.receive_until(sock)
+        self.calls.start("a", [message("next")])
+        sock.send(http(429, X_Retry_In_Ms="700"))
+        time.sleep(HOLD_UP_S)
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.calls.written, 1)
+
+
+class HeldUpBeforeTheRound(OwnerFixture, unittest.IsolatedAsyncioTestCase):
+    async def test_wait_that_lies_unread_after_a_hold_up_is_known_to_the_next_decision(self):
+        owner, loop = self.owner(), asyncio.get_running_loop()
+        endpoint, ours = socket.socketpair()
+        loop.add_reader(ours, lambda: owner.put([interface.WaitRequested("a", ours.recv(1)[0])]))
+        running = asyncio.ensure_future(owner.run())
+        await asyncio.sleep(0.02)
+        owner.put([self.hand_in("n")])
+        endpoint.send(b"\1")  # while the process is held up: a wait of a second
+        time.sleep(HOLD_UP_S)
+        await asyncio.sleep(0.05)
+        loop.remove_reader(ours)
+        running.cancel()
+        endpoint.close()
+        ours.close()
+        self.assertEqual(self.sent, [])
+
 
 if __name__ == "__main__":
     unittest.main()
