--- a/ryestack/store/group_commit.py
+++ b/ryestack/store/group_commit.py
@@ -1,4 +1,5 @@
-"""Writes staged records to the journal in groups, on a thread: a slow disk holds up only what must wait.
+"""Writes staged records to the journal in groups; while the disk is slow, on a thread, so that it holds up
+only what must wait.
 
 A record is applied in memory as it is staged, and is in the file once its group is written. One group is
 written at a time; what is staged meanwhile forms the next one. Whatever needs a record in the file waits for
@@ -13,8 +14,11 @@
 from concurrent.futures import wait as wait_for
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from functools import partial
 from typing import TYPE_CHECKING
 
+from .disk_pace import DiskPace
+
 if TYPE_CHECKING:
     from .journal import Journal
     from .ledger import Ledger
@@ -28,12 +32,12 @@
     NOTHING = auto()  # what came after it builds on it: it is written later
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class StagedRecord:
     """A record that is applied in memory and not in the file yet.
 
     done: called with whether it was written, None if nobody asks. undo: takes its effect in memory back where
-    it cannot be written; a fact stays, and is written later.
+    it cannot be written; a fact stays, and is reported once a later group has written it.
     """
 
     name: str
@@ -67,9 +71,11 @@
 
     def __init__(self, ledger: Ledger):
         self.ledger, self.loop = ledger, asyncio.get_running_loop()
+        self.pace = DiskPace()
         self.executor = ThreadPoolExecutor(1, thread_name_prefix="journal")
         self.staged: list[StagedRecord] = []
-        self.write: JournalWrite | None = None  # on the thread now
+        self.late: list[Callable[[bool], None] | None] = []  # the `done` of facts that the file lacks
+        self.write: JournalWrite | None = None  # being made now
         self.future: Future | None = None
         self.begins = False  # whether a group begins in this iteration of the loop
 
@@ -97,51 +103,69 @@
         group, self.staged = self.staged, []
         self.write = self.ledger.prepare_write([record.payload for record in group])
         self.write.group = group
-        self.future = self.executor.submit(self.write.run, self.ledger.journal)
-        self.future.add_done_callback(self.notify)
+        write = partial(self.write.run, self.ledger.journal)
+        if self.pace.slow:
+            self.future = self.executor.submit(self.pace.run, write)
+            self.future.add_done_callback(self.notify)
+            return
+        problem = None
+        try:
+            self.pace.run(write)
+        except OSError as error:
+            problem = error
+        self.complete(problem)
 
     def notify(self, future: Future) -> None:
         """Have the group completed on the loop's thread; called on the journal's."""
         try:
-            self.loop.call_soon_threadsafe(self.complete, future)
+            self.loop.call_soon_threadsafe(self.complete_future, future)
         except RuntimeError:  # the loop is closed: flush() has completed it
             return
 
-    def complete(self, future: Future) -> None:
-        """Report a group as written or not, and begin the next one."""
+    def complete_future(self, future: Future) -> None:
+        """The thread has made its write."""
         if future is not self.future:  # flush() was here before
             return
-        problem, write, self.future, self.write = future.exception(), self.write, None, None
+        problem, self.future = future.exception(), None
         if problem is not None and not isinstance(problem, OSError):
             raise problem
+        self.complete(problem)
+
+    def complete(self, problem: OSError | None) -> None:
+        """Report the group that was written, or was not because of the problem; the next one follows."""
+        write, self.write = self.write, None
         self.ledger.complete_write(write, problem)
         if problem is not None:
             self.undo(write.group)
-        for record in write.group:
-            if record.done:
-                record.done(problem is None)
+        else:
+            reports, self.late = self.late + [record.done for record in write.group], []
+            for done in filter(None, reports):
+                done(True)
         if self.staged:
-            self.begin()
+            self.begin_soon()
 
     def undo(self, group: list[StagedRecord]) -> None:
         """Take back a group that could not be written, and what is staged for notifications that it took."""
-        undone = [record.undo() for record in group]
-        kinds = list(zip(group, undone, strict=True))
-        taken_back = {record.name for record, what in kinds if what is Undone.NOTIFICATION}
-        facts = [record for record, what in kinds if what is Undone.NOTHING and record.name not in taken_back]
+        undone = [(record, record.undo()) for record in group]
+        taken_back = {record.name for record, what in undone if what is Undone.NOTIFICATION}
+        facts = [
+            record for record, what in undone if what is Undone.NOTHING and record.name not in taken_back
+        ]
         self.ledger.unwritten += [record.payload for record in facts]
+        self.late += [record.done for record in facts]
         fallen = [record for record in self.staged if record.name in taken_back]
         self.staged = [record for record in self.staged if record.name not in taken_back]
-        for record in fallen:
-            if record.done:
+        for record in group + fallen:
+            if record.done and record not in facts:
                 record.done(False)
 
     def flush(self) -> None:
         """Write all that is staged, and wait for the disk."""
         while not self.idle:
             self.begin()
-            wait_for([self.future])
-            self.complete(self.future)
+            if self.future:
+                wait_for([self.future])
+                self.complete_future(self.future)
 
     def close(self) -> None:
         """Write all that is staged, and end the thread."""
--- a/ryestack/store/writing.py
+++ b/ryestack/store/writing.py
@@ -1,4 +1,4 @@
-"""How a ledger's records get into its file: each at once, or in groups on a thread."""
+"""How a ledger's records get into its file: each at once, or in groups."""
 
 from collections.abc import Callable
 from contextlib import contextmanager
@@ -92,7 +92,7 @@
     # -- in groups -------------------------------------------------------------------------------------
 
     def write_in_groups(self) -> None:
-        """From now on, write on a thread; the event loop has to run."""
+        """From now on, write in groups, which the event loop begins and completes."""
         self.commits = GroupCommit(self)
 
     @contextmanager
--- a/tests/test_group_commit.py
+++ b/tests/test_group_commit.py
@@ -5,10 +5,13 @@
 import random
 import time
 import unittest
+import unittest.mock
 
 from ryestack import interface
 from ryestack.interface import Result
 from ryestack.ports import Verdict
+from ryestack.store import disk_pace
+from ryestack.store.disk_pace import SLOW_S, DiskPace
 from ryestack.store.journal import Journal, decode_frames
 from ryestack.store.ledger import Ledger
 
@@ -21,7 +24,7 @@
 
 class SlowDisk(OwnerFixture, unittest.IsolatedAsyncioTestCase):
     def slow_owner(self):
-        """An owner whose appends take SLOW_WRITE_S, each."""
+        """An owner whose appends take SLOW_WRITE_S, each, and have done so of late."""
         owner, loop = self.owner(), asyncio.get_running_loop()
         append, began = owner.ledger.journal.append, loop.time()
         owner.clock = lambda: 10.0 + loop.time() - began
@@ -33,6 +36,8 @@
         owner.ledger.journal.append = append_slowly
         owner.ledger.write_in_groups()
         self.addCleanup(owner.ledger.close)
+        owner.ledger.commits.pace.run(lambda: time.sleep(SLOW_WRITE_S))
+        began = loop.time()  # the owner's clock starts here
         return owner
 
     async def test_slow_write_holds_up_the_client_that_needs_it_and_not_the_loop(self):
@@ -79,6 +84,21 @@
         self.assertEqual(list(read.owed), ["n"])
 
 
+class Pace(unittest.TestCase):
+    def test_write_that_lost_the_processor_is_not_taken_for_one_that_waited_for_the_disk(self):
+        def compute():
+            end = time.thread_time() + 2 * SLOW_S
+            while time.thread_time() < end:
+                pass
+
+        pace = DiskPace()
+        with unittest.mock.patch.object(disk_pace, "_waits", return_value=7):
+            pace.run(compute)
+        self.assertFalse(pace.slow)
+        pace.run(lambda: time.sleep(2 * SLOW_S))
+        self.assertTrue(pace.slow)
+
+
 class FailingDisk(OwnerFixture, unittest.IsolatedAsyncioTestCase):
     def fail(self, owner):
         def append(*_):
@@ -119,6 +139,21 @@
         self.assertEqual((owner.ledger.owed["n"].pushes, held.pushes), (2, 2))
 
 
+    async def test_notice_whose_group_fails_is_sent_as_soon_as_a_later_one_has_written_it(self):
+        owner = self.owner()
+        owner.round([self.hand_in("n", "once")])
+        owner.ledger.write_in_groups()
+        self.addCleanup(owner.ledger.close)
+        working = self.fail(owner)
+        owner.round([interface.Outcome("n", 0, "a", Result.BROKEN)])
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.sent_notices, [])
+        owner.ledger.journal.append = working
+        owner.round([self.hand_in("m")])
+        await asyncio.sleep(0.01)
+        self.assertEqual([name for name, _ in self.sent_notices], ["n"])
+
+
 class RandomFailures(Folder, unittest.IsolatedAsyncioTestCase):
     def histories(self, ledger):
         rows = ledger.owed.values()
