A fact whose group failed is written once more at an exit

Found reading the change: flush() waited for what was staged only; a fact that a failed write had left out (a delivery, an end) stayed out of the file at a planned exit, and the next process would have taken the push to have run. Fix: an exit writes what the file lacks, once. test_fact_whose_group_failed_is_written_at_an_exit fails without it.

--- a/ryestack/store/group_commit.py
+++ b/ryestack/store/group_commit.py
@@ -160,12 +160,13 @@
                 record.done(False)
 
     def flush(self) -> None:
-        """Write all that is staged, and wait for the disk."""
+        """Write all that is staged and, once, what the file lacks; waits for the disk."""
+        self.begin()
         while not self.idle:
-            self.begin()
             if self.future:
                 wait_for([self.future])
                 self.complete_future(self.future)
+            self.begin()
 
     def close(self) -> None:
         """Write all that is staged, and end the thread."""
--- a/tests/test_group_commit.py
+++ b/tests/test_group_commit.py
@@ -154,6 +154,21 @@
         self.assertEqual([name for name, _ in self.sent_notices], ["n"])
 
 
+    async def test_fact_whose_group_failed_is_written_at_an_exit(self):
+        owner = self.owner()
+        owner.round([self.hand_in("n")])
+        owner.ledger.write_in_groups()
+        working = self.fail(owner)
+        owner.round([interface.Outcome("n", 0, "a", Result.DELIVERED)])
+        owner.ledger.flush()
+        owner.ledger.journal.append = working
+        owner.ledger.close()
+        read = Ledger(Journal(self.folder, 100_000))
+        read.recover()
+        read.journal.close()
+        self.assertEqual(read.owed, {})
+
+
 class RandomFailures(Folder, unittest.IsolatedAsyncioTestCase):
     def histories(self, ledger):
         rows = ledger.owed.values()
