No timer for a hand-in that is written on the loop, no shield for what is known

A group that is written on the loop is done before a timer could fire, so only one that goes to the thread gets it; a result that is known is read, not awaited. No decision changes.

--- a/ryestack/lifecycle/admission.py
+++ b/ryestack/lifecycle/admission.py
@@ -95,7 +95,7 @@
         self.ledger.take(owed, partial(self.hand_in_recorded, owed, message))
         if staged := self.ledger.owed.get(notification.id):
             staged.heard = message.acknowledged
-        if self.ledger.commits and message.answer_by < inf:
+        if self.ledger.writes_on_thread and message.answer_by < inf:
             left, loop = message.answer_by - self.clock(), asyncio.get_running_loop()
             in_doubt = loop.call_later(left, self.answer_in_doubt, owed.id, message)
             message.verdict.add_done_callback(lambda _: in_doubt.cancel())
--- a/ryestack/store/group_commit.py
+++ b/ryestack/store/group_commit.py
@@ -84,6 +84,11 @@
         """Whether nothing is staged or being written."""
         return not self.staged and self.future is None
 
+    @property
+    def on_thread(self) -> bool:
+        """Whether the next group is written on the thread."""
+        return self.future is not None or self.pace.slow
+
     def stage(self, record: StagedRecord) -> None:
         """Add a record to the next group."""
         self.staged.append(record)
--- a/ryestack/store/writing.py
+++ b/ryestack/store/writing.py
@@ -111,6 +111,11 @@
         """Whether nothing waits to be written."""
         return self.commits is None or self.commits.idle
 
+    @property
+    def writes_on_thread(self) -> bool:
+        """Whether what is staged now is written on a thread, and may take long."""
+        return self.commits is not None and self.commits.on_thread
+
     def flush(self) -> None:
         """Wait until all that is staged is written."""
         if self.commits:
--- a/ryestack/wire/batch.py
+++ b/ryestack/wire/batch.py
@@ -35,12 +35,16 @@
     async def take_out(self, condition: str) -> list[PushMessage]:
         """Take out the messages of which that condition is not met, and return them."""
         futures = [getattr(message, condition) for message in self.messages]
-        met = [future is None or await asyncio.shield(future) for future in futures]
+        met = [future is None or await _result(future) for future in futures]
         failed = [message for message, holds in zip(self.messages, met, strict=True) if not holds]
         self.messages = [message for message in self.messages if message not in failed]
         return failed
 
 
+async def _result(future: asyncio.Future) -> bool:
+    return future.result() if future.done() else await asyncio.shield(future)
+
+
 def request_of(messages: list[PushMessage]) -> tuple[str, bytes, dict[str, str]]:
     """Path, body and headers of the request for one message or several."""
     if len(messages) > 1:
