A message taken back while its notice is written breaks no other report of its group

Found reading the change: notice_recorded looked up a message that its client had taken back while the group was out (KeyError); the reports behind it in the group (an answer 202, a push) were not made: those calls and clients would have waited. Fix: no notice is sent for what is no longer owed. Test: test_message_taken_back_while_its_notice_is_written_harms_no_other sees the error without the change.

--- a/ryestack/lifecycle/ending.py
+++ b/ryestack/lifecycle/ending.py
@@ -50,9 +50,10 @@
 
     def notice_recorded(self, name: str, written: bool) -> None:
         """Send a notice, once it is in the journal and unless it was sent at its deadline."""
-        if written and name in self.unwritten:
+        owed = self.ledger.owed.get(name)  # its client may have taken it back meanwhile
+        if written and owed and name in self.unwritten:
             del self.unwritten[name]
-            self.send_notice(self.ledger.owed[name])
+            self.send_notice(owed)
 
     def send_notice(self, owed: Owed) -> None:
         self.replication.notice_owed(owed, owed.notice, self.notices.add)
