--- a/ryestack/wire/endpoint_connection.py
+++ b/ryestack/wire/endpoint_connection.py
@@ -33,7 +33,7 @@
 
 WAIT_HEADER = "X-Retry-In-Ms"
 ABANDONED_HEAD_TIMEOUT_S = 0.15  # for the head of an answer to an abandoned call; a later wait is useless
-FRESH_S = 0.05  # after its decision a call is up to date for so long
+FRESH_S = 0.1  # after its decision a call is up to date: for so long, calls within a wait get through
 NEWS_DELAY_S = 0.015  # for a round of decisions with what has come
 CONNECTION_NUMBERS = count(1)
 
