Log and metrics of what a relay takes a destination for

Seen: the report's log of n0 counts 17 refusals in ten seconds and names no destination; nothing says whether a relay took the partner for warm or down, since when, or how many calls it allowed there.

Change: events push.refused (destination, route, kind, wait, limit, left) and destination.changed (state, why, seconds in the state before, refusals, rate, tokens), also at a start; metrics lb_failed_pushes_total by endpoint and kind, lb_destination_rate and lb_destination_state_seconds of destinations that are not warm. brain/health.py names the four states. No decision changes.

Measured: both tests of tests/test_destination_health.py fail without it (no such event); test_observe, test_staff, test_owner, test_blind_restart pass.

--- a/ryestack/brain/rate_limiter.py
+++ b/ryestack/brain/rate_limiter.py
@@ -3,6 +3,7 @@
 from math import inf
 
 from .estimators import DecayingRate, FailureCounter
+from .health import Health
 
 
 class RateLimiter:
@@ -58,6 +59,14 @@
         self.connection_idle = settings.connection_idle
         self.rate_error = self.ROUGH_RATE_ERROR if settings.rough_rates else 1.0
 
+    def health(self, now):
+        """What it takes its destination, or route, for."""
+        if self.cold_since == inf:
+            return Health.DOWN
+        if self.cold_since is not None and now < self.cold_since + self.rules.cold_time:
+            return Health.WARMING
+        return Health.SUSPECTED if self.refusals else Health.WARM
+
     def fair_share(self, now):
         """This relay's share of the reported rate: an even one, or the rate that it delivered, if higher.
 
--- a/ryestack/lifecycle/admin.py
+++ b/ryestack/lifecycle/admin.py
@@ -53,7 +53,10 @@
             values |= {**parts.directory.figures(), "list_unsaved": int(parts.list_saver.unsaved)}
         topics = [topic.name for topic in owner.settings.topic_types]
         labelled = {**self.labelled_counts(), **self.list_sources()}
-        return 200, figures.CONTENT_TYPE, figures.render(owner.ended, topics, values, labelled)
+        text = figures.render(owner.ended, topics, values, labelled)
+        sampled = owner.brain.health.samples(owner.brain.destinations, self.clock())
+        text += "".join(figures.render_samples(name, samples) for name, samples in sampled)
+        return 200, figures.CONTENT_TYPE, text
 
     def list_sources(self) -> dict[str, dict[str, int]]:
         """The figure that tells where the list in force comes from, if a registry is followed."""
--- a/ryestack/lifecycle/recovery.py
+++ b/ryestack/lifecycle/recovery.py
@@ -45,6 +45,7 @@
             learned_state.assume_down(self.brain, learned_state.failing(self.brain) | failed)
         if learnt is None and beside:
             learned_state.assume_cold(self.brain)
+        self.brain.report_health("restored" if learnt is not None else "assumed at the start")
         self.adopt(self.replication.actionable(list(self.ledger.owed.values())))
         self.round(self.take_queue())
 
--- a/ryestack/lifecycle/watched.py
+++ b/ryestack/lifecycle/watched.py
@@ -4,7 +4,9 @@
 
 from .. import interface
 from ..brain import Brain
+from ..interface import Result
 from ..observe.log import event
+from .destination_health import DestinationHealth
 
 ROUTE_EVENTS = {"open": "route.opened", "closed": "route.closed", "draining": "route.drained"}
 OPENED_WHY = {"tripped": "failures", "failed": "a failed trial", "wait": "a told wait"}
@@ -16,6 +18,15 @@
     # Callback (key, id, released, rests_until): what other processes of this relay must know of ordered keys.
     on_key_claim = staticmethod(lambda key, name, released, rests_until: None)
 
+    def __init__(self, settings: interface.Settings, seed: int):
+        super().__init__(settings, seed)
+        self.health = DestinationHealth()
+
+    def report_health(self, why: str) -> None:
+        """Log each destination whose state was restored or assumed at a start."""
+        for dest in self.destinations.values():
+            self.health.follow(dest, why, self.now)
+
     def skipped_endpoints(self, endpoints: list[str]) -> list[str]:
         """Those of the endpoints that no calls are sent to now."""
         routes = [self.routes[e] for e in endpoints if e in self.routes]
@@ -54,12 +65,16 @@
     def apply_result(self, route, call, outcome):
         failed = route.limiter.failing_since < inf
         super().apply_result(route, call, outcome)
+        if outcome.result not in (Result.DELIVERED, Result.NOT_SENT, Result.CANCELLED):
+            self.health.count(route, outcome)
+        self.health.follow(route.dest, outcome.result.value, self.now)
         if failed != (route.limiter.failing_since < inf):
             self.on_failing_changed()
 
     def on_overdue(self, call):
         failed = call.route.limiter.failing_since < inf
         super().on_overdue(call)
+        self.health.follow(call.route.dest, "overdue", self.now)
         if failed != (call.route.limiter.failing_since < inf):
             self.on_failing_changed()
 
--- a/ryestack/observe/figures.py
+++ b/ryestack/observe/figures.py
@@ -5,6 +5,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "lb_"
@@ -58,9 +59,31 @@
     ("list_withheld_endpoints", "gauge", "endpoints that get nothing until the registry has told the list"),
     ("list_unsaved", "gauge", "1 while the folder lacks the list in force"),
 )
+SAMPLED = {  # by name: type, meaning; each sample has labels of its own
+    "failed_pushes_total": ("counter", "pushes that were not delivered, by endpoint and kind"),
+    "destination_rate": ("gauge", "calls a second allowed to a destination that is not warm"),
+    "destination_state_seconds": ("gauge", "since a destination that is not warm entered its state"),
+}
 LIST_SOURCE = ("list_source", "source", "1 for where the endpoint list in force comes from, else 0")
 
 
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One value of a metric, with its labels by name."""
+
+    labels: dict[str, str]
+    value: float
+
+
+def render_samples(name: str, samples: Iterable[Sample]) -> str:
+    """A metric of SAMPLED as text; KeyError for another name."""
+    lines = _head(name, *SAMPLED[name])
+    for sample in samples:
+        labels = ",".join(f'{label}="{_escaped(value)}"' for label, value in sample.labels.items())
+        lines.append(f"{PREFIX}{name}{{{labels}}} {sample.value}")
+    return "\n".join(lines) + "\n"
+
+
 def render(
     handled: Counter,
     categories: Iterable[str],
--- a/ryestack/observe/registry_faults.py
+++ b/ryestack/observe/registry_faults.py
@@ -81,6 +81,24 @@
         "route connection calls why",
         "this relay closed a connection to an endpoint; `calls`: carried by it",
     ),
+    (
+        "push.refused",
+        "INFO",
+        "destination route kind wait limit left",
+        "an endpoint turned a push away; `kind`: with or without a wait, or at a used-up limit",
+        "see the table of troubles",
+        "destination",
+    ),
+    (
+        "destination.changed",
+        "INFO",
+        "destination route state why after failing refusals rate tokens",
+        "what this relay takes a destination for: warm, suspected (its last calls were refused), down, or "
+        "warming (back from an outage); `why`: the last outcome; `after`: seconds in the state before; "
+        "`failing`: seconds since the first failed call; `rate`, `tokens`: calls a second and calls that "
+        "its limiter allows now",
+        "down at one relay alone: check its links; at all: the partner",
+    ),
     ("push.unsent", "DEBUG", "id route why", "a scheduled push was not started"),
     (
         "request.copied",
