An outage is found by trial calls at short intervals, not by one refusal in seconds

Cause: one relay's evidence was counted as if a relay made many calls. A refusal lengthened the retry to 1 to 3, then 4 to 16 s, and the third in a row at the same route was the first to prove an outage, and only 3 s after the first. With 40 relays each saw one or two refusals, stayed warm, and on the return sent what it had parked every second: nothing bounded the sum.

Evidence: on real relays 35 went to state=suspected with refusals=1, none to down.

Change: brain/outage_detector.py. After a refusal single trial calls go each half second (sooner where a relay's part is large); a run longer than chance explains at a partner that refuses one call in three, and than 0.8 s, proves an outage, over all routes that share it; so does a told wait of a second. A delivery long after a run may be one of a partner back cold. A relay's part while cold is what it measured itself, of which no rate error is taken off, or an even part. After a proof by refusals the next trial is at a random time within one interval.

Why it works: once an outage is proven at a relay its calls follow its part of the budget, and the parts sum to less than it; what is not proven is what was first refused in the last second before the return.

--- a/ryestack/brain/estimators.py
+++ b/ryestack/brain/estimators.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_left
 from itertools import accumulate
+from math import inf
 
 
 class DurationHistogram:
@@ -84,8 +85,11 @@
 class DecayingRate:
     """How often something happened recently, in events a second."""
 
-    def __init__(self, half_life):
-        self.weighted_count, self.updated_at, self.half_life = 0.0, 0.0, half_life
+    MIN_MEASURED_S = 2.0  # a rate measured for less time counts as measured for so long
+
+    def __init__(self, half_life, since=-inf):
+        """since: when counting began, a time of the clock; -inf: long ago."""
+        self.weighted_count, self.updated_at, self.half_life, self.since = 0.0, 0.0, half_life, since
 
     def add(self, now):
         """Counts one event."""
@@ -97,3 +101,9 @@
         return (
             self.weighted_count * 0.5 ** ((now - self.updated_at) / self.half_life) * 0.693 / self.half_life
         )
+
+    def measured_rate(self, now):
+        """Events a second up to then, also where counting began a short time ago."""
+        now = max(now, self.updated_at)
+        seconds = max(self.MIN_MEASURED_S, now - self.since)
+        return self.rate(now) / (1.0 - 0.5 ** (seconds / self.half_life))
--- /dev/null
+++ b/ryestack/brain/outage_detector.py
@@ -0,0 +1,85 @@
+"""Tells a destination that is away from one that refuses calls at random or at a limit."""
+
+from math import inf, log
+
+from .estimators import FailureCounter
+
+
+class OutageDetector:
+    """Follows the refusals of a destination, or of a route that has outages of its own.
+
+    After a refusal it lets single trial calls go at short intervals: a relay of a large fleet makes few
+    calls, and would else see one or two refusals of a whole outage. A run of refusals that is longer than
+    chance explains proves an outage. Times are seconds; a part is a relay's share of a capacity, in calls a
+    second.
+    """
+
+    TRIAL_INTERVAL_S, TRIAL_JITTER = 0.5, 0.2
+    MIN_OUTAGE_S = 0.8  # a run of calls that were refused together proves nothing
+    # Where one call in three is refused at random, runs of MIN_RUN are rare at a relay that makes one call in
+    # seconds; one that makes more calls needs longer runs.
+    RANDOM_REFUSALS, CALLS_REFERENCE_S, MIN_RUN = 1.0 / 3.0, 20.0, 3
+    RUN_MARGIN = (
+        2  # refusals fewer than a proof, after which a delivery may be one of a destination back cold
+    )
+    MAX_GAP_S = 1.3  # from the first refusal to a delivery, within which a destination was not away
+    OUTAGE_WAIT_S = 1.0  # a told wait that long: the destination is away by its own word
+
+    def __init__(self, rng):
+        self.rng, self.outcomes = rng, FailureCounter()
+        self.began, self.next_trial_at = inf, 0.0  # of the run of refusals
+
+    def suspects(self):
+        """Whether the last calls were refused."""
+        return self.began < inf
+
+    def record_success(self, sent, now, part):
+        """Records a delivery of a call sent at `sent`; returns whether the destination may be cold."""
+        if sent < self.began < inf:
+            return False  # sent before the first refusal
+        gap, run = sent - self.began, self.outcomes.consecutive
+        idle = sent - self.next_trial_at  # no trial was made though one was allowed
+        self.outcomes.add(now, True)
+        self.began = inf
+        long = run >= max(2.0, self.run_of_chance(part) - self.RUN_MARGIN)
+        return gap > self.MAX_GAP_S and (long or idle > self.MAX_GAP_S)
+
+    def record_refusal(self, sent, now, wait, part):
+        """Records a refusal of a call sent at `sent`, with a told wait or 0."""
+        self.outcomes.add(now, False)
+        self.began = min(self.began, sent)
+        jitter = self.rng.uniform(1.0 - self.TRIAL_JITTER, 1.0 + self.TRIAL_JITTER)
+        self.next_trial_at = now + wait + self.trial_interval(part) * jitter
+
+    def record_failure(self, now):
+        """Records a failure that is no refusal."""
+        self.outcomes.add(now, False)
+
+    def record_trial(self, now, part):
+        """Records that a call was sent while it suspects an outage."""
+        self.next_trial_at = max(self.next_trial_at, now + self.trial_interval(part))
+
+    def resume(self, began, run, now):
+        """Takes over a run of refusals that the process before recorded."""
+        self.began, self.outcomes.consecutive, self.next_trial_at = began, run, now
+
+    def proves_outage(self, now, wait, part):
+        """Whether the last refusal, which told that wait, proves an outage."""
+        if wait >= self.OUTAGE_WAIT_S:
+            return True
+        run = self.outcomes.consecutive
+        longer = run >= self.run_of_chance(part) and self.outcomes.proves_outage()
+        return longer and now - self.began > self.MIN_OUTAGE_S
+
+    def trial_interval(self, part):
+        """Seconds between two trial calls: a relay with a large part makes as many as it is due."""
+        return min(self.TRIAL_INTERVAL_S, 1.0 / part)
+
+    def run_of_chance(self, part):
+        """Refusals in a row that prove an outage.
+
+        Runs of n come with the part times RANDOM_REFUSALS ** n, and each delays messages by the part: the
+        product is the same at all relays.
+        """
+        calls = max(1.0, part * self.CALLS_REFERENCE_S)
+        return max(float(self.MIN_RUN), 2.0 * log(calls) / -log(self.RANDOM_REFUSALS))
--- a/ryestack/brain/outcomes.py
+++ b/ryestack/brain/outcomes.py
@@ -76,8 +76,10 @@
         ):
             route.dest.refusal_cost.add(outcome.result is Result.FULL)
         if outcome.result is Result.DELIVERED:
+            part = route.limiter.cold_part(self.now)
+            may_be_cold = route.limiter.detector.record_success(call.sent, self.now, part)
             for limiter in route.dest.affected_limiters(route):
-                limiter.record_success(call.sent, self.now, limiter is route.limiter)
+                limiter.record_success(call.sent, self.now, limiter is route.limiter, may_be_cold)
             for failures in (route.failures, route.dest.failures):
                 failures.add(self.now, True)
             route.may_have_run, route.delivered_sent = False, max(route.delivered_sent, call.sent)
@@ -86,16 +88,14 @@
             self.change_route(route, "delivered")
         elif outcome.result is Result.FULL:
             self.change_route(route, "refused" if outcome.wait else "failed")
-            route.limiter.record_failure(
-                call.sent,
-                self.now,
-                True,
-                outcome.wait,
-                used_up=outcome.limit_left < route.limiter.USED_UP_SHARE,
-            )
+            used_up = outcome.limit_left < route.limiter.USED_UP_SHARE
+            if not used_up:
+                part = route.limiter.cold_part(self.now)
+                route.limiter.detector.record_refusal(call.sent, self.now, outcome.wait, part)
+            route.limiter.record_failure(call.sent, self.now, True, outcome.wait, used_up=used_up)
             # A destination that is shut is so for all routes that share its outages, and comes back cold.
             for limiter in route.dest.affected_limiters(route) if route.limiter.cold_since == inf else ():
-                limiter.mark_down(call.sent)
+                limiter.mark_down(call.sent, route.limiter.budget_share)
         elif (
             outcome.result not in (Result.NOT_SENT, Result.CANCELLED)
             and not call.is_late
@@ -113,6 +113,7 @@
             )
         for failures in (route.failures, route.dest.failures):
             failures.add(self.now, False)
+        route.limiter.detector.record_failure(self.now)
         # A proven outage says nothing of how many connections the endpoints take.
         if not may_have_run:
             self.short_until[route.dest.kind.name] = self.now + self.CONNECTIONS_SHORT_S * (
--- a/ryestack/brain/rate_limiter.py
+++ b/ryestack/brain/rate_limiter.py
@@ -4,6 +4,7 @@
 
 from .estimators import DecayingRate, FailureCounter
 from .health import Health
+from .outage_detector import OutageDetector
 
 
 class RateLimiter:
@@ -31,14 +32,15 @@
     SPARSE_CALLS = 4.0
     # Without a delivery for so long, a destination may come back cold; a rate limit refuses for less time.
     OUTAGE_AFTER_S = 3.0
-    # Share of rule 4's budget that is used, the rest is a margin for random variation; tokens that each
-    # further notification of a call takes while the destination is cold.
-    COLD_BUDGET_SHARE, COLD_ITEM_TOKENS = 0.7, 0.05
+    # Share of rule 4's budget that is used, the rest is a margin for random variation and for calls under
+    # way, of which there are fewer where the destination refused at once; tokens that each further
+    # notification of a call takes while the destination is cold.
+    COLD_BUDGET_SHARE, REFUSED_BUDGET_SHARE, COLD_ITEM_TOKENS = 0.7, 0.85, 0.05
     # Calls a second of all relays, where the list has no rates; factor by which a rough rate may be off.
     DEFAULT_RATE, ROUGH_RATE_ERROR = 5.0, 1.5
 
     def __init__(self, settings, dest, rng, now, rate):
-        self.dest, self.rng, self.delivered = dest, rng, DecayingRate(self.DELIVERED_HALF_LIFE_S)
+        self.dest, self.rng, self.delivered = dest, rng, DecayingRate(self.DELIVERED_HALF_LIFE_S, now)
         self.refilled_at, self.gain_changed_at = now, now
         self.apply_settings(settings)
         # Routes of a destination share its limit and outages, unless its kind has them per route.
@@ -51,6 +53,8 @@
         self.last_call_at, self.reopens_at = 0.0, 0.0
         self.share_high, self.failing_since = False, min((p.failing_since for p in siblings), default=inf)
         self.wait_until = max((p.wait_until for p in siblings), default=0.0)
+        self.detector = siblings[0].detector if siblings else OutageDetector(rng)
+        self.budget_share = self.COLD_BUDGET_SHARE  # of rule 4's budget
 
     def apply_settings(self, settings):
         """Takes over the settings that concern it."""
@@ -65,7 +69,7 @@
             return Health.DOWN
         if self.cold_since is not None and now < self.cold_since + self.rules.cold_time:
             return Health.WARMING
-        return Health.SUSPECTED if self.refusals else Health.WARM
+        return Health.SUSPECTED if self.detector.suspects() else Health.WARM
 
     def fair_share(self, now):
         """This relay's share of the reported rate: an even one, or the rate that it delivered, if higher.
@@ -76,8 +80,21 @@
         if self.cold_since is None:
             return max(even / self.dest.limiter_count(), self.delivered.rate(now))
         # While cold, routes that share outages share one bucket: a call takes tokens from all of theirs.
-        ours = [self] if self.dest.kind.per_route else {r.limiter: 0 for r in self.dest.route_list}
-        return max(even, min(self.reported_rate, sum(p.delivered.rate(now) for p in ours)))
+        return max(even, min(self.reported_rate, sum(p.delivered.rate(now) for p in self.sharing())))
+
+    def sharing(self):
+        """The limiters of the routes that share outages with it, itself among them."""
+        return [self] if self.dest.kind.per_route else list({r.limiter: 0 for r in self.dest.route_list})
+
+    def cold_part(self, now):
+        """This relay's part of the capacity of a destination that is away or cold, in calls a second.
+
+        What it delivered before the outage, which is exact and sums to what the destination took, or an even
+        part of a rate that may be off.
+        """
+        even = self.reported_rate / self.relays / self.rate_error
+        measured = sum(p.delivered.measured_rate(min(now, p.failing_since)) for p in self.sharing())
+        return max(even, min(self.reported_rate, measured))
 
     def gathers(self, now):
         """Whether waiting fills a call: the next notification for it comes within the latency objective."""
@@ -103,20 +120,19 @@
 
     def rate(self, now):
         """Calls a second that may go now; while the destination is cold, this relay's part of its budget."""
-        part, share = self.fair_share(now), self.rules.cold_share
         if self.cold_since is None:
-            return part * self.gain(now)
+            return self.fair_share(now) * self.gain(now)
+        part, share = self.cold_part(now), self.rules.cold_share
         share += (1.0 - share) * max(0.0, now - self.cold_since) / self.rules.cold_time
         self.cold_since = None if share >= 1.0 else self.cold_since
-        return max(
-            1e-3,
-            min(part, part / self.rate_error * self.rules.overload_factor * share * self.COLD_BUDGET_SHARE),
-        )
+        return max(1e-3, min(part, part * self.rules.overload_factor * share * self.budget_share))
 
     def ready_at(self, now):
         """Refills the bucket; returns when the next call may go, a time of the clock."""
         rate, start = self.rate(now), max(now, self.wait_until)
         warm, single = self.cold_since is None, not self.gathers(now)
+        if warm and single and self.refusals and self.detector.suspects():
+            return max(start, self.detector.next_trial_at)
         # A cold bucket does not fill during a wait, or all relays would send at its end.
         since = self.refilled_at if warm else max(self.refilled_at, self.wait_until)
         max_tokens = max(1.0, rate * self.BURST_S) if warm and single else 1.0
@@ -153,10 +169,15 @@
         """Pays for a new call, or for a further notification in one."""
         spent = 1.0 if new_call else self.COLD_ITEM_TOKENS if self.cold_since is not None else 0.0
         self.tokens, self.last_call_at = max(-1.0, self.tokens - spent), now
+        if new_call and self.detector.suspects():
+            self.detector.record_trial(now, self.cold_part(now))
+
+    def record_success(self, sent, now, own, after_refusals=False):
+        """A call that was sent at `sent` delivered; own: by a route of this limiter, not of a sibling.
 
-    def record_success(self, sent, now, own):
-        """A call that was sent at `sent` delivered; own: by a route of this limiter, not of a sibling."""
-        may_be_cold = self.may_have_missed_outage(now)
+        after_refusals: it ended a run of refusals that may have been an outage.
+        """
+        may_be_cold = after_refusals or self.may_have_missed_outage(now)
         if own:
             self.delivered.add(now)
             self.backoff, self.refusals = max(0.1, self.backoff * self.BACKOFF_DECAY), 0
@@ -181,12 +202,14 @@
         if refused:
             self.refusals, self.last_call_at = self.refusals + 1, now
             self.backoff, self.refilled_at = self.backoff * 2**self.refusals, now
-            self.tokens = (
-                -(1 + self.refusals * (self.cold_since is None and self.may_borrow(now))) * self.rng.random()
-            )
+            self.tokens = -self.rng.random()
         if used_up and wait <= self.OUTAGE_AFTER_S:
             return  # a used-up limit is no outage: the destination behind it is not cold
         self.failing_since = min(self.failing_since, sent)
+        if refused and self.detector.proves_outage(now, wait, self.cold_part(now)):
+            # The next trial comes at a random time within the interval between two of our calls.
+            self.tokens = self.tokens if self.cold_since == inf else self.rng.random()
+            return self.mark_down(sent, self.REFUSED_BUDGET_SHARE)
         # Where calls are few, two refusals or failed connections may be random. A third, a long wait, or a
         # call that may have run and got no good answer, are not.
         few = (
@@ -212,7 +235,8 @@
             and expected_calls >= FailureCounter.CONSECUTIVE_LIMIT
         )
 
-    def mark_down(self, since):
+    def mark_down(self, since, budget_share=COLD_BUDGET_SHARE):
         """Marks the destination as down since then; a random delay keeps relays from returning in step."""
-        self.tokens = min(self.tokens, self.rng.random()) if self.cold_since != inf else self.tokens
+        if self.cold_since != inf:
+            self.tokens, self.budget_share = min(self.tokens, self.rng.random()), budget_share
         self.cold_since, self.failing_since = inf, min(self.failing_since, since)
--- a/ryestack/lab/outage/fleet.py
+++ b/ryestack/lab/outage/fleet.py
@@ -2,7 +2,6 @@
 
 import heapq
 from collections import Counter
-from dataclasses import dataclass
 from itertools import count
 from math import inf
 from random import Random
@@ -11,8 +10,9 @@
 from ...brain import NEVER_RAN, Brain
 from ...interface import Effect, Endpoint, ListUpdate, Notification, Outcome, Result, SettingsChanged
 from ...lifecycle import learned_state
-from .budget import Overload, ReceivedCall, SlowStart, judge
+from .budget import ReceivedCall, judge
 from .partner import Away, Partner
+from .plays import OutagePlay, PlayResult
 
 DESTINATION = 7
 ROUTES = ("a", "b")
@@ -27,52 +27,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class OutagePlay:
-    """One play. capacity: calls a second; load: messages handed in, as a part of it; even: whether all relays
-    get as many; begin, end: seconds of the outage; seconds: of hand-ins; killed: part of the relays that are
-    killed once, with their folder or (forgets) without; refuses, limited, reports, waits: as in Partner;
-    reloads: whether settings change in the outage; replaces: whether one endpoint is replaced in it."""
-
-    seed: int
-    away: Away
-    relays: int = 40
-    capacity: float = 10.0
-    load: float = 0.7
-    even: bool = False
-    per_route: bool = False
-    begin: float = 2.0
-    end: float = 10.0
-    seconds: float = 20.0
-    killed: float = 0.0
-    forgets: bool = False
-    refuses: float = 0.0
-    limited: bool = False
-    reports: bool = False
-    waits: bool = False
-    reloads: bool = False
-    replaces: bool = False
-    slow_start: SlowStart = SlowStart()
-
-
-@dataclass(frozen=True, slots=True)
-class PlayResult:
-    """handed_in, delivered: messages; early: the same of those handed in before the return; wait: mean
-    seconds until a delivery; calls: that the partner received in all."""
-
-    overload: Overload
-    handed_in: int
-    delivered: int
-    early: tuple[int, int]
-    wait: float
-    calls: int
-
-    @property
-    def delivered_share(self) -> float:
-        """The part of all messages that was delivered."""
-        return self.delivered / max(1, self.handed_in)
-
-
 class Fleet:
     """Runs one play."""
 
@@ -80,7 +34,7 @@
         self.play, self.made, self.rng = play, made, Random(f"outage {play.seed}")
         self.partner = Partner(
             play.capacity, play.away, play.begin, play.end, Random(f"partner {play.seed}"),
-            play.refuses, play.limited, play.reports, play.waits,
+            play.slow_start, play.refuses, play.limited, play.reports, play.waits, play.span,
         )  # fmt: skip
         rules = play.slow_start
         self.settings = interface.Settings(
--- a/ryestack/lab/outage/processes.py
+++ b/ryestack/lab/outage/processes.py
@@ -7,8 +7,6 @@
 import signal
 import time
 from collections import defaultdict
-from contextlib import suppress
-from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
@@ -16,23 +14,17 @@
 
 from ...standins.books import Books
 from ...standins.stage import Endpoint, Pace, Platform, Stage
-from ..load import Topic
-from ..soak.http_client import read_answer
-from ..soak.model import Attempt, Behaviour
 from ..soak.processes import Ports, Proxy, StandIn
 from ..trial import RelayProcess, platform_config
-from .budget import Overload, ReceivedCall, SlowStart, judge
+from .budget import ReceivedCall, judge
+from .client import Client
 from .partner import Away
+from .process_model import DESTINATION, TOPICS, ProcessPlay, ProcessResult
 
-DESTINATION = 1
 ENDPOINTS = ("p-a", "p-b")
-CUSTOMER = "acme"
-LIFETIME_S = 16.0
 UNREACHABLE_FALL_FACTOR = 100.0  # the partner must not fall: the judge counts how far calls exceed the bound
-TOPICS = (Topic("balance", "repeatable", LIFETIME_S), Topic("charge", "once-only", LIFETIME_S))
 STARTS_AT_ONCE = 10  # relays that start at the same time
 RESTART_S = 0.6  # from a kill to the next start
-ANSWER_TIMEOUT_S = 0.4
 WAIT_STEP_S = 0.1  # between two changes of a told wait that ends with the outage
 SHORT_WAIT_S, MAX_WAIT_S = 1.45, 2.0
 LINK_MODES = {Away.RESETS: "reset", Away.VANISHES: "hole"}
@@ -48,36 +40,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class ProcessPlay:
-    """One play, as OutagePlay. killed: relays that get SIGKILL in the outage; reloaded: SIGHUP."""
-
-    seed: int
-    away: Away
-    relays: int = 40
-    capacity: float = 10.0
-    load: float = 0.7
-    even: bool = False
-    begin: float = 2.0
-    end: float = 10.0
-    seconds: float = 16.0
-    killed: int = 0
-    reloaded: int = 0
-    slow_start: SlowStart = SlowStart()
-
-
-@dataclass(slots=True)
-class ProcessResult:
-    """overload: as judged from the partner's book; taken, delivered: messages; violations: of the relays."""
-
-    overload: Overload
-    taken: int
-    delivered: int
-    calls: int
-    notified: int
-    problems: list[str] = field(default_factory=list)
-
-
 class Fleet:
     """All processes of one play."""
 
@@ -86,18 +48,19 @@
         self.ports = Ports()
         self.relays: list[RelayProcess] = []
         self.restarting: set[int] = set()
-        self.taken: set[str] = set()
+        self.returned_at = 0.0  # wall-clock time
+        self.client: Client | None = None
         self.partner: StandIn | None = None
         self.proxy: Proxy | None = None
         self.platform: StandIn | None = None
-        self.connections: dict[int, tuple] = {}
 
     async def run(self) -> ProcessResult:
         """Plays to the end; all processes have ended then."""
         try:
             await self.start()
             begin = time.time()
-            await asyncio.gather(self.hand_in(begin), self.outage(begin), self.signals(begin))
+            self.client = Client(self.play, [relay.address for relay in self.relays])
+            await asyncio.gather(self.client.run(begin), self.outage(begin), self.signals(begin))
             await asyncio.sleep(max(0.0, begin + self.play.end + self.play.slow_start.seconds - time.time()))
             return await self.result(begin)
         finally:
@@ -111,8 +74,8 @@
         endpoints = [
             Endpoint(
                 name, DESTINATION, self.ports.address(), weight=play.capacity, slots=200,
-                pace=Pace(mean=0.04), cold_time=rules.seconds, cold_share=rules.share, fall_factor=UNREACHABLE_FALL_FACTOR,
-                fall_time=rules.window,
+                pace=Pace(mean=0.04), cold_time=rules.seconds, cold_share=rules.share,
+                fall_factor=UNREACHABLE_FALL_FACTOR, fall_time=rules.window,
             )
             for name in ENDPOINTS
         ]  # fmt: skip
@@ -164,54 +127,6 @@
         }  # fmt: skip
         return config
 
-    async def hand_in(self, begin: float) -> None:
-        """Hands messages in to random relays, at random times."""
-        play, tasks, when, number = self.play, [], 0.0, 0
-        weights = [1.0 if play.even else self.rng.paretovariate(1.2) for _ in range(play.relays)]
-        while (when := when + self.rng.expovariate(play.load * play.capacity)) < play.seconds:
-            relay, topic = self.rng.choices(range(play.relays), weights)[0], self.rng.choice(TOPICS)
-            await asyncio.sleep(max(0.0, begin + when - time.time()))
-            number += 1
-            name = f"r{relay}-{play.seed}-{number}"
-            attempt = Attempt(name, relay, topic.name, topic.effect, "", Behaviour.PLAIN, 0.0, 0.0)
-            tasks.append(asyncio.ensure_future(self.hand_in_one(attempt)))
-        await asyncio.gather(*tasks)
-
-    async def hand_in_one(self, attempt: Attempt) -> None:
-        """Hands one message in, on the relay's open connection if there is one."""
-        lines = [
-            "POST /api HTTP/1.1", "Host: service.internal", f"X-Request-Id: {attempt.id}",
-            f"X-Class: {attempt.topic}", f"X-Tenant: {CUSTOMER}", f"X-Deadline: {LIFETIME_S * 1000.0:.0f}m",
-            "Content-Length: 1", f"X-Envelope: dest={DESTINATION}",
-        ]  # fmt: skip
-        request = "\r\n".join([*lines, "", "x"]).encode()
-        kept = self.connections.pop(attempt.relay, None)
-        if kept and await self.exchange(attempt, request, *kept):
-            return
-        with suppress(OSError):
-            await self.exchange(attempt, request, *await self.connect(attempt.relay))
-
-    async def exchange(self, attempt: Attempt, request: bytes, reader, writer) -> bool:
-        """Sends the request and reads its answer; False if the connection ended without one."""
-        try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                writer.write(request)
-                status, keep = await read_answer(reader)
-        except TimeoutError:
-            return True
-        except (OSError, asyncio.IncompleteReadError):
-            return False
-        if status in (200, 202):
-            self.taken.add(attempt.id)
-        if keep:
-            self.connections[attempt.relay] = reader, writer
-        return True
-
-    async def connect(self, relay: int) -> tuple:
-        """A new connection to the relay."""
-        host, _, port = self.relays[relay].address.rpartition(":")
-        return await asyncio.open_connection(host, int(port))
-
     async def outage(self, begin: float) -> None:
         """The partner goes away and comes back cold."""
         play = self.play
@@ -246,7 +161,7 @@
     async def restart(self, relay: int) -> None:
         """Kills the relay's process and starts another one with its folder."""
         await self.relays[relay].kill()
-        self.connections.pop(relay, None)
+        self.client.connections.pop(relay, None)
         await asyncio.sleep(RESTART_S)
         await self.relays[relay].start()
 
@@ -268,7 +183,12 @@
         ]
         overload = judge(calls, play.capacity, play.slow_start)
         return ProcessResult(
-            overload, len(self.taken), len(self.taken & ran), len(arrivals), len(notified), self.problems()
+            overload,
+            len(self.client.taken),
+            len(self.client.taken & ran),
+            len(arrivals),
+            len(notified),
+            self.problems(),
         )
 
     @staticmethod
--- a/ryestack/lifecycle/learned_state.py
+++ b/ryestack/lifecycle/learned_state.py
@@ -107,6 +107,7 @@
         if route := brain.routes.get(name):
             drains = route.state == "draining"
             _learn(_of_route(route), parts)
+            _resume_measurement(route.limiter, brain.now)
             if drains:
                 route.state = "draining"
             elif route.state == "draining":
@@ -122,6 +123,13 @@
     _learn([brain.durations], [learned.get("times", {})])
 
 
+def _resume_measurement(limiter: RateLimiter, now: float) -> None:
+    """The deliveries were counted in the process before; so was a run of refusals that has not ended."""
+    limiter.delivered.since = -inf
+    if limiter.refusals and limiter.failing_since < inf and limiter.cold_since is None:
+        limiter.detector.resume(limiter.failing_since, limiter.refusals, now)
+
+
 def assume_cold(brain: Brain) -> None:
     """Without learned state, every partner may be one that has just returned from an outage."""
     for route in brain.routes.values():
--- a/tests/test_outage_processes.py
+++ b/tests/test_outage_processes.py
@@ -6,7 +6,8 @@
 import pytest
 
 from ryestack.lab.outage.partner import Away
-from ryestack.lab.outage.processes import ProcessPlay, play
+from ryestack.lab.outage.process_model import ProcessPlay
+from ryestack.lab.outage.processes import play
 
 
 @pytest.mark.parametrize("relays", [40])
