What refusals say of a partner outlives a kill and an upgrade

Cause: the file of failing routes, written at once, held a route only if a failed call was counted in a row there. Refusals are not counted so: after a kill the next process took a partner that had refused all calls for warm.

--- a/ryestack/lifecycle/learned_state.py
+++ b/ryestack/lifecycle/learned_state.py
@@ -137,11 +137,13 @@
 
 
 def failing(brain: Brain) -> dict[str, float]:
-    """Routes whose destination has delivered nothing since a failure: each with the time of its first."""
-    routes = (
-        r for r in brain.routes.values() if r.dest.failures.consecutive and r.limiter.failing_since < inf
-    )
-    return {route.id: route.limiter.failing_since for route in routes}
+    """Routes whose destination has delivered nothing since a failure or refusal, with the first's time."""
+    return {
+        route.id: route.limiter.failing_since
+        for route in brain.routes.values()
+        if route.limiter.failing_since < inf
+        and (route.dest.failures.consecutive or route.limiter.detector.suspects())
+    }
 
 
 def assume_down(brain: Brain, since: dict[str, float]) -> None:
--- a/tests/test_blind_restart.py
+++ b/tests/test_blind_restart.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from math import inf
 
 from ryestack.interface import Result
 from ryestack.lifecycle import learned_state
@@ -72,6 +73,29 @@
         self.assertGreaterEqual(warm.routes["a"].limiter.rate(now), RATE)
         self.assertLess(cold.routes["a"].limiter.rate(now), RATE * rules.cold_share * rules.overload_factor)
 
+    def test_partner_that_refused_before_a_kill_is_taken_for_warm_by_the_next_process(self):
+        """Refusals alone were not saved: a kill in an outage forgot it."""
+        b = made_brain(routes=("a",), rate=RATE, relays=10)
+        b.round(1.0, [take("n")])
+        b.round(1.1, [end("n", "a", Result.FULL)])
+        cold = made_brain(routes=("a",), rate=RATE, relays=10)
+        learned_state.assume_down(cold, learned_state.failing(b))
+        rules = settings().rules
+        part = RATE / 10 * rules.cold_share * rules.overload_factor
+        self.assertLessEqual(cold.routes["a"].limiter.rate(2.0), part)
+
+    def test_suspicion_of_an_outage_is_lost_in_an_upgrade(self):
+        """The process after it begins with the run of refusals, and with rates measured for long."""
+        b = made_brain(routes=("a",), rate=RATE, relays=10)
+        b.round(1.0, [take("n")])
+        b.round(1.1, [end("n", "a", Result.FULL)])
+        after = made_brain(routes=("a",), rate=RATE, relays=10)
+        learned_state.restore(after, json.loads(json.dumps(learned_state.export(b))))
+        detector = after.routes["a"].limiter.detector
+        self.assertTrue(detector.suspects())
+        self.assertEqual((detector.began, detector.outcomes.consecutive), (1.0, 1))
+        self.assertEqual(after.routes["a"].limiter.delivered.since, -inf)
+
 
 if __name__ == "__main__":
     unittest.main()
