--- a/ryestack/brain/outcomes.py
+++ b/ryestack/brain/outcomes.py
@@ -76,7 +76,8 @@
         ):
             route.dest.refusal_cost.add(outcome.result is Result.FULL)
         if outcome.result is Result.DELIVERED:
-            part = route.limiter.cold_part(self.now)
+            suspected = route.limiter.detector.suspects()
+            part = route.limiter.cold_part(self.now) if suspected else 0.0
             may_be_cold = route.limiter.detector.record_success(call.sent, self.now, part)
             for limiter in route.dest.affected_limiters(route):
                 limiter.record_success(call.sent, self.now, limiter is route.limiter, may_be_cold)
