--- a/ryestack/brain/outage_detector.py
+++ b/ryestack/brain/outage_detector.py
@@ -16,12 +16,9 @@
 
     TRIAL_INTERVAL_S, TRIAL_JITTER = 0.5, 0.2
     MIN_OUTAGE_S = 0.8  # a run of calls that were refused together proves nothing
-    # Where one call in three is refused at random, runs of MIN_RUN are rare at a relay that makes one call in
-    # seconds; one that makes more calls needs longer runs.
-    RANDOM_REFUSALS, CALLS_REFERENCE_S, MIN_RUN = 1.0 / 3.0, 20.0, 3
-    RUN_MARGIN = (
-        2  # refusals fewer than a proof, after which a delivery may be one of a destination back cold
-    )
+    # Share of the calls that a destination may refuse at random; refusals in a row that prove an outage at a
+    # relay with few calls, and how many fewer make one likely; seconds in which more calls need a longer run.
+    RANDOM_REFUSALS, MIN_RUN, RUN_MARGIN, REFERENCE_S = 1.0 / 3.0, 3, 2, 20.0
     MAX_GAP_S = 1.3  # from the first refusal to a delivery, within which a destination was not away
     OUTAGE_WAIT_S = 1.0  # a told wait that long: the destination is away by its own word
 
@@ -81,5 +78,5 @@
         Runs of n come with the part times RANDOM_REFUSALS ** n, and each delays messages by the part: the
         product is the same at all relays.
         """
-        calls = max(1.0, part * self.CALLS_REFERENCE_S)
+        calls = max(1.0, part * self.REFERENCE_S)
         return max(float(self.MIN_RUN), 2.0 * log(calls) / -log(self.RANDOM_REFUSALS))
--- a/ryestack/brain/rate_limiter.py
+++ b/ryestack/brain/rate_limiter.py
@@ -202,7 +202,8 @@
         if refused:
             self.refusals, self.last_call_at = self.refusals + 1, now
             self.backoff, self.refilled_at = self.backoff * 2**self.refusals, now
-            self.tokens = -self.rng.random()
+            spread = self.refusals * (used_up and self.cold_since is None and self.may_borrow(now))
+            self.tokens = -(1 + spread) * self.rng.random()
         if used_up and wait <= self.OUTAGE_AFTER_S:
             return  # a used-up limit is no outage: the destination behind it is not cold
         self.failing_since = min(self.failing_since, sent)
--- a/ryestack/lab/outage/processes.py
+++ b/ryestack/lab/outage/processes.py
@@ -27,6 +27,7 @@
 RESTART_S = 0.6  # from a kill to the next start
 WAIT_STEP_S = 0.1  # between two changes of a told wait that ends with the outage
 SHORT_WAIT_S, MAX_WAIT_S = 1.45, 2.0
+UNRECORDED = (Away.NO_CONNECTION, Away.RESETS, Away.VANISHES)  # calls that the partner's book lacks
 LINK_MODES = {Away.RESETS: "reset", Away.VANISHES: "hole"}
 PARTNER_MODES = {
     Away.REFUSES: {"mode": "full"},
@@ -176,6 +177,8 @@
         outage = [row for row in arrivals if begin + play.begin <= row.at < self.returned_at]
         ran = self.delivered_ids(books)
         notified = {relay_of(row.id) for row in outage if row.id not in ran or row.how != "run"}
+        if play.away in UNRECORDED:  # any of them may have been notified
+            notified = set(range(play.relays))
         calls = [
             ReceivedCall(row.at - self.returned_at, relay_of(row.id), relay_of(row.id) in notified)
             for row in arrivals
