An outage found by overdue calls is logged and saved at once

Cause: Brain.start scheduled Outcomes.on_overdue by its class, so the override of Watched, which logs the state and has the failing routes saved, was never run. Calls that hang have no other outcome for ten seconds.

Change: the timer calls the method of the module's own class. New: destination.changed tells `open` (calls without an outcome), the metric lb_unanswered_calls overdue calls that are still open.

--- a/ryestack/brain/rounds.py
+++ b/ryestack/brain/rounds.py
@@ -191,7 +191,7 @@
             few = min(0.5, 2.0 / self.settings.slots**2)
             floor = min(self.MAX_MIN_OVERDUE_S - few, self.OVERDUE_FACTOR_ALL * self.durations.quantile(0.9))
             self.schedule(
-                self.now + max(floor, (self.OVERDUE_FACTOR - few) * duration), Outcomes.on_overdue, call
+                self.now + max(floor, (self.OVERDUE_FACTOR - few) * duration), type(self).on_overdue, call
             )
         call.items, call.pending = [*call.items, (held, push)], call.pending + 1
         call.ends = min(call.ends, self.call_end(held))
--- a/ryestack/lifecycle/destination_health.py
+++ b/ryestack/lifecycle/destination_health.py
@@ -1,14 +1,14 @@
 """Reports what the decision module takes each destination for, and which calls failed there."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 
 from .. import interface
 from ..brain.health import Health
 from ..brain.rate_limiter import RateLimiter
-from ..brain.routes import Destination, Route
+from ..brain.routes import Call, Destination, Route
 from ..interface import Result
 from ..observe.figures import Sample
 from ..observe.log import event
@@ -90,12 +90,21 @@
                 refusals=limiter.refusals,
                 rate=round(limiter.rate(now), 4),
                 tokens=round(limiter.tokens, 3),
+                open=dest.calls,
             )
             if health is Health.WARM:
                 del self.states[dest.number, name]
 
-    def samples(self, destinations: dict[int, Destination], now: float) -> Iterator[tuple[str, list[Sample]]]:
-        """The metrics: failed pushes by endpoint and kind, and the destinations that are not warm."""
+    def samples(
+        self, destinations: dict[int, Destination], now: float, late_calls: Iterable[Call] = ()
+    ) -> Iterator[tuple[str, list[Sample]]]:
+        """The metrics: failed pushes by endpoint and kind, overdue calls without an answer by destination,
+        and the destinations that are not warm."""
+        unanswered = Counter(call.route.dest.number for call in late_calls)
+        yield (
+            "unanswered_calls",
+            [Sample({"destination": str(number)}, count) for number, count in sorted(unanswered.items())],
+        )
         yield (
             "failed_pushes_total",
             [
--- a/ryestack/observe/figures.py
+++ b/ryestack/observe/figures.py
@@ -61,6 +61,7 @@
 )
 SAMPLED = {  # by name: type, meaning; each sample has labels of its own
     "failed_pushes_total": ("counter", "pushes that were not delivered, by endpoint and kind"),
+    "unanswered_calls": ("gauge", "overdue calls that are still open, by destination"),
     "destination_rate": ("gauge", "calls a second allowed to a destination that is not warm"),
     "destination_state_seconds": ("gauge", "since a destination that is not warm entered its state"),
 }
--- a/tests/test_destination_health.py
+++ b/tests/test_destination_health.py
@@ -49,3 +49,16 @@
     assert 'lb_failed_pushes_total{destination="7",endpoint="a",kind="no connection"}' in text
     assert 'lb_destination_state_seconds{destination="7",route="all",state="down"} 6.0' in text
     assert 'lb_destination_rate{destination="7",route="all",state="down"}' in text
+
+
+def test_outage_found_by_overdue_calls_is_neither_logged_nor_saved(sink):
+    """The timer of a call named the function of the base class, so that the one that reports was not run."""
+    module, reports = brain(made=Watched, relays=10), []
+    module.on_failing_changed = lambda: reports.append(module.now)
+    module.round(1.0, [take(f"n{n}") for n in range(6)])
+    while module.now < 8.0:
+        module.round(module.now + 0.1, [])
+    assert reports and reports[0] <= 1.0 + Watched.MAX_MIN_OVERDUE_S + 0.2
+    assert "destination.changed destination=7 route=all state=down why=overdue" in sink.getvalue()
+    samples = dict(module.health.samples(module.destinations, module.now, module.late_calls))
+    assert samples["unanswered_calls"][0].value == len(module.late_calls) > 0
