Outage plays of a handful of relays; failing

What tells the causes apart: relays told and warm (outages up to 2 s; killed after the return; no folder); a bound from a limit that is too high; calls that land together within 30 ms of the return, from relays that were down.

--- a/ryestack/lab/outage/fleet.py
+++ b/ryestack/lab/outage/fleet.py
@@ -8,23 +8,17 @@
 
 from ... import interface
 from ...brain import NEVER_RAN, Brain
-from ...interface import Effect, Endpoint, ListUpdate, Notification, Outcome, Result, SettingsChanged
-from ...lifecycle import learned_state
+from ...interface import Endpoint, ListUpdate, Notification, Outcome, Result, SettingsChanged
 from .budget import ReceivedCall, judge
+from .fleet_settings import DESTINATION, ROUTES, TOPICS, settings_of
+from .folder import Folder
 from .partner import Away, Partner
 from .plays import OutagePlay, PlayResult
 
-DESTINATION = 7
-ROUTES = ("a", "b")
 RATE_ERROR = 1.5  # factor by which a listed rate may be off
 ROUND_S = 0.005  # the least time between two rounds of a relay
 SEND_S = (0.001, 0.02)  # from a decision to the call's arrival
 RESTART_S = 0.6  # from a kill to the next process
-TOPICS = (
-    interface.TopicType("again", Effect.REPEATABLE, 2.0, 16.0),
-    interface.TopicType("merge", Effect.COLLAPSIBLE, 2.0, 16.0, window=6.0),
-    interface.TopicType("once", Effect.ONCE_ONLY, 4.0, 20.0),
-)
 
 
 class Fleet:
@@ -35,21 +29,17 @@
         self.partner = Partner(
             play.capacity, play.away, play.begin, play.end, Random(f"partner {play.seed}"),
             play.slow_start, play.refuses, play.limited, play.reports, play.waits, play.span,
+            play.reported_factor,
         )  # fmt: skip
-        rules = play.slow_start
-        self.settings = interface.Settings(
-            TOPICS,
-            (interface.Kind("k", per_route=play.per_route),),
-            interface.Rules(rules.share, rules.seconds, rules.factor, rules.window),
-            slots=12, max_open=200, relays=play.relays, rough_rates=True, connection_idle=15.0, max_pushes=12,
-            may_cancel=True,
-        )  # fmt: skip
+        self.settings = settings_of(play)
         listed = play.capacity * self.rng.uniform(1.0 / RATE_ERROR, RATE_ERROR)
         self.endpoints = {name: Endpoint(name, "z", "k", DESTINATION, rate=listed) for name in ROUTES}
         self.agenda: list[tuple] = []
         self.sequence = count()
         self.modules: list[Brain | None] = [None] * play.relays
         self.lives = [0] * play.relays
+        self.folders = [Folder() for _ in range(play.relays)]
+        self.given_up: set[tuple[str, int]] = set()  # pushes that their relay has ended unanswered
         self.inbox: list[list] = [[] for _ in range(play.relays)]
         self.due_rounds: set[int] = set()
         self.handed_in: dict[str, float] = {}
@@ -68,13 +58,17 @@
         play = self.play
         self.now = 0.0
         for relay in range(play.relays):
-            self.start(relay, None)
+            self.start(relay)
         weights = [1.0 if play.even else self.rng.paretovariate(1.2) for _ in range(play.relays)]
         when = 0.0
         while (when := when + self.rng.expovariate(play.load * play.capacity)) < play.seconds:
             self.at(when, self.hand_in, self.rng.choices(range(play.relays), weights)[0])
         for relay in self.rng.sample(range(play.relays), int(play.killed * play.relays)):
-            self.at(self.rng.uniform(play.begin + 0.5, play.end + 1.0), self.kill, relay)
+            chosen = self.rng.uniform(play.begin + 0.5, play.end + 1.0)
+            self.at(chosen if play.killed_after is None else play.end + play.killed_after, self.kill, relay)
+        if play.save_interval:
+            for relay in range(play.relays):
+                self.at(self.rng.uniform(0.0, play.save_interval), self.save, relay)
         if play.reloads:
             for relay in range(play.relays):
                 self.at(
@@ -90,32 +84,40 @@
             action(*arguments)
         return self.result()
 
-    def start(self, relay: int, learned) -> None:
-        """Starts a process of the relay with what the one before it had learned."""
+    def start(self, relay: int) -> None:
+        """Starts a process of the relay with what its folder holds."""
         module = self.made(self.settings, self.rng.random())
         self.modules[relay] = module
         self.lives[relay] += 1
         rows = tuple(self.endpoints.values())
         self.act(relay, module.round(self.now, [ListUpdate(rows, whole=True)]))
-        if learned:
-            state, failing = learned
-            if state is not None:
-                learned_state.restore(module, state)
-            learned_state.assume_down(module, failing)
+        self.folders[relay].restore(module)
         owed = [name for name, row in self.messages.items() if row[0] == relay and name not in self.over]
         events = [self.notification(name) for name in owed]
         self.act(relay, module.round(self.now, events))
 
+    def save(self, relay: int) -> None:
+        """The relay's process saves what it has learned, and will again."""
+        play = self.play
+        if self.now < play.saves_until:
+            if self.modules[relay] is not None:
+                self.folders[relay].save(self.modules[relay], self.now)
+            self.at(self.now + play.save_interval, self.save, relay)
+
     def kill(self, relay: int) -> None:
-        """Kills the relay's process; the folder has what it saved."""
+        """Kills the relay's process; its folder stays, or is lost."""
         module = self.modules[relay]
-        saved = None if self.play.forgets else (learned_state.export(module), learned_state.failing(module))
+        if self.play.forgets:
+            self.folders[relay] = Folder()
+        elif not self.play.save_interval:
+            self.folders[relay].save(module, self.now)
+            self.folders[relay].save_failing(module, self.now)
         for name, _ in module.in_flight:
             self.may_have_run.setdefault(name, self.now)
         self.modules[relay] = None
         self.lives[relay] += 1
         self.inbox[relay] = []
-        self.at(self.now + RESTART_S, self.start, relay, saved)
+        self.at(self.now + RESTART_S, self.start, relay)
 
     def replace(self) -> None:
         """Replaces the second endpoint by a new one, which the list tells all relays."""
@@ -157,8 +159,11 @@
         """Gives the relay's process what has come."""
         self.due_rounds.discard(relay)
         events, self.inbox[relay] = self.inbox[relay], []
-        if self.modules[relay] is not None:
-            self.act(relay, self.modules[relay].round(self.now, events))
+        if (module := self.modules[relay]) is not None:
+            actions = module.round(self.now, events)
+            if self.play.save_interval:
+                self.folders[relay].save_failing(module, self.now)
+            self.act(relay, actions)
 
     def act(self, relay: int, actions: list) -> None:
         """Carries out what the relay's process decided."""
@@ -175,7 +180,7 @@
                 self.over.add(action.id)
             elif isinstance(action, interface.Cancel):
                 ended = Outcome(action.id, action.push, "", Result.CANCELLED)
-                self.at(self.now, self.end, relay, life, ended)
+                self.at(self.now, self.give_up, relay, life, ended)
 
     def fire(self, relay: int, life: int) -> None:
         """A timer of the relay's process fires."""
@@ -183,8 +188,12 @@
             self.deliver(relay, interface.TimerFired())
 
     def arrive(self, relay: int, life: int, push, number: int, sent: float) -> None:
-        """A call arrives at the partner, unless its process has ended."""
-        if life != self.lives[relay]:
+        """A call arrives at the partner, unless its process has ended or the link holds it."""
+        play = self.play
+        if life != self.lives[relay] or (play.drops_given_up and (push.id, number) in self.given_up):
+            return
+        if play.away is Away.HELD and play.begin <= self.now < play.end:
+            self.hold(relay, life, push, number, sent)
             return
         answer = self.partner.call(self.now, relay)
         after, result = answer.after, answer.result
@@ -198,6 +207,20 @@
         )  # fmt: skip
         self.at(self.now + max(0.0, after), self.end, relay, life, outcome)
 
+    def hold(self, relay: int, life: int, push, number: int, sent: float) -> None:
+        """The link holds a call until the outage ends; its relay knows that it has no answer."""
+        self.partner.notified.add(relay)
+        self.may_have_run.setdefault(push.id, sent)
+        self.at(self.play.end, self.arrive, relay, life, push, number, sent)
+        if sent + push.timeout < self.play.end:
+            ended = Outcome(push.id, number, push.endpoint, Result.TIMED_OUT, push.timeout)
+            self.at(sent + push.timeout, self.give_up, relay, life, ended)
+
+    def give_up(self, relay: int, life: int, outcome: Outcome) -> None:
+        """The relay ends a call that has no answer."""
+        self.given_up.add((outcome.id, outcome.push))
+        self.end(relay, life, outcome)
+
     def end(self, relay: int, life: int, outcome: Outcome) -> None:
         """The relay's process hears how a push ended."""
         if outcome.result is Result.DELIVERED:
--- /dev/null
+++ b/ryestack/lab/outage/folder.py
@@ -0,0 +1,36 @@
+"""What the folder of a relay in simulated time holds for its next process. Pure."""
+
+from dataclasses import dataclass
+from math import inf
+
+from ...brain import Brain
+from ...lifecycle import learned_state
+
+
+@dataclass(slots=True)
+class Folder:
+    """learnt, failing: the two saved files, as learned_state makes them, and when each was saved."""
+
+    learnt: dict | None = None
+    learnt_at: float = -inf
+    failing: dict[str, float] | None = None
+    failing_at: float = -inf
+
+    def save(self, module: Brain, now: float) -> None:
+        """Saves all that the module has learned."""
+        self.learnt, self.learnt_at = learned_state.export(module), now
+
+    def save_failing(self, module: Brain, now: float) -> None:
+        """Saves the failing routes, if they have changed."""
+        failing = learned_state.failing(module)
+        if failing != (self.failing or {}):
+            self.failing, self.failing_at = failing, now
+
+    def restore(self, module: Brain) -> None:
+        """Gives a new process what was saved; failing routes that were saved before the rest are outdated."""
+        if self.learnt is not None:
+            learned_state.restore(module, self.learnt)
+        if self.failing is None:
+            return
+        failing = self.failing if self.learnt is None or self.failing_at >= self.learnt_at else {}
+        learned_state.assume_down(module, learned_state.failing(module) | failing)
--- a/ryestack/lab/outage/partner.py
+++ b/ryestack/lab/outage/partner.py
@@ -23,6 +23,7 @@
     VANISHES = "connections never come up"
     FAILS_MOST = "fails four calls in five"
     TURNS = "refuses and answers errors in turns of a second"
+    HELD = "a link holds what is sent, and hands it over at the end"
     NEVER = "is not away"
 
 
@@ -52,7 +53,8 @@
     """One partner. capacity: calls a second; begin, end: seconds of its outage; refuses: share of calls that
     it refuses at random at any other time; limited: whether it refuses calls above its capacity; reports:
     whether answers report its limit; waits: whether what it refuses while it is not away has a wait;
-    span: seconds over which the calls that it takes are limited."""
+    span: seconds over which the calls that it takes are limited;
+    reported_factor: the limit that it reports, over its capacity."""
 
     capacity: float
     away: Away
@@ -65,6 +67,7 @@
     reports: bool = False
     waits: bool = False
     span: float = 1.0
+    reported_factor: float = 1.0
     received: list[tuple[float, int]] = field(default_factory=list)  # all calls: time, relay
     notified: set[int] = field(default_factory=set)  # relays with a failed or refused call in the outage
     cold: deque[float] = field(default_factory=deque)  # calls of the last window since its return
@@ -106,7 +109,7 @@
         if not full:
             self.recent.append(now)
         left = max(0.0, 1.0 - len(self.recent) / (self.capacity * self.span)) if self.limited else 1.0
-        report = {"limit": self.capacity, "limit_left": left} if self.reports else {}
+        report = {"limit": self.capacity * self.reported_factor, "limit_left": left} if self.reports else {}
         refused = full or self.rng.random() < self.refuses
         wait = 0.0
         if refused and self.waits:
--- a/ryestack/lab/outage/plays.py
+++ b/ryestack/lab/outage/plays.py
@@ -1,6 +1,7 @@
 """Plan and result of an outage play in simulated time. Pure."""
 
 from dataclasses import dataclass
+from math import inf
 
 from .budget import Overload, SlowStart
 from .partner import Away
@@ -13,7 +14,11 @@
     capacity: calls a second; load: messages handed in, as a part of it; even: whether all relays get as many;
     begin, end: seconds of the outage; seconds: of hand-ins; killed: part of the relays that are killed once,
     with their folder or (forgets) without; refuses, limited, reports, waits, span: as in Partner; reloads:
-    whether settings change in the outage; replaces: whether one endpoint is replaced in it.
+    whether settings change in the outage; replaces: whether one endpoint is replaced in it; killed_after:
+    seconds from the return to the kills, None: at random in the outage; save_interval: between two saves of
+    the learned state, 0: it is saved at the kill; saves_until: when the last of these saves is made;
+    reported_factor: reported limit over the capacity; drops_given_up: whether a call that its relay has ended
+    never arrives, though a link still held it.
     """
 
     seed: int
@@ -35,6 +40,11 @@
     span: float = 1.0
     reloads: bool = False
     replaces: bool = False
+    killed_after: float | None = None
+    save_interval: float = 0.0
+    saves_until: float = inf
+    reported_factor: float = 1.0
+    drops_given_up: bool = True
     slow_start: SlowStart = SlowStart()
 
 
--- a/ryestack/lab/outage/process_model.py
+++ b/ryestack/lab/outage/process_model.py
@@ -14,7 +14,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessPlay:
-    """One play, as OutagePlay. killed: relays that get SIGKILL in the outage; reloaded: SIGHUP."""
+    """One play, as OutagePlay. killed: relays that get SIGKILL; reloaded: SIGHUP; both in the outage, or
+    killed_after seconds from the return; keeps_learned: whether the learned state can be written."""
 
     seed: int
     away: Away
@@ -27,6 +28,8 @@
     seconds: float = 16.0
     killed: int = 0
     reloaded: int = 0
+    killed_after: float | None = None
+    keeps_learned: bool = True
     slow_start: SlowStart = SlowStart()
 
 
--- a/ryestack/lab/outage/processes.py
+++ b/ryestack/lab/outage/processes.py
@@ -103,6 +103,8 @@
         for number in range(play.relays):
             config = self.config(number, stage.platform.address, known)
             self.relays.append(RelayProcess(config, self.folder / f"relay-{number}"))
+            if not play.keeps_learned:  # a folder in the place of the file that is to be written
+                (self.folder / f"relay-{number}" / "state" / "learnt.new").mkdir(parents=True)
         for first in range(0, play.relays, STARTS_AT_ONCE):
             await asyncio.gather(*(relay.start() for relay in self.relays[first : first + STARTS_AT_ONCE]))
 
@@ -152,10 +154,13 @@
         play = self.play
         chosen = self.rng.sample(range(play.relays), play.killed + play.reloaded)
         times = sorted(self.rng.uniform(play.begin + 0.5, play.end - 1.0) for _ in chosen)
+        if play.killed_after is not None:
+            times = [play.end + play.killed_after] * len(chosen)
         tasks = []
         for place, (relay, when) in enumerate(zip(chosen, times, strict=True)):
             await asyncio.sleep(max(0.0, begin + when - time.time()))
-            action = self.restart(relay) if place % 2 == 0 and play.killed else self.reload(relay)
+            killed = place < play.killed if play.killed_after is not None else place % 2 == 0 and play.killed
+            action = self.restart(relay) if killed else self.reload(relay)
             tasks.append(asyncio.ensure_future(action))
         await asyncio.gather(*tasks)
 
