Calls made to a destination that is down no longer gather in a dead link

Cause: a call without an answer stays open until its time-out of ten seconds or more, though it counts as failed after half a second. A relay that knows the partner to be down goes on with trials at its part of the cold budget: ten calls open at one relay after 8 s (`out=10`). The link hands all of them over at once. Sum of 10, 8, 7 and 6: the whole budget.

Evidence: by ids, the calls of the first 30 ms were sent over all of the outage, and destination.changed says `down` since its first second.

Change: where the destination is down or suspected, a late call that was open for a window of rule 4 is cancelled if its messages may be sent again, unless no more stay open than the relay's part of the cold budget in a window.

Why it works: the parts sum to less than the budget. A call that is ended is reset or closed, which a dead network and a proxy that drops on close forget; a link that lands it all the same is not helped. Once-only calls stay.

--- a/ryestack/brain/outage_detector.py
+++ b/ryestack/brain/outage_detector.py
@@ -34,18 +34,20 @@
 
     def begin_run(self):
         """Forgets the failures of the last run. separate: sent some time after another one."""
-        self.separate_failures, self.failed_routes = 0, set()
+        self.separate_failures, self.failed_routes, self.unanswered = 0, set(), False
         self.first_failed_sent, self.last_failed_sent = inf, -inf
 
     def suspects(self):
         """Whether the last calls were refused."""
         return self.began < inf
 
-    def count_failure(self, sent, route, forbidden_calls=0):
+    def count_failure(self, sent, route, forbidden_calls=0, unanswered=False):
         """Counts a failed or refused call by that route, unless it was sent together with another one.
 
-        forbidden_calls: that would have been made in the wait that a refusal told, and refused as well.
+        forbidden_calls: that would have been made in the wait that a refusal told, and refused as well;
+        unanswered: whether it got no answer at all.
         """
+        self.unanswered = self.unanswered or unanswered
         self.failed_routes.add(route)
         self.first_failed_sent = min(self.first_failed_sent, sent)
         if sent >= self.last_failed_sent + self.MIN_SPACING_S:
--- a/ryestack/brain/outcomes.py
+++ b/ryestack/brain/outcomes.py
@@ -2,7 +2,7 @@
 
 from math import inf
 
-from ..interface import Cancel, Result
+from ..interface import Result
 from .guard import ONCE
 from .notifications import MAY_STILL_RUN, NEVER_RAN
 from .trials import Trials
@@ -77,9 +77,12 @@
         ):
             route.dest.refusal_cost.add(outcome.result is Result.FULL)
         if outcome.result is Result.DELIVERED:
+            unanswered = route.limiter.detector.unanswered
             may_be_cold = self.ends_outage(route, call)
             for limiter in route.dest.affected_limiters(route):
                 limiter.record_success(call.sent, self.now, limiter is route.limiter, may_be_cold)
+                if unanswered:  # what has gathered meanwhile must not go at once
+                    limiter.empty_bucket(self.now)
             for failures in (route.failures, route.dest.failures):
                 failures.add(self.now, True)
             route.may_have_run, route.delivered_sent = False, max(route.delivered_sent, call.sent)
@@ -115,7 +118,7 @@
         for failures in (route.failures, route.dest.failures):
             failures.add(self.now, False)
         route.limiter.detector.record_failure(self.now)
-        route.limiter.detector.count_failure(call.sent, route.id)
+        route.limiter.detector.count_failure(call.sent, route.id, unanswered=route.unanswered)
         # A proven outage says nothing of how many connections the endpoints take.
         if not may_have_run:
             self.short_until[route.dest.kind.name] = self.now + self.CONNECTIONS_SHORT_S * (
@@ -139,6 +142,8 @@
         # If a younger call delivered meanwhile, the call is long, or its answer was lost: no failure.
         if call.route.delivered_sent <= call.sent:
             self.record_call_failure(call, None)
+        if self.settings.may_cancel and self.may_be_away(call.route):
+            self.schedule_ends_of_late_calls(call.route.dest)
 
     def slot_cap(self, dest):
         """Calls that the destination may have in flight at once."""
@@ -158,5 +163,4 @@
                 cheapest = min(
                     late, key=lambda c: sum(n.benefit for n, _ in c.items if n.topic.effect is ONCE)
                 )
-                del self.late_calls[cheapest]
-                self.actions += [Cancel(n.id, push) for n, push in cheapest.items]
+                self.cancel_call(cheapest)
--- a/ryestack/brain/rate_limiter.py
+++ b/ryestack/brain/rate_limiter.py
@@ -152,6 +152,10 @@
             and 0.0 < self.fair_share(now) * self.connection_idle < self.SPARSE_CALLS
         )
 
+    def empty_bucket(self, now):
+        """Lets the next call go only once its token has come from now on."""
+        self.tokens, self.refilled_at = min(self.tokens, 0.0), now
+
     def take_token(self, new_call, now):
         """Pays for a new call, or for a further notification in one."""
         spent = 1.0 if new_call else self.COLD_ITEM_TOKENS if self.cold_since is not None else 0.0
--- a/ryestack/brain/routes.py
+++ b/ryestack/brain/routes.py
@@ -29,6 +29,7 @@
 
     def __init__(self, route, sent):
         self.route, self.sent, self.pending, self.is_late = route, sent, 0, False
+        self.end_scheduled = False  # whether a late call has been looked at for an early end
         self.items, self.ends = [], inf  # (notification, push number); the earliest end among them
 
 
--- a/tests/test_possible_outages.py
+++ b/tests/test_possible_outages.py
@@ -1,11 +1,12 @@
 """Outages that are possible and not proven: what a relay that was told of them sends at the return."""
 
+from math import inf
 from random import Random
 
 from ryestack.brain.failure_runs import FailureRuns
 from ryestack.brain.health import Health
 from ryestack.brain.outage_detector import OutageDetector
-from ryestack.interface import Result
+from ryestack.interface import Cancel, Result
 
 from .helpers import brain, end, settings, take
 
@@ -69,3 +70,29 @@
             runs.add_delivery()
     assert runs.chance_rate(3, PART) * WARM_UP > OutageDetector.CHANCE_TIME_SHARE
     assert runs.chance_rate(9, PART) * WARM_UP <= OutageDetector.CHANCE_TIME_SHARE
+
+
+def hung(topics, seconds):
+    """A module all of whose calls hang, and the ids that it cancelled; topics: of the notifications."""
+    module, cancelled = brain(rate=16.0, relays=4, may_cancel=True, slots=40), []
+    module.round(1.0, [take(f"n{n}", topic, due=60.0) for n, topic in enumerate(topics)])
+    while module.now < 1.0 + seconds:
+        actions = module.round(module.now + 0.05, [])
+        cancelled += [action.id for action in actions if isinstance(action, Cancel)]
+    return module, cancelled
+
+
+def test_calls_without_an_answer_gather_at_a_destination_that_is_down():
+    """Past a window, no more stay open than the relay's part of the cold budget."""
+    module, cancelled = hung(["again"] * 30, seconds=12.0)
+    assert module.routes["a"].limiter.cold_since == inf
+    rules = settings().rules
+    allowed = 4.0 * rules.cold_share * rules.overload_factor * rules.fall_time
+    old = [call for call in module.late_calls if call.sent < module.now - 2.0 * rules.fall_time]
+    assert cancelled and len(old) <= allowed + 1
+
+
+def test_once_only_calls_are_ended_at_a_destination_that_is_down():
+    """They may have run, and can't be sent again."""
+    _, cancelled = hung(["once"] * 40, seconds=12.0)
+    assert not cancelled
