A reported limit is no longer taken for what a cold destination takes

Cause: with the first reported limit the error of the rate became 1, and each relay's even part of a cold budget an exact part of that limit. The parts of four relays summed to twice the capacity. A limit may be higher than what the partner takes, or older than its outage.

Change: RateLimiter.record_limit; the even part of a cold destination counts a reported limit as off by up to LIMIT_ERROR (2).

--- a/ryestack/brain/outcomes.py
+++ b/ryestack/brain/outcomes.py
@@ -37,8 +37,7 @@
             if outcome.limit and first
             else ()
         ):
-            each.limiter.reported_rate, each.limiter.rate_error = max(0.1, outcome.limit), 1.0
-            each.limiter.record_limit_left(outcome.limit_left, self.now)
+            each.limiter.record_limit(outcome.limit, outcome.limit_left, self.now)
         self.on_wait(outcome)
         if outcome.result is Result.DELIVERED:
             route.dest.record_duration(outcome.elapsed)
--- a/ryestack/brain/rate_limiter.py
+++ b/ryestack/brain/rate_limiter.py
@@ -32,6 +32,7 @@
     SPARSE_CALLS = 4.0
     # Calls a second of all relays, where the list has no rates; factor by which a rough rate may be off.
     DEFAULT_RATE, ROUGH_RATE_ERROR = 5.0, 1.5
+    LIMIT_ERROR = 2.0  # factor by which a reported limit may exceed what a destination takes after an outage
 
     def __init__(self, settings, dest, rng, now, rate):
         self.dest, self.rng, self.delivered = dest, rng, DecayingRate(self.DELIVERED_HALF_LIFE_S, now)
@@ -96,6 +97,11 @@
             else self.learned_gain
         )
 
+    def record_limit(self, limit, share, now):
+        """Takes over a reported limit, in calls a second, of which that share is left."""
+        self.reported_rate, self.rate_error = max(0.1, limit), self.LIMIT_ERROR
+        self.record_limit_left(share, now)
+
     def record_limit_left(self, share, now):
         """Adapts the gain to the reported share of the limit that is left."""
         self.share_high, due = share >= self.HIGH_SHARE, now >= self.gain_changed_at + self.GAIN_INTERVAL_S
--- a/tests/test_possible_outages.py
+++ b/tests/test_possible_outages.py
@@ -96,3 +96,14 @@
     """They may have run, and can't be sent again."""
     _, cancelled = hung(["once"] * 40, seconds=12.0)
     assert not cancelled
+
+
+def test_reported_limit_is_taken_for_the_capacity_of_a_cold_destination():
+    """It may be twice what the destination takes just after an outage."""
+    module = brain(routes=("a",), rate=16.0, relays=4)
+    module.round(1.0, [take("n")])
+    module.round(1.1, [end("n", "a", Result.DELIVERED, ended=True, limit=40.0)])
+    limiter = module.routes["a"].limiter
+    assert limiter.reported_rate == 40.0
+    limiter.mark_down(2.0)
+    assert limiter.cold_part(2.0) <= 40.0 / 4 / 2.0
