A warm-up outlives the process: no start is warm at a partner known to be cold

Cause: the first delivery after an outage emptied the file of failing routes, and what said "warming" was only in the learned state, saved each two seconds at best: not while a channel to another process is open, not when it is over half of its size, not on a disk that is slow (one lock for both files), and not under other settings. A dead endpoint of a kind with outages by endpoint was taken off the file by deliveries of the other one. The file was never written again in an outage of over a minute, and then too old to be read.

Change: the file has the routes that warm up too, and since when (key `warming`; older builds read the failing ones); it is written at each change of either for any route of the destination, again each two seconds while it is not empty, without the lock of the learned state, and by the newer of two processes; a later file goes before an older learned state. A start goes on with the warm-up where it was.

Why it works: from the first failure until the end of the warm-up the file says that the destination is away or cold, in one of the two tables.

--- a/ryestack/brain/outage_detector.py
+++ b/ryestack/brain/outage_detector.py
@@ -109,6 +109,7 @@
     def resume(self, began, run, now):
         """Takes over a run of refusals that the process before recorded."""
         self.began, self.outcomes.consecutive, self.next_trial_at = began, run, now
+        self.separate_failures = max(self.separate_failures, run)
 
     def proves_outage(self, now, wait, part):
         """Whether the last refusal, which told that wait, proves an outage."""
--- a/ryestack/brain/outage_state.py
+++ b/ryestack/brain/outage_state.py
@@ -133,6 +133,11 @@
             and expected_calls >= FailureCounter.CONSECUTIVE_LIMIT
         )
 
+    def resume_warm_up(self, since):
+        """Goes on with a warm-up that the process before began then."""
+        self.cold_since, self.failing_since = since, inf
+        self.tokens = min(self.tokens, self.rng.random())
+
     def mark_down(self, since, budget_share=COLD_BUDGET_SHARE):
         """Marks the destination as down since then; a random delay keeps relays from returning in step."""
         if self.cold_since != inf:
--- a/ryestack/lab/outage/folder.py
+++ b/ryestack/lab/outage/folder.py
@@ -9,11 +9,12 @@
 
 @dataclass(slots=True)
 class Folder:
-    """learnt, failing: the two saved files, as learned_state makes them, and when each was saved."""
+    """learnt; failing, warming: the two saved files, as learned_state makes them, and when each was saved."""
 
     learnt: dict | None = None
     learnt_at: float = -inf
     failing: dict[str, float] | None = None
+    warming: dict[str, float] | None = None
     failing_at: float = -inf
 
     def save(self, module: Brain, now: float) -> None:
@@ -21,10 +22,10 @@
         self.learnt, self.learnt_at = learned_state.export(module), now
 
     def save_failing(self, module: Brain, now: float) -> None:
-        """Saves the failing routes, if they have changed."""
-        failing = learned_state.failing(module)
-        if failing != (self.failing or {}):
-            self.failing, self.failing_at = failing, now
+        """Saves the routes that fail or warm up, if they have changed."""
+        failing, warming = learned_state.failing(module), learned_state.warming(module)
+        if (failing, warming) != (self.failing or {}, self.warming or {}):
+            self.failing, self.warming, self.failing_at = failing, warming, now
 
     def restore(self, module: Brain) -> None:
         """Gives a new process what was saved; failing routes that were saved before the rest are outdated."""
@@ -32,5 +33,6 @@
             learned_state.restore(module, self.learnt)
         if self.failing is None:
             return
-        failing = self.failing if self.learnt is None or self.failing_at >= self.learnt_at else {}
-        learned_state.assume_down(module, learned_state.failing(module) | failing)
+        is_latest = self.learnt is None or self.failing_at >= self.learnt_at
+        tables = (self.failing, self.warming) if is_latest else ({}, {})
+        learned_state.assume_cold_again(module, *tables)
--- a/ryestack/lifecycle/learned_state.py
+++ b/ryestack/lifecycle/learned_state.py
@@ -9,6 +9,7 @@
 from .. import interface
 from ..brain import Brain
 from ..brain.estimators import DecayingRate, DurationHistogram, FailureCounter, RefusalCostDetector
+from ..brain.health import Health
 from ..brain.rate_limiter import RateLimiter
 from ..brain.routes import Destination, Route
 
@@ -107,7 +108,7 @@
         if route := brain.routes.get(name):
             drains = route.state == "draining"
             _learn(_of_route(route), parts)
-            _resume_measurement(route.limiter, brain.now)
+            _resume_measurement(route, brain.now)
             if drains:
                 route.state = "draining"
             elif route.state == "draining":
@@ -123,11 +124,13 @@
     _learn([brain.durations], [learned.get("times", {})])
 
 
-def _resume_measurement(limiter: RateLimiter, now: float) -> None:
+def _resume_measurement(route: Route, now: float) -> None:
     """The deliveries were counted in the process before; so was a run of refusals that has not ended."""
+    limiter = route.limiter
     limiter.delivered.since = -inf
     if limiter.refusals and limiter.failing_since < inf and limiter.cold_since is None:
         limiter.detector.resume(limiter.failing_since, limiter.refusals, now)
+        limiter.detector.failed_routes.add(route.id)
 
 
 def assume_cold(brain: Brain) -> None:
@@ -137,15 +140,45 @@
 
 
 def failing(brain: Brain) -> dict[str, float]:
-    """Routes whose destination has delivered nothing since a failure or refusal, with the first's time."""
+    """Routes that have delivered nothing since a failure or refusal, with the first's time.
+
+    Where routes share outages, a delivery by one of them counts for all.
+    """
     return {
         route.id: route.limiter.failing_since
         for route in brain.routes.values()
-        if route.limiter.failing_since < inf
-        and (route.dest.failures.consecutive or route.limiter.detector.suspects())
+        if route.limiter.failing_since < inf and _still_fails(route)
+    }
+
+
+def _still_fails(route: Route) -> bool:
+    own = route.dest.kind.per_route and route.failures.consecutive
+    known = route.limiter.cold_since == inf or route.limiter.detector.suspects()
+    return bool(own or known or route.dest.failures.consecutive)
+
+
+def warming(brain: Brain) -> dict[str, float]:
+    """Routes that are back from an outage and cold, with the time at which their warm-up began."""
+    return {
+        route.id: route.limiter.cold_since
+        for route in brain.routes.values()
+        if route.limiter.health(brain.now) is Health.WARMING
     }
 
 
+def assume_cold_again(brain: Brain, failing_since: dict[str, float], warming_since: dict[str, float]) -> None:
+    """After a restart: routes that failed before it may be back by now, and cold; others still warm up.
+
+    Each argument: route to the time at which that began, as the process before had it last.
+    """
+    restored = failing(brain)
+    assume_down(brain, {name: since for name, since in restored.items() if name not in warming_since})
+    assume_down(brain, failing_since)
+    for name, since in warming_since.items():
+        if route := brain.routes.get(name):
+            route.limiter.resume_warm_up(since)
+
+
 def assume_down(brain: Brain, since: dict[str, float]) -> None:
     """After a restart, routes that failed before it may be back by now, and cold."""
     for name, failing_since in since.items():
--- a/ryestack/lifecycle/recovery.py
+++ b/ryestack/lifecycle/recovery.py
@@ -25,12 +25,14 @@
         learnt: dict | None = None,
         beside: bool = False,
         failed: dict[str, float] | None = None,
+        warming: dict[str, float] | None = None,
     ) -> None:
         """Give the open notifications of earlier processes to the module, which decides on each.
 
         known: the list that the previous process went by, and what the registry has told since. learnt: the
         learnt state of the previous process; beside: another process is running, whether or not it sent its
-        learnt state; failed: after a time without a process, the routes that failed before it.
+        learnt state; failed: after a time without a process, the routes that failed before it; warming: those
+        that warmed up after an outage.
         """
         self.round(known[:1])
         try:
@@ -42,7 +44,7 @@
         if known[1:]:  # changes since then apply to what is learnt as in any round
             self.round(known[1:])
         if failed is not None:
-            learned_state.assume_down(self.brain, learned_state.failing(self.brain) | failed)
+            learned_state.assume_cold_again(self.brain, failed, warming or {})
         if learnt is None and beside:
             learned_state.assume_cold(self.brain)
         self.brain.report_health("restored" if learnt is not None else "assumed at the start")
--- a/ryestack/lifecycle/state_saver.py
+++ b/ryestack/lifecycle/state_saver.py
@@ -6,7 +6,7 @@
 
 from ..store import remembered
 from ..store.remembered import Moment, SavedState
-from .learned_state import export, failing, mark_text
+from .learned_state import export, failing, mark_text, warming
 
 SAVE_LEARNT_INTERVAL_S = 2.0  # the learnt state covers tens of seconds, and saving it takes a moment
 SAVE_FAILING_INTERVAL_S = 0.1  # the list of failing routes is small
@@ -15,7 +15,8 @@
 class StateSaver:
     """The part of a relay that saves state on a best-effort basis, so that it survives a kill.
 
-    It writes on threads: a slow disk must not hold up the event loop. saving: held while a file is written.
+    It writes on threads: a slow disk must not hold up the event loop. saving: held while the learnt state is
+    written; the small file of failing routes does not wait for that.
     """
 
     def __init__(self):
@@ -23,21 +24,28 @@
         self.saving = asyncio.Lock()
 
     async def save_regularly(self) -> None:
-        """Save the learnt state at intervals, until cancelled."""
+        """Save the learnt state at intervals, until cancelled; failing routes too, before they are old."""
         while True:
             await asyncio.sleep(SAVE_LEARNT_INTERVAL_S)
+            if failing(self.owner.brain) or warming(self.owner.brain):
+                self.owner.failing_changed.set()
             await self.save_state()
 
     async def save_failing(self) -> None:
-        """Save the failing routes as soon as one begins to fail or delivers again, until cancelled."""
+        """Save the routes that fail or warm up as soon as that changes for one of them, until cancelled."""
         while True:
             await self.owner.failing_changed.wait()
             self.owner.failing_changed.clear()
-            if not self.channels:
-                state = self.config.state, failing(self.owner.brain), self.moment()
-                await self.save_on_thread(remembered.save_failing, *state)
+            if not self.has_successor():
+                brain = self.owner.brain
+                state = self.config.state, failing(brain), self.moment(), warming(brain)
+                await asyncio.to_thread(remembered.save_failing, *state)
             await asyncio.sleep(SAVE_FAILING_INTERVAL_S)
 
+    def has_successor(self) -> bool:
+        """Whether a process that replaces this one runs: it has our state, and saves what comes of it."""
+        return any(not channel.to_predecessor for channel in self.channels)
+
     async def save_state(self) -> None:
         """Save the learnt state, unless another process is running: that one gets it over the channel."""
         if not self.channels:
--- a/ryestack/lifecycle/watched.py
+++ b/ryestack/lifecycle/watched.py
@@ -62,20 +62,25 @@
     # Callback: a route has begun to fail, or delivers again.
     on_failing_changed = staticmethod(lambda: None)
 
+    @staticmethod
+    def outage_marks(dest):
+        """What of a destination the file of failing routes depends on."""
+        return [(route.limiter.failing_since < inf, route.limiter.cold_since) for route in dest.route_list]
+
     def apply_result(self, route, call, outcome):
-        failed = route.limiter.failing_since < inf
+        marks = self.outage_marks(route.dest)
         super().apply_result(route, call, outcome)
         if outcome.result not in (Result.DELIVERED, Result.NOT_SENT, Result.CANCELLED):
             self.health.count(route, outcome)
         self.health.follow(route.dest, outcome.result.value, self.now)
-        if failed != (route.limiter.failing_since < inf):
+        if marks != self.outage_marks(route.dest):
             self.on_failing_changed()
 
     def on_overdue(self, call):
-        failed = call.route.limiter.failing_since < inf
+        marks = self.outage_marks(call.route.dest)
         super().on_overdue(call)
         self.health.follow(call.route.dest, "overdue", self.now)
-        if failed != (call.route.limiter.failing_since < inf):
+        if marks != self.outage_marks(call.route.dest):
             self.on_failing_changed()
 
     def change_route(self, route, trigger, span=0.0):
--- a/ryestack/store/remembered.py
+++ b/ryestack/store/remembered.py
@@ -1,21 +1,22 @@
 """What a relay has learnt about its endpoints, saved in its folder for the next process.
 
 Two JSON files beside the journal, each written completely and put in place by a rename: all that is learnt,
-every few seconds; and the failing routes, at once, since a partner may recover and be cold while no process
-is running to see it. Both are best effort: where one cannot be written or read, or is old, a process starts
-without it.
+every few seconds; and the routes that fail or warm up after an outage, at once, since a partner may recover
+and be cold while no process is running to see it. Both are best effort: where one cannot be written or read,
+or is old, a process starts without it.
 """
 
 import json
 import os
 import zlib
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from .folder_times import FOLDER_TIMES, Operation
 
 LEARNT, FAILING = "learnt", "failing"
+WARMING = "warming"  # key in the file of failing routes
 # Bytes of the folder's allowance that each may take, with the replacement beside the old file.
 MAX_FILE_BYTES = {LEARNT: 256 * 1024, FAILING: 64 * 1024}
 MAX_TOTAL_BYTES = sum(MAX_FILE_BYTES.values())
@@ -42,10 +43,11 @@
 @dataclass(frozen=True, slots=True)
 class SavedState:
     """What was loaded. learnt: as learned_state exports it, None if there is none or it is outdated;
-    failing: route to the time at which it began to fail."""
+    failing: route to the time at which it began to fail; warming: the same of its warm-up."""
 
     learnt: dict | None
     failing: dict[str, float]
+    warming: dict[str, float] = field(default_factory=dict)
 
 
 def save(folder: str, learnt: dict, under: str, now: Moment) -> None:
@@ -53,16 +55,23 @@
     _write(folder, LEARNT, {"under": under, "clock": now.clock, "boot": now.boot, "learnt": learnt})
 
 
-def save_failing(folder: str, failing: dict[str, float], now: Moment) -> None:
-    """Save the failing routes, the latest ones if not all fit: older outages are in the learnt state too."""
-    remaining_bytes, kept = MAX_FILE_BYTES[FAILING] // 2 - OVERHEAD_BYTES, {}
-    for name, began in sorted(failing.items(), key=lambda row: row[1], reverse=True):
+def save_failing(
+    folder: str, failing: dict[str, float], now: Moment, warming: dict[str, float] | None = None
+) -> None:
+    """Save the routes that fail or warm up, the latest if not all fit: the learnt state has all.
+
+    Older builds read the failing ones only.
+    """
+    tables = {FAILING: failing, WARMING: warming or {}}
+    rows = [(began, name, table) for table, routes in tables.items() for name, began in routes.items()]
+    kept = {FAILING: {}, WARMING: {}}
+    remaining_bytes = MAX_FILE_BYTES[FAILING] // 2 - OVERHEAD_BYTES
+    for began, name, table in sorted(rows, reverse=True):
         remaining_bytes -= len(name) + ROW_OVERHEAD_BYTES
         if remaining_bytes < 0:
             break
-        kept[name] = began
-    failing = kept
-    _write(folder, FAILING, {"clock": now.clock, "boot": now.boot, "failing": failing})
+        kept[table][name] = began
+    _write(folder, FAILING, {"clock": now.clock, "boot": now.boot, **kept})
 
 
 def load(folder: str, under: str, now: Moment) -> SavedState:
@@ -72,9 +81,12 @@
     learnt = learnt if isinstance(learnt, dict) else None
     if not latest or (learnt is not None and latest["clock"] < full["clock"]):
         return SavedState(learnt, {})
-    found = latest.get("failing")
-    pairs = found.items() if isinstance(found, dict) else ()
-    return SavedState(learnt, {name: began for name, began in pairs if isinstance(began, float)})
+    return SavedState(learnt, _times(latest.get(FAILING)), _times(latest.get(WARMING)))
+
+
+def _times(table: object) -> dict[str, float]:
+    pairs = table.items() if isinstance(table, dict) else ()
+    return {name: began for name, began in pairs if isinstance(began, float)}
 
 
 def _write(folder: str, name: str, table: dict) -> None:
--- a/tests/test_blind_restart.py
+++ b/tests/test_blind_restart.py
@@ -84,6 +84,53 @@
         part = RATE / 10 * rules.cold_share * rules.overload_factor
         self.assertLessEqual(cold.routes["a"].limiter.rate(2.0), part)
 
+    def warming_up(self):
+        """A module whose destination was down and has delivered again, and its parts of a cold partner."""
+        b = made_brain(routes=("a", "b"), rate=RATE, relays=10)
+        for limiter in {route.limiter for route in b.routes.values()}:
+            limiter.mark_down(1.0)
+        b.round(2.0, [take("n")])
+        while b.in_flight or b.now < 3.0:
+            ended = [end(name, call.route.id, Result.DELIVERED, push, ended=True)
+                     for (name, push), (call, _) in b.in_flight.items()]  # fmt: skip
+            b.round(b.now + 0.1, ended)
+        rules = settings().rules
+        return b, RATE / 10 * rules.cold_share * rules.overload_factor
+
+    def test_partner_in_its_warm_up_is_taken_for_warm_by_the_next_process(self):
+        """With the first delivery the file of failing routes became empty."""
+        b, _ = self.warming_up()
+        failing, warming = learned_state.failing(b), learned_state.warming(b)
+        self.assertEqual((failing, set(warming)), ({}, {"a", "b"}))
+        after = made_brain(routes=("a", "b"), rate=RATE, relays=10)
+        learned_state.assume_cold_again(after, failing, warming)
+        for name in ("a", "b"):
+            self.assertAlmostEqual(
+                after.routes[name].limiter.rate(3.2), b.routes[name].limiter.rate(3.2), delta=0.2
+            )
+
+    def test_warm_up_of_the_small_file_gives_way_to_an_older_outage_of_the_learnt_state(self):
+        """The learnt state is of the outage; the file, which is later, says since when it warms up."""
+        b, part = self.warming_up()
+        old = made_brain(routes=("a", "b"), rate=RATE, relays=10)
+        for route in old.routes.values():
+            route.limiter.mark_down(1.0)
+        after = made_brain(routes=("a", "b"), rate=RATE, relays=10)
+        learned_state.restore(after, json.loads(json.dumps(learned_state.export(old))))
+        learned_state.assume_cold_again(after, {}, learned_state.warming(b))
+        self.assertEqual(after.routes["a"].limiter.cold_since, b.routes["a"].limiter.cold_since)
+        self.assertLess(after.routes["a"].limiter.rate(3.2), 2.0 * part)
+
+    def test_dead_endpoint_beside_one_that_delivers_is_taken_for_warm_by_the_next_process(self):
+        """Where endpoints have outages of their own, a delivery by the other one took it off the file."""
+        b = made_brain(kind="apart", routes=("a", "b"), rate=RATE, relays=10)
+        b.round(1.0, [take("n")])
+        b.round(1.1, [end("n", "a", Result.NO_CONNECTION)])
+        b.round(1.2, [end("n", "b", Result.DELIVERED, 1, ended=True)])
+        self.assertEqual(b.destinations[7].failures.consecutive, 0)
+        self.assertIsNone(b.routes["a"].limiter.cold_since)
+        self.assertEqual(learned_state.failing(b), {"a": 1.0})
+
     def test_suspicion_of_an_outage_is_lost_in_an_upgrade(self):
         """The process after it begins with the run of refusals, and with rates measured for long."""
         b = made_brain(routes=("a",), rate=RATE, relays=10)
--- a/tests/test_remembered.py
+++ b/tests/test_remembered.py
@@ -86,6 +86,12 @@
     assert remembered.load(folder, "s", Moment(12.0, "another")) == remembered.SavedState(None, {})
 
 
+def test_warm_up_is_not_saved_beside_the_failing_routes(tmp_path):
+    folder, times = str(tmp_path), {"a": 9.0}
+    remembered.save_failing(folder, times, Moment(9.9, "boot"), {"b": 9.5})
+    assert remembered.load(folder, "s", SOON) == remembered.SavedState(None, times, {"b": 9.5})
+
+
 # Every stored key, as a build before the renames of the attributes wrote it.
 WRITTEN_BY_AN_OLDER_BUILD = {
     "routes": {
