A process that knows nothing of its partners no longer sends all that waits

Cause: a start without saved state takes all partners for warm, and may borrow half as much again as its even part, with a second's worth of calls at once.

Change: such a start, where notifications wait for a destination, sends there its even part less the rate's error, and without a burst, for two windows of rule 4 (RateLimiter.assume_unknown). A first start has nothing that waits, and is as before.

Why it works: the even parts of all relays sum to no more than the capacity, and the backlog goes once the partner takes more.

--- a/ryestack/brain/rate_limiter.py
+++ b/ryestack/brain/rate_limiter.py
@@ -32,6 +32,7 @@
     SPARSE_CALLS = 4.0
     # Calls a second of all relays, where the list has no rates; factor by which a rough rate may be off.
     DEFAULT_RATE, ROUGH_RATE_ERROR = 5.0, 1.5
+    UNKNOWN_WINDOWS = 2.0  # of rule 4, in which a process that knows nothing of a destination sends less
     LIMIT_ERROR = 2.0  # factor by which a reported limit may exceed what a destination takes after an outage
 
     def __init__(self, settings, dest, rng, now, rate):
@@ -50,6 +51,8 @@
         self.wait_until = max((p.wait_until for p in siblings), default=0.0)
         self.detector = siblings[0].detector if siblings else OutageDetector(rng)
         self.budget_share = self.COLD_BUDGET_SHARE  # of rule 4's budget
+        # Until when the destination may be one that is back cold, as nothing is known of the time before.
+        self.unknown_until = max((p.unknown_until for p in siblings), default=0.0)
 
     def apply_settings(self, settings):
         """Takes over the settings that concern it."""
@@ -113,7 +116,8 @@
     def rate(self, now):
         """Calls a second that may go now; while the destination is cold, this relay's part of its budget."""
         if self.cold_since is None:
-            return self.fair_share(now) * self.gain(now)
+            gain = self.gain(now) if now >= self.unknown_until else 1.0 / self.rate_error
+            return self.fair_share(now) * gain
         part, share = self.cold_part(now), self.rules.cold_share
         share += (1.0 - share) * max(0.0, now - self.cold_since) / self.rules.cold_time
         if share >= 1.0:
@@ -128,7 +132,8 @@
             return max(start, self.detector.next_trial_at)
         # A cold bucket does not fill during a wait, or all relays would send at its end.
         since = self.refilled_at if warm else max(self.refilled_at, self.wait_until)
-        max_tokens = max(1.0, rate * self.BURST_S) if warm and single else 1.0
+        may_burst = warm and single and now >= self.unknown_until
+        max_tokens = max(1.0, rate * self.BURST_S) if may_burst else 1.0
         if not self.is_sparse(now):
             self.tokens = min(max_tokens, self.tokens + rate * max(0.0, now - since))
         self.refilled_at, missing = now, max(0.0, 1.0 - 1e-6 - self.tokens)
@@ -158,6 +163,10 @@
             and 0.0 < self.fair_share(now) * self.connection_idle < self.SPARSE_CALLS
         )
 
+    def assume_unknown(self, now):
+        """Sends less for a while, as the destination may be cold and notifications wait for it."""
+        self.unknown_until = now + self.UNKNOWN_WINDOWS * self.rules.fall_time
+
     def empty_bucket(self, now):
         """Lets the next call go only once its token has come from now on."""
         self.tokens, self.refilled_at = min(self.tokens, 0.0), now
--- a/ryestack/lab/outage/fleet.py
+++ b/ryestack/lab/outage/fleet.py
@@ -91,8 +91,8 @@
         self.lives[relay] += 1
         rows = tuple(self.endpoints.values())
         self.act(relay, module.round(self.now, [ListUpdate(rows, whole=True)]))
-        self.folders[relay].restore(module)
         owed = [name for name, row in self.messages.items() if row[0] == relay and name not in self.over]
+        self.folders[relay].restore(module, {DESTINATION} if owed else set())
         events = [self.notification(name) for name in owed]
         self.act(relay, module.round(self.now, events))
 
--- a/ryestack/lab/outage/folder.py
+++ b/ryestack/lab/outage/folder.py
@@ -27,10 +27,15 @@
         if (failing, warming) != (self.failing or {}, self.warming or {}):
             self.failing, self.warming, self.failing_at = failing, warming, now
 
-    def restore(self, module: Brain) -> None:
-        """Gives a new process what was saved; failing routes that were saved before the rest are outdated."""
+    def restore(self, module: Brain, owed_to: set[int]) -> None:
+        """Gives a new process what was saved; failing routes that were saved before the rest are outdated.
+
+        owed_to: destinations for which notifications wait.
+        """
         if self.learnt is not None:
             learned_state.restore(module, self.learnt)
+        if self.learnt is None and self.failing is None:
+            learned_state.assume_unknown(module, owed_to)
         if self.failing is None:
             return
         is_latest = self.learnt is None or self.failing_at >= self.learnt_at
--- a/ryestack/lifecycle/learned_state.py
+++ b/ryestack/lifecycle/learned_state.py
@@ -139,6 +139,12 @@
         route.limiter.cold_since = brain.now
 
 
+def assume_unknown(brain: Brain, destinations: set[int]) -> None:
+    """Without anything known of the time before, destinations for which notifications wait may be cold."""
+    for route in (r for r in brain.routes.values() if r.dest.number in destinations):
+        route.limiter.assume_unknown(brain.now)
+
+
 def failing(brain: Brain) -> dict[str, float]:
     """Routes that have delivered nothing since a failure or refusal, with the first's time.
 
--- a/ryestack/lifecycle/recovery.py
+++ b/ryestack/lifecycle/recovery.py
@@ -45,6 +45,9 @@
             self.round(known[1:])
         if failed is not None:
             learned_state.assume_cold_again(self.brain, failed, warming or {})
+            if learnt is None and not failed and not warming:
+                waiting = {owed.destination for owed in self.ledger.owed.values() if not owed.notice}
+                learned_state.assume_unknown(self.brain, waiting)
         if learnt is None and beside:
             learned_state.assume_cold(self.brain)
         self.brain.report_health("restored" if learnt is not None else "assumed at the start")
--- a/tests/test_blind_restart.py
+++ b/tests/test_blind_restart.py
@@ -131,6 +131,19 @@
         self.assertIsNone(b.routes["a"].limiter.cold_since)
         self.assertEqual(learned_state.failing(b), {"a": 1.0})
 
+    def test_process_that_knows_nothing_sends_what_waits_at_once(self):
+        """After a start without any saved state: no burst, and no more than its part, for two windows."""
+        b = made_brain(routes=("a",), rate=RATE, relays=10, rough_rates=True)
+        learned_state.assume_unknown(b, {7})
+        limiter, part = b.routes["a"].limiter, RATE / 10
+        self.assertLessEqual(limiter.rate(0.1), part / limiter.ROUGH_RATE_ERROR)
+        limiter.ready_at(2.0)
+        self.assertLessEqual(limiter.tokens, 1.0)
+        self.assertGreater(limiter.rate(2.0 * settings().rules.fall_time + 0.1), part)
+        other = made_brain(routes=("a",), rate=RATE, relays=10)
+        learned_state.assume_unknown(other, set())
+        self.assertGreater(other.routes["a"].limiter.rate(0.1), part)
+
     def test_suspicion_of_an_outage_is_lost_in_an_upgrade(self):
         """The process after it begins with the run of refusals, and with rates measured for long."""
         b = made_brain(routes=("a",), rate=RATE, relays=10)
