A failure in the warm-up begins it anew where chance brings few

Cause: the fifth call that is delivered in such an outage now begins a warm-up in it. A relay of a large fleet makes a call or two in the nine seconds after; their refusals began nothing anew, and the warm-up was over soon after the real return.

Change: while warming one failure before a delivery is enough to begin anew, if chance brings at most 1.5 of them in a warm-up. A proven outage's share of the budget stays.

--- a/ryestack/brain/outage_detector.py
+++ b/ryestack/brain/outage_detector.py
@@ -26,6 +26,7 @@
     # Failed calls that make an outage possible, if they were sent at least so many seconds apart; the part of
     # all time for which chance alone may have a destination taken for cold, warm_up seconds at a time.
     MIN_POSSIBLE_RUN, MIN_SPACING_S, CHANCE_TIME_SHARE = 2, 0.1, 0.1
+    CHANCE_FAILURES_IN_WARM_UP = 1.5  # so many on average: with more, a failure in it tells nothing
 
     def __init__(self, rng):
         self.rng, self.outcomes, self.runs = rng, FailureCounter(), FailureRuns()
@@ -54,13 +55,16 @@
             self.separate_failures += 1 + forbidden_calls
             self.last_failed_sent = sent
 
-    def outage_possible(self, part, warm_up, all_failed):
+    def outage_possible(self, part, warm_up, all_failed, warming=False):
         """Whether chance hardly explains the failures since the last delivery.
 
         warm_up: seconds for which the destination is taken for cold after an outage; all_failed: whether all
-        routes failed, so that it is not one endpoint that is away.
+        routes failed, so that it is not one endpoint that is away; warming: whether it is taken for cold now,
+        and may not have been back: one failure is enough then, where chance brings few in a warm-up.
         """
         run = self.separate_failures
+        if warming and run:
+            return self.runs.chance_rate(1, part) * warm_up <= self.CHANCE_FAILURES_IN_WARM_UP
         if run < self.MIN_POSSIBLE_RUN or not all_failed:
             return False
         return self.runs.chance_rate(run, part) * warm_up <= self.CHANCE_TIME_SHARE
--- a/ryestack/brain/outage_state.py
+++ b/ryestack/brain/outage_state.py
@@ -70,7 +70,8 @@
             self.cold_since = self.reopens_at or max(now, self.wait_until)
         elif after is Health.WARMING and trigger is OutageEvent.RETURNED:
             self.cold_since, self.tokens = now, min(self.tokens, 0.0)
-            self.budget_share = self.POSSIBLE_BUDGET_SHARE
+            if before is not Health.WARMING:  # else its share is that of an outage that was proven
+                self.budget_share = self.POSSIBLE_BUDGET_SHARE
 
     def record_success(self, sent, now, own, after_refusals=False):
         """A call that was sent at `sent` delivered; own: by a route of this limiter, not of a sibling.
--- a/ryestack/brain/trials.py
+++ b/ryestack/brain/trials.py
@@ -4,6 +4,7 @@
 
 from ..interface import Cancel
 from .guard import ONCE
+from .health import Health
 from .notifications import Notifications
 
 
@@ -67,5 +68,6 @@
             return detector.record_success(call.sent, self.now, 0.0)
         part = route.limiter.cold_part(self.now)
         all_failed = route.dest.all_failed(route, detector.failed_routes)
-        possible = detector.outage_possible(part, self.settings.rules.cold_time, all_failed)
+        warming = route.limiter.health(self.now) is Health.WARMING
+        possible = detector.outage_possible(part, self.settings.rules.cold_time, all_failed, warming)
         return detector.record_success(call.sent, self.now, part, possible)
--- a/tests/test_possible_outages.py
+++ b/tests/test_possible_outages.py
@@ -56,6 +56,17 @@
     assert not detector.suspects_outage()
 
 
+def test_delivery_in_an_outage_has_its_warm_up_end_soon_after_the_return():
+    """Four calls in five are refused: a warm-up that began with the fifth goes on through refusals."""
+    detector = OutageDetector(Random(1))
+    detector.count_failure(1.0, "a")
+    assert not detector.outage_possible(0.3, WARM_UP, all_failed=False)
+    assert detector.outage_possible(0.3, WARM_UP, all_failed=False, warming=True)
+    for _ in range(20):
+        detector.runs.add_run(1)
+    assert not detector.outage_possible(PART, WARM_UP, all_failed=False, warming=True)
+
+
 def test_destination_that_refuses_at_random_is_taken_for_cold_again_and_again():
     """Runs that chance made raise the length from which a run is taken for an outage."""
     runs, rng, length = FailureRuns(), Random(1), 0
