Soak: partners that are shut, fail all calls or sit behind a dead link, back cold

Change: `--outages` draws three further ways, 0.5 to 8 s long, more often than other troubles, judged by the same budget for each endpoint.

--- a/ryestack/cli/soak.py
+++ b/ryestack/cli/soak.py
@@ -48,6 +48,9 @@
     abuse: Annotated[
         bool, typer.Option("--abuse", help="Also clients that hold memory, or hand the same ids in again.")
     ] = False,
+    outages: Annotated[
+        bool, typer.Option("--outages", help="Also partners that are shut or behind a dead link, back cold.")
+    ] = False,
     memory_mb: Annotated[int, typer.Option(min=1, help="Limit in the configuration of each relay.")] = 192,
     window: Annotated[
         float, typer.Option(min=0.5, max=60, help="Seconds in which partners drop repeats.")
@@ -78,6 +81,7 @@
                 lifetime=lifetime,
                 abuse=abuse,
                 memory_mb=memory_mb,
+                outages=outages,
             )
             try:
                 verdict, injected = asyncio.run(_play(plan, folder, say if not as_json else lambda _: None))
--- a/ryestack/lab/soak/model.py
+++ b/ryestack/lab/soak/model.py
@@ -41,6 +41,9 @@
     LINK_HOLDS = "link holds some connections"
     ABUSE = "clients that hold memory, connections or the processor"
     RETURNS = "clients that leave and hand the same ids in again"
+    PARTNER_SHUT = "partner shut, back cold"
+    PARTNER_FAILS = "partner fails all calls, back cold"
+    LINK_DEAD = "link dead, the partner is back cold"
 
 
 RESTARTS = (Kind.KILL, Kind.STOP, Kind.UPGRADE)
@@ -52,11 +55,13 @@
 OF_PARTNERS = (
     Kind.PARTNER_OUTAGE, Kind.PARTNER_HANGS, Kind.PARTNER_RESETS, Kind.PARTNER_LIMITS, Kind.PARTNER_ERRORS,
     Kind.PARTNER_BUSY, Kind.LINK_LOST, Kind.LINK_RESETS, Kind.LINK_LATE, Kind.ANSWERS_AGAIN, Kind.DRAIN,
-    Kind.LINK_OUT, Kind.LINK_BACK, Kind.LINK_SLOW, Kind.LINK_HOLDS,
+    Kind.LINK_OUT, Kind.LINK_BACK, Kind.LINK_SLOW, Kind.LINK_HOLDS, Kind.PARTNER_SHUT, Kind.PARTNER_FAILS,
+    Kind.LINK_DEAD,
 )  # fmt: skip
 ONE_WAY_LINKS = (Kind.LINK_OUT, Kind.LINK_BACK, Kind.LINK_SLOW)  # drawn only if asked for
 HOLD_UPS = (Kind.DISK_SLOW, Kind.LINK_HOLDS)  # drawn only if asked for
 ABUSES = (Kind.ABUSE, Kind.RETURNS)  # drawn only if asked for
+COLD_RETURNS = (Kind.PARTNER_SHUT, Kind.PARTNER_FAILS, Kind.LINK_DEAD)  # drawn only if asked for
 
 
 class Trouble(msgspec.Struct, frozen=True):
--- a/ryestack/lab/soak/scenario.py
+++ b/ryestack/lab/soak/scenario.py
@@ -34,7 +34,7 @@
     """relays, partners: how many; rate: requests a second at each relay; seconds: their duration.
 
     window: of collapsible topics; lifetime: seconds that a notification may be delivered. abuse: also hostile
-    clients; memory_mb: limit in the relays' configuration.
+    clients; memory_mb: limit in the relays' configuration; outages: more ways for partners to be away.
     """
 
     seed: int
@@ -49,6 +49,7 @@
     lifetime: float = LIFETIME_S
     abuse: bool = False
     memory_mb: int = 192
+    outages: bool = False
 
 
 class Scenario(Troubles):
@@ -57,7 +58,7 @@
     def __init__(self, plan: SoakPlan, folder: Path, log: Callable[[str], None], troubles=None):
         self.plan, self.folder, self.log = plan, folder, log
         size = plan.seed, plan.seconds, plan.relays, plan.partners
-        drawn = draw(*size, plan.one_way_links, plan.hold_ups, plan.abuse)
+        drawn = draw(*size, plan.one_way_links, plan.hold_ups, plan.abuse, plan.outages)
         self.topics = [Topic(name, effect, plan.lifetime) for name, effect in EFFECTS.items()]
         self.troubles: list[Trouble] = drawn if troubles is None else troubles
         self.client_topics = [ClientTopic(t.name, t.effect, t.ttl) for t in self.topics]
--- a/ryestack/lab/soak/schedule.py
+++ b/ryestack/lab/soak/schedule.py
@@ -5,7 +5,18 @@
 
 from random import Random
 
-from .model import ABUSES, HOLD_UPS, OF_PARTNERS, OF_RELAYS, ONE_WAY_LINKS, RESTARTS, Kind, Style, Trouble
+from .model import (
+    ABUSES,
+    COLD_RETURNS,
+    HOLD_UPS,
+    OF_PARTNERS,
+    OF_RELAYS,
+    ONE_WAY_LINKS,
+    RESTARTS,
+    Kind,
+    Style,
+    Trouble,
+)
 
 TRACKS = 3  # number of troubles that may overlap; misbehaving clients come on top
 CALM_START_S, CALM_END_S = 2.0, 6.0  # no new trouble at the start and at the end
@@ -22,7 +33,7 @@
     Kind.CROWD: (2.0, 6.0),
     Kind.ABUSE: (2.0, 6.0),
     Kind.RETURNS: (4.0, 8.0),
-}
+} | dict.fromkeys(COLD_RETURNS, (0.5, 8.0))
 DEFAULT_DURATION_S = (1.0, 4.0)
 CLOCK_STEPS_S = (-3600.0, -5.0, -1.0, 1.0, 5.0, 3600.0)
 PAUSE_RANGE_S = (0.05, 0.15)  # duration of a single suspension of a relay
@@ -38,7 +49,7 @@
 # Restarts during other troubles of the same relay are the most likely to expose faults: drawn more often.
 KIND_WEIGHTS = {kind: 3.0 for kind in RESTARTS} | {
     Kind.CLOCK_STEP: 2.0, Kind.DISK_FAILS: 2.0, Kind.ABUSE: 4.0, Kind.RETURNS: 3.0,
-}  # fmt: skip
+} | dict.fromkeys(COLD_RETURNS, 3.0)  # fmt: skip
 FOCUS_PROBABILITY = 0.5  # fraction of troubles that hit the same relay or partner, so that they coincide
 
 
@@ -50,10 +61,14 @@
     one_way_links: bool = False,
     hold_ups: bool = False,
     abuse: bool = False,
+    outages: bool = False,
 ) -> list[Trouble]:
-    """Draws all troubles, sorted by their begin. one_way_links, hold_ups, abuse: also those of that name."""
+    """Draws all troubles, sorted by their begin.
+
+    one_way_links, hold_ups, abuse: also those of that name; outages: also COLD_RETURNS.
+    """
     left_out = (() if one_way_links else ONE_WAY_LINKS) + (() if hold_ups else HOLD_UPS)
-    left_out += () if abuse else ABUSES
+    left_out += (() if abuse else ABUSES) + (() if outages else COLD_RETURNS)
     kinds = [kind for kind in Kind if kind not in left_out]
     rng = Random(f"soak {seed}")
     focus = {"relay": rng.randrange(relays), "partner": rng.randrange(partners)}
--- a/ryestack/lab/soak/troubles.py
+++ b/ryestack/lab/soak/troubles.py
@@ -28,6 +28,11 @@
     Kind.PARTNER_ERRORS: {"mode": "error", "part": 0.5},
     Kind.PARTNER_BUSY: {"mode": "full", "part": 0.25},
 }
+OUTAGE_MODES = {
+    Kind.PARTNER_OUTAGE: {"mode": "refuse"},
+    Kind.PARTNER_SHUT: {"mode": "full"},
+    Kind.PARTNER_FAILS: {"mode": "error"},
+}
 LINK_MODES = {
     Kind.LINK_LOST: "hole",
     Kind.LINK_RESETS: "reset",
@@ -62,13 +67,14 @@
     def handler(self, trouble: Trouble) -> Callable[[Trouble], Awaitable[None]]:
         for kinds, handler in (
             (ERRNOS, self.fail_calls), (PARTNER_MODES, self.change_partner), (LINK_MODES, self.change_link),
+            (OUTAGE_MODES, self.partner_outage),
         ):  # fmt: skip
             if trouble.kind in kinds:
                 return handler
         return {
             Kind.KILL: self.kill, Kind.STOP: self.stop, Kind.UPGRADE: self.upgrade, Kind.RELOAD: self.reload,
             Kind.PAUSE: self.pause, Kind.CLOCK_STEP: self.step_clock, Kind.DISK_SHORT: self.write_short,
-            Kind.SOCKET_IO: self.transfer_short, Kind.PARTNER_OUTAGE: self.partner_outage,
+            Kind.SOCKET_IO: self.transfer_short, Kind.LINK_DEAD: self.link_outage,
             Kind.REGISTRY_SILENT: self.silence_registry, Kind.DRAIN: self.drain,
             Kind.CROWD: self.gather_crowd, Kind.PLATFORM_AGAIN: self.repeat_platform,
             Kind.DISK_SLOW: self.slow_disk, Kind.ABUSE: self.abuse, Kind.RETURNS: self.return_again,
@@ -136,12 +142,22 @@
 
     async def partner_outage(self, trouble: Trouble) -> None:
         partner = self.partners[trouble.target]
-        await partner.apply({"mode": "refuse"})
+        await partner.apply(OUTAGE_MODES[trouble.kind])
         await asyncio.sleep(trouble.seconds)
         returned_at = time.time()
         await partner.apply({"mode": "cold"})
         self.returned += [Returned(name, returned_at) for name in self.endpoint_names(trouble)]
 
+    async def link_outage(self, trouble: Trouble) -> None:
+        proxy, begin = self.proxies[trouble.target], time.time()
+        await proxy.set_mode("hole")
+        await asyncio.sleep(trouble.seconds)
+        returned_at = time.time()
+        await self.partners[trouble.target].apply({"mode": "cold"})
+        await proxy.set_mode("ok")
+        self.returned += [Returned(name, returned_at) for name in self.endpoint_names(trouble)]
+        self.disturbed += [Disturbed(name, begin, time.time()) for name in self.endpoint_names(trouble)]
+
     async def change_partner(self, trouble: Trouble) -> None:
         partner = self.partners[trouble.target]
         await partner.apply(PARTNER_MODES[trouble.kind])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 from ryestack.lab.soak.invariants import Evidence, budget, judge_soak
 from ryestack.lab.soak.model import (
     ABUSES,
+    COLD_RETURNS,
     HOLD_UPS,
     ONE_WAY_LINKS,
     RESTARTS,
@@ -68,10 +69,11 @@
         self.assertGreater(schedule.overlaps(first), len(first) / 2)
 
     def test_one_way_links_hold_ups_and_abuse_are_drawn_only_if_asked_for(self):
+        optional = ONE_WAY_LINKS + HOLD_UPS + ABUSES + COLD_RETURNS
         plain = {trouble.kind for seed in range(40) for trouble in schedule.draw(seed, 60.0, 8, 8)}
-        draws = [schedule.draw(seed, 60.0, 8, 8, True, True, abuse=True) for seed in range(40)]
+        draws = [schedule.draw(seed, 60.0, 8, 8, True, True, True, True) for seed in range(40)]
         asked = {trouble.kind for troubles in draws for trouble in troubles}
-        self.assertEqual((asked - plain, asked), ({*ONE_WAY_LINKS, *HOLD_UPS, *ABUSES}, set(Kind)))
+        self.assertEqual((asked - plain, asked), ({*optional}, set(Kind)))
 
     def test_two_restarts_of_one_relay_never_overlap(self):
         for seed in range(30):
@@ -189,6 +191,26 @@
         self.assertGreater(verdict.counts["taken"], 100)
         self.assertGreater(scenario.injected["WRITE_SHORT"], 0)
 
+    OUTAGES = [
+        Trouble(Kind.PARTNER_SHUT, 2.0, 1.0, 0),
+        Trouble(Kind.LINK_DEAD, 2.0, 4.0, 1),
+        Trouble(Kind.KILL, 2.6, 0.7, 0),
+        Trouble(Kind.UPGRADE, 3.0, 4.5, 1),
+        Trouble(Kind.CROWD, 3.0, 4.0, 2),
+        Trouble(Kind.STOP, 3.2, 4.0, 2),
+        Trouble(Kind.RELOAD, 4.0, 1.0, 3),
+        Trouble(Kind.KILL, 6.6, 0.7, 3),
+    ]
+
+    async def test_partners_back_from_short_and_held_outages_are_pushed_over_beside_restarts(self):
+        """Four relays; signals in series, a crowd, a partner shut for a second and one behind a dead link."""
+        plan = SoakPlan(seed=4, relays=4, partners=2, rate=12.0, seconds=9.0, weight=20.0, outages=True)
+        with tempfile.TemporaryDirectory() as folder:
+            scenario = Scenario(plan, Path(folder), lambda _: None, self.OUTAGES)
+            verdict = judge_soak(await scenario.play())
+        self.assertEqual([f"{f.rule}: {f.subject}: {f.what}" for f in verdict.findings], [])
+        self.assertGreater(verdict.counts["taken"], 200)
+
 
 if __name__ == "__main__":
     unittest.main()
