--- a/ryestack/observe/registry_faults.py
+++ b/ryestack/observe/registry_faults.py
@@ -95,8 +95,8 @@
         "destination route state why after failing refusals rate tokens open",
         "what this relay takes a destination for: warm, suspected (its last calls were refused, or more than "
         "one failed), down, or warming (back from an outage); `why`: the last outcome; `after`: seconds in "
-        "the state before; `failing`: seconds since the first failed call; `rate`, `tokens`: calls a second and calls that "
-        "its limiter allows now; `open`: calls there without an outcome",
+        "the state before; `failing`: seconds since the first failed call; `rate`, `tokens`: calls a second "
+        "and calls that its limiter allows now; `open`: calls there without an outcome",
         "down at one relay alone: check its links; at all: the partner",
     ),
     ("push.unsent", "DEBUG", "id route why", "a scheduled push was not started"),
