A list that cannot be saved no longer leaves an older one for the next start

After a kill while the registry is silent, each message of destination 1 was sent to another destination's endpoint (8 messages on here).

Nothing on disk told that it was out of date.

Change: the bound follows from 3,200 rows of 100 bytes, and store/folder_shares.py divides disk_mb so that all files together fit (at 1 MB they did not, by 24,288 bytes). What still cannot be saved is told in list.stale, a file of fixed size that is written in place: which rows of the saved list are out of date. A start holds back these endpoints, and only these, until told. Where that cannot be written the file is removed, which tells the same of all rows.

--- a/ryestack/lifecycle/assembly.py
+++ b/ryestack/lifecycle/assembly.py
@@ -4,7 +4,8 @@
 
 from ..membership.list_versions import ListChange
 from ..ports import Directory, Dispatcher, Listener, NoticeSink
-from ..store import list_file, remembered
+from ..store import folder_shares
+from ..store.folder_shares import FolderShares
 from ..store.journal import Journal
 from ..store.ledger import Ledger
 from ..store.timeline import read_clock
@@ -25,7 +26,6 @@
 RESERVED_SOCKETS = 32  # for the journal, the registry watch, notices, the log, and overlapping connections
 # Of all descriptors: the listener opens a third at most, and no more while idle connections fill that.
 CLIENT_SOCKET_SHARE = 0.28
-SCOPE_DISK_DIVISOR = 8  # this part of the folder's bytes is for the scope from the control machines
 MIN_CONNECTIONS = 8  # per side, however few descriptors there are
 
 
@@ -53,10 +53,8 @@
     wall-clock time."""
     settings, operator = config.settings, config.operator
     scoped = bool(operator.control.cluster)
-    scope_bytes = config.disk // SCOPE_DISK_DIVISOR if scoped else 0
-    kept_bytes = remembered.MAX_TOTAL_BYTES + list_file.MAX_TOTAL_BYTES + scope_bytes
-    journal_bytes = max(config.disk // 2, config.disk - kept_bytes)
-    ledger = Ledger(Journal(config.state, journal_bytes))
+    shares = folder_shares.divide(config.disk, scoped)
+    ledger = Ledger(Journal(config.state, shares.journal))
     owner = Owner(settings, config.seed, ledger, clock, wall)
     if config.memory:
         owner.max_owed_bytes = config.memory // OWED_MEMORY_DIVISOR
@@ -66,13 +64,13 @@
         from .scope.directory import ScopeDirectory  # imported only where it is used: most relays have none
 
         directory = ScopeDirectory(
-            operator.control, config.name, owner, config.state, scope_bytes, config.seed
+            operator.control, config.name, owner, config.state, shares.scope, config.seed
         )
     elif operator.directory.source == "fixed":
         directory = FixedDirectory(platform, config.known)
         ListSaver(config.state, "").discard()
     else:
-        directory, list_saver = _followed_directory(config, platform, owner)
+        directory, list_saver = _followed_directory(config, platform, owner, shares)
     owner.directory = directory
     max_clients = max(MIN_CONNECTIONS, int(config.sockets * CLIENT_SOCKET_SHARE))
     max_endpoint_connections = max(MIN_CONNECTIONS, config.sockets - max_clients - RESERVED_SOCKETS)
@@ -111,16 +109,17 @@
 
 
 def _followed_directory(
-    config: Config, platform: PlatformClient, owner: Owner
+    config: Config, platform: PlatformClient, owner: Owner, shares: FolderShares
 ) -> tuple[RegistryDirectory, ListSaver]:
     """The directory that follows the registry, and what keeps its list for other processes of this relay."""
-    list_saver = ListSaver(config.state, read_clock().boot)
+    list_saver = ListSaver(config.state, read_clock().boot, shares.list_file)
 
     def list_changed(change: ListChange) -> None:
         fields = change.as_fields()
         list_saver.save(fields)
         owner.notify_siblings("list", fields)
 
-    directory = RegistryDirectory(platform, config.known, list_saver.load(), list_changed)
-    list_saver.export = directory.export
+    saved = list_saver.load()
+    directory = RegistryDirectory(platform, config.known, saved, list_changed, list_saver.stale)
+    list_saver.follow(directory)
     return directory, list_saver
--- a/ryestack/observe/registry_list.py
+++ b/ryestack/observe/registry_list.py
@@ -23,10 +23,19 @@
         "WARNING",
         "why",
         "the endpoint list cannot be saved, or a saved one cannot be read: a start while the registry is "
-        "silent would go by an older list",
+        "silent would go by an older list, without its rows that are out of date",
         "free space in the state folder; do not restart the relay while the registry is down",
         "*",
     ),
+    (
+        "list.stale",
+        "WARNING",
+        "endpoints version",
+        "the list in force, of that version, is not in the folder, and `endpoints` rows of the one that is "
+        "there are out of date: a start while the registry is silent gives these endpoints nothing",
+        "as for `list.unsaved`",
+        "*",
+    ),
     ("list.changed", "INFO", "version entries whole", "the registry reported a change", "nothing", "*"),
     ("list.flowing", "INFO", "", "the registry answers again"),
     (
--- a/ryestack/store/list_file.py
+++ b/ryestack/store/list_file.py
@@ -18,10 +18,12 @@
 from .journal import BLOCK_BYTES, decode_frames, encode_frame
 
 NAME = "list"
-MAX_FILE_BYTES = 96 * 1024  # holds some four thousand endpoints, compressed
-MAX_TOTAL_BYTES = 2 * MAX_FILE_BYTES  # with the replacement beside the file
+MAX_ENDPOINTS = 3_200  # of the largest list that the platform has
+# Of a row, compressed: a name of 64 characters drawn at random, any address, a weight with all its digits.
+MAX_ROW_BYTES = 100
+MAX_FILE_BYTES = MAX_ENDPOINTS * MAX_ROW_BYTES  # in a folder that has room for it
 MIN_REWRITE_BYTES, REWRITE_FACTOR = 16 * 1024, 4  # a file of that many bytes, and times the whole list's
-COMPRESSION_LEVEL = 1  # the fastest: a relay's only thread compresses
+FAST, DENSE = 1, 9  # levels of compression: a relay's only thread compresses
 
 
 class ListTooLarge(OSError):
@@ -91,6 +93,8 @@
     def rewrite(self, record: dict) -> None:
         """Replace all records by that one; the old file stays until the new one is complete."""
         data, replacement = _encode(record), replacement_path(self.path)
+        if len(data) + BLOCK_BYTES > self.max_bytes:
+            data = _encode(record, DENSE)
         if len(data) + BLOCK_BYTES > self.max_bytes:
             raise ListTooLarge(f"the list takes {len(data)} bytes, {self.max_bytes - BLOCK_BYTES} at most")
         try:
@@ -106,6 +110,6 @@
         self.rewrite_at = min(self.max_bytes, max(MIN_REWRITE_BYTES, REWRITE_FACTOR * len(data)))
 
 
-def _encode(record: dict) -> bytes:
+def _encode(record: dict, level: int = FAST) -> bytes:
     text = json.dumps(record, separators=(",", ":")).encode()
-    return encode_frame(zlib.compress(text, COMPRESSION_LEVEL))
+    return encode_frame(zlib.compress(text, level))
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -1,6 +1,7 @@
 """The registry's list of endpoints: its JSON format, and the addresses in it."""
 
 import time
+import zlib
 from collections import Counter
 from dataclasses import replace
 from math import isfinite
@@ -14,6 +15,8 @@
     "draining": interface.EndpointStatus.DRAINING,
     "removed": interface.EndpointStatus.GONE,
 }
+# What is kept of a row; registries may tell more.
+ROW_FIELDS = ("name", "address", "zone", "type", "group", "status", "weight")
 EMPTY_DESTINATION_TTL_S = 60.0  # that a destination without endpoints stays known
 # Raised by a value of the wrong type.
 INVALID_VALUE_ERRORS = (KeyError, TypeError, ValueError, ArithmeticError)
@@ -46,7 +49,8 @@
     for entry in entries:
         try:
             name = str(entry["name"])
-            row = {**known.get(name, {}), **entry, "name": name}
+            told = {**known.get(name, {}), **entry, "name": name}
+            row = {key: told[key] for key in ROW_FIELDS if key in told}
             if row["status"] == "removed" and name not in known:
                 continue  # never listed, or removed before
             endpoints.append(read_row(row))
@@ -186,6 +190,12 @@
         """The names of the endpoints that are not removed."""
         return [name for name, row in self.rows.items() if row["status"] != "removed"]
 
+    def checksum(self) -> int:
+        """Identifies the endpoints in force: relays with the same ones have the same checksum."""
+        rows = ((name, self.rows[name]) for name in sorted(self.listed_names()))
+        text = "\n".join(f"{name} {row['address']} {row['group']} {row['status']}" for name, row in rows)
+        return zlib.crc32(text.encode())
+
     def target(self, endpoint: str) -> Target | None:
         """Where calls to an endpoint go now, None if it is unknown, removed or displaced."""
         row = self.rows.get(endpoint)
--- a/ryestack/wire/registry_directory.py
+++ b/ryestack/wire/registry_directory.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import json
-import zlib
 from collections.abc import Callable
 from dataclasses import replace
 from math import inf
@@ -19,14 +18,13 @@
     KnownList,
     ListChange,
     Source,
-    choose,
     identity,
     is_newer,
     known_list,
     read_change,
     remembered_identities,
-    withhold_unlearnt,
 )
+from ..membership.stale_rows import ListId, StaleRows, choose_initial
 from ..observe.log import event
 from .members import INVALID_VALUE_ERRORS, BadList, Members, read_version
 from .platform import PlatformClient
@@ -40,11 +38,12 @@
 class RegistryDirectory:
     """A Directory that follows the list of the platform's registry.
 
-    known: the list of the configuration; saved: that of the folder. on_change(ListChange): called for each
-    version. registry: the address that the list in force came from; confirmed_at: when it was last confirmed,
-    a time of the machine's monotonic clock. configured: identities of the configured lists that it
-    supersedes. generation: as of ListChange. source: where the list in force came from. withheld: endpoints
-    that get nothing new until the whole list is told. reported_at: when on_change was called last.
+    known: the list of the configuration; saved: that of the folder; stale: which rows of it are out of date.
+    on_change(ListChange): called for each version. registry: the address that the list in force came from;
+    confirmed_at: when it was last confirmed, a time of the machine's monotonic clock. configured: identities
+    of the configured lists that it supersedes; configured_list: that of this start. generation: as of
+    ListChange. source: where the list in force came from. withheld: endpoints that get nothing new until the
+    whole list is told. reported_at: when on_change was called last.
     """
 
     def __init__(
@@ -53,14 +52,16 @@
         known: dict,
         saved: KnownList | None = None,
         on_change: Callable[[ListChange], None] = lambda change: None,
+        stale: StaleRows | None = None,
     ):
         self.platform, self.members, self.on_change = platform, Members(), on_change
         self.clock = asyncio.get_running_loop().time
         self.initial_update = self.members.apply_list(known)
-        self.saved, self.configured = saved, (identity(known),)
+        self.saved, self.stale, self.configured = saved, stale, (identity(known),)
         self.registry, self.confirmed_at = platform.address, self.clock()
         self.generation, self.reported_at = 0, -inf
         self.source, self.withheld = Source.CONFIGURATION, frozenset()
+        self.configured_list: KnownList | None = None
         self.registry_ended = False  # as the request at the start has shown
 
     # -- the start ----------------------------------------------------------------------------------
@@ -70,9 +71,8 @@
     ) -> interface.ListUpdate:
         rows = {name: self.members.rows[name] for name in self.members.listed_names()}
         known = KnownList(self.registry, self.members.index, rows, self.confirmed_at, self.configured)
-        initial = choose(known, self.saved, self._read_handed(handed))
-        if route_states:
-            initial = withhold_unlearnt(initial, route_states)
+        self.configured_list = known
+        initial = choose_initial(known, self.saved, self._read_handed(handed), route_states, self.stale)
         if initial.source is not Source.CONFIGURATION:
             self._replace_list(initial)
         self.source, self.withheld = initial.source, initial.withheld
@@ -195,6 +195,10 @@
         """The whole list to save and hand on; None while endpoints are withheld, since it may be old."""
         return None if self.withheld else self.current().as_fields()
 
+    def version(self) -> ListId:
+        """The version in force."""
+        return ListId(self.registry, self.generation, self.members.index)
+
     def supersede(self, known: dict) -> None:
         """A configuration with that list was read, and the list in force stays. Unless that one is newer by
         its number, no later start goes by it."""
@@ -236,14 +240,8 @@
         age = self.clock() - self.confirmed_at
         return {
             "list_version": self.members.index,
-            "list_checksum": self.checksum(),
+            "list_checksum": self.members.checksum(),
             "list_age_seconds": round(age, 3) if age < inf else "+Inf",
             "list_told": int(self.source is Source.REGISTRY),
             "list_withheld_endpoints": len(self.withheld),
         }
-
-    def checksum(self) -> int:
-        """Identifies the endpoints in force: relays with the same ones have the same checksum."""
-        rows = ((name, self.members.rows[name]) for name in sorted(self.members.listed_names()))
-        text = "\n".join(f"{name} {row['address']} {row['group']} {row['status']}" for name, row in rows)
-        return zlib.crc32(text.encode())
--- a/tests/list_processes.py
+++ b/tests/list_processes.py
@@ -6,6 +6,7 @@
 
 from ryestack.interface import EndpointStatus
 from ryestack.lifecycle.list_saver import ListSaver
+from ryestack.store.list_file import MAX_FILE_BYTES
 from ryestack.wire.platform import PlatformClient
 from ryestack.wire.registry_directory import RegistryDirectory
 
@@ -57,8 +58,9 @@
 class FolderFixture:
     """Directories of processes that follow each other in one folder."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, max_bytes=MAX_FILE_BYTES):
         self.folder, self.registry, self.boot = str(folder), Registry(), "boot"
+        self.max_bytes = max_bytes
 
     async def __aenter__(self):
         await self.registry.start()
@@ -69,11 +71,13 @@
 
     def process(self, known, address=None):
         """A directory at its start, with its saver."""
-        saver = ListSaver(self.folder, self.boot)
+        saver = ListSaver(self.folder, self.boot, self.max_bytes)
         platform = PlatformClient(address or self.registry.address)
         saved = saver.load()
-        directory = RegistryDirectory(platform, known, saved, lambda c: saver.save(c.as_fields()))
-        saver.export = directory.export
+        directory = RegistryDirectory(
+            platform, known, saved, lambda c: saver.save(c.as_fields()), saver.stale
+        )
+        saver.follow(directory)
         return directory, saver
 
     async def started(self, known, handed=None, route_states=None, address=None):
--- a/tests/test_list_upgrade.py
+++ b/tests/test_list_upgrade.py
@@ -1,17 +1,20 @@
 """Real processes that are upgraded or killed while the registry is silent."""
 
 import asyncio
+import random
 import signal
 import unittest
 
 import aiohttp
 
 from ryestack.lab.trial import free_port
+from ryestack.store.list_file import MAX_ENDPOINTS
 from ryestack.wire.client_answers import ACCEPTED
 
 from .helpers import http, listed, stand_in
 from .list_processes import Registry, row, whole
 from .test_lifecycle import Program
+from .test_list_outgrown import real_rows
 
 
 class Processes(Program, unittest.IsolatedAsyncioTestCase):
@@ -30,8 +33,11 @@
                 except aiohttp.ClientError:
                     await asyncio.sleep(0.02)
 
-    async def play(self, kill: bool) -> list[str]:
-        """Where a message for destination 7 goes after a start in an outage."""
+    async def play(self, kill: bool, more_rows=()) -> list[str]:
+        """Where a message for destination 7 goes after a start in an outage.
+
+        more_rows: that the registry's list has from its second version on.
+        """
         calls = []
 
         def endpoint(name):
@@ -43,7 +49,7 @@
         registry.message = listed(reused_address)
         process = await self.start(reused_address, registry.address)
         rows = [{**row("a2"), "address": second_address}, {**row("b", group=8), "address": reused_address}]
-        registry.message = whole(2, *rows)
+        registry.message = whole(2, *rows, *more_rows)
         await asyncio.sleep(2.0)
         registry.silent = True
         if kill:
@@ -68,3 +74,8 @@
     async def test_after_a_kill_in_an_outage_no_message_goes_to_another_destinations_endpoint(self):
         # The same with SIGKILL and a start with the same configuration.
         self.assertEqual(await self.play(kill=True), ["a2"])
+
+    async def test_after_a_kill_in_an_outage_a_list_that_grew_to_3200_endpoints_is_forgotten(self):
+        # Review case 7: it took more than its part of the folder, so the start went by the smaller one.
+        rows = real_rows(MAX_ENDPOINTS - 2, 34, random.Random(7))
+        self.assertEqual(await self.play(kill=True, more_rows=rows), ["a2"])
