A state of thousands of endpoints no longer ends the channel of an upgrade

What callers saw: nothing at once; with 3,200 endpoints and names of 64 characters the two processes of an upgrade lost their channel in its first moment, and neither heard of the other's calls, claims and list changes.

Cause: the state of the predecessor (learnt state and list) goes out in one turn with the messages behind it, and counted as unread. It was over the 2 MB that may wait, so the next message found "the other process does not read".

Change: what the channel begins with (state, key claims, known ids) does not count; the 2 MB are beyond it. A process that stands still ends as before.

The test failed before (with `send` in place of `send_state`).

--- a/ryestack/lifecycle/upgrade/channel.py
+++ b/ryestack/lifecycle/upgrade/channel.py
@@ -16,7 +16,7 @@
 SOCKET_NAME = "line"  # in the folder, the same in all versions
 ANSWER_TIMEOUT_S = 1.0  # for a predecessor under load to answer; a start must not take more than 6 s
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024  # holds the learnt state of thousands of endpoints
-MAX_UNREAD_BYTES = 2 * 1024 * 1024  # messages queued for the other side: some minutes of calls
+MAX_UNREAD_BYTES = 2 * 1024 * 1024  # queued for the other side beyond the state: some minutes of calls
 MAX_PATH_BYTES = 100  # of a socket's path that every system supports
 
 
@@ -24,13 +24,14 @@
     """One end of the channel. listening_socket: the clients' socket, if a predecessor handed it over.
 
     to_predecessor: whether the other end is the process that this one replaces. answers_claims: whether the
-    other end has told that it does.
+    other end has told that it does. max_unread_bytes: that may wait for the other end.
     """
 
     def __init__(self, conn: socket.socket, listening_socket: socket.socket | None = None):
         self.conn, self.listening_socket = conn, listening_socket
         self.to_predecessor = self.answers_claims = False
         self.reader, self.writer = None, None
+        self.max_unread_bytes = MAX_UNREAD_BYTES
 
     async def open(self) -> None:
         """Start the streams; only then messages can be sent and received."""
@@ -41,11 +42,20 @@
         """Queue a message; closes the channel if the other side does not read."""
         if self.writer.is_closing():
             return
-        if self.writer.transport.get_write_buffer_size() > MAX_UNREAD_BYTES:  # the other side is stalled
+        if self.writer.transport.get_write_buffer_size() > self.max_unread_bytes:  # the other side is stalled
             event("line.broken", why="the other process does not read")
             self.close()
         else:
-            self.writer.write(json.dumps(message, separators=(",", ":")).encode() + b"\n")
+            self.writer.write(_encode(message))
+
+    def send_state(self, *message) -> None:
+        """Queue a part of the state with which the channel begins: it grows with the endpoint list, and does
+        not count as unread."""
+        if self.writer.is_closing():
+            return
+        data = _encode(message)
+        self.max_unread_bytes += len(data)
+        self.writer.write(data)
 
     async def receive(self) -> list | None:
         """The next message; None once the other side is gone or sends something invalid."""
@@ -64,6 +74,10 @@
             self.writer.close()
 
 
+def _encode(message: tuple) -> bytes:
+    return json.dumps(message, separators=(",", ":")).encode() + b"\n"
+
+
 def _with_path(folder: str, call) -> None:
     """call(path of the socket); a path too long for the system is replaced by one with the folder's
     descriptor."""
--- a/ryestack/lifecycle/upgrade/handover.py
+++ b/ryestack/lifecycle/upgrade/handover.py
@@ -63,12 +63,12 @@
         """Send our state and events to the other process, and handle its messages, until it is gone."""
         if channel.writer is None:
             await channel.open()
-            channel.send("learnt", self.exported_state(), self.owner.calls_in_flight())
+            channel.send_state("learnt", self.exported_state(), self.owner.calls_in_flight())
             for turn in self.owner.brain.key_claims():
-                channel.send("turn", *turn)
+                channel.send_state("turn", *turn)
         channel.to_predecessor = relation == self.succession.on_predecessor
         for rows in batches(self.owner.known_ids()):
-            channel.send("known", rows)
+            channel.send_state("known", rows)
         channel.send("known", [])
         self.owner.siblings.append(channel)
         self.channels.add(channel)
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -15,6 +15,7 @@
 from ryestack.store import files
 from ryestack.store.journal import Journal
 from ryestack.store.ledger import Ledger
+from ryestack.store.list_file import MAX_ENDPOINTS
 
 from .helpers import Folder
 from .test_store import owed
@@ -95,6 +96,22 @@
             self.assertTrue(kept.take(owed("n")))
             kept.journal.close()
 
+    async def test_state_of_3200_endpoints_breaks_the_channel_before_it_can_be_read(self):
+        # The state was longer than what may wait unread, so the next message ended the channel.
+        ours, theirs = socket.socketpair()
+        predecessor, successor = Channel(ours), Channel(theirs)
+        await predecessor.open()
+        await successor.open()
+        row = {"name": "x" * 64, "state": "y" * 800}
+        state = {str(n): row for n in range(MAX_ENDPOINTS)}
+        predecessor.send_state("learnt", state, [])
+        predecessor.send_state("known", [])
+        predecessor.send("list", {})
+        self.assertEqual(await successor.receive(), ["learnt", state, []])
+        self.assertEqual([await successor.receive() for _ in range(2)], [["known", []], ["list", {}]])
+        for each in (predecessor, successor):
+            each.close()
+
     async def test_a_long_folder_path_a_disconnect_and_invalid_messages(self):
         folder = f"{self.folder}/{'x' * MAX_PATH_BYTES}"
         os.mkdir(folder)
