What is learnt is saved at 3,200 endpoints too, and says what it leaves out

Of too many failing routes the latest were kept, and a start took the others for warm.

Change: each file has its part of disk_mb (store/folder_shares.py), is written as before where that fits, compressed where not, and else keeps the rows that a start needs first; events learnt.partial, learnt.unsaved. Where failing routes were left out, destinations that wait and of which nothing is known start with less, as at a start that knows nothing.

--- a/ryestack/lifecycle/learned_state.py
+++ b/ryestack/lifecycle/learned_state.py
@@ -13,6 +13,7 @@
 from ..brain.rate_limiter import RateLimiter
 from ..brain.routes import Destination, Route
 
+LEFT_OUT = "left_out"  # key beside the exported state: how many routes the folder had no room for
 LIST = "list"  # key of the endpoint list beside the exported state, for a successor; older builds ignore it
 # Class -> stored key -> attribute.
 KEPT = {
@@ -91,9 +92,36 @@
     }
 
 
+def most_relevant_first(learned: dict) -> dict:
+    """The exported state with its routes and destinations in the order in which a start needs them.
+
+    First what the rules need (waits, outages, open circuits), then the latest used.
+    """
+    tables = {"routes": _route_relevance, "dests": _destination_relevance}
+    ordered = {
+        name: dict(sorted(learned[name].items(), key=lambda row: relevance(row[1]), reverse=True))
+        for name, relevance in tables.items()
+    }
+    return {**learned, **ordered}
+
+
+def _route_relevance(parts: list[dict]) -> tuple[bool, float]:
+    route, failures, limiter, _ = parts
+    fails = failures["row"] or limiter["refusals"] or limiter["cold"] is not None or route["silent"]
+    is_bound = bool(route["state"] != "closed" or limiter["wait_until"] or fails)
+    return is_bound, max(route["good_at"], failures["at"], limiter["hungry"])
+
+
+def _destination_relevance(parts: list[dict]) -> tuple[bool, float, float]:
+    destination, failures, _ = parts
+    return bool(failures["row"]), max(failures["at"], destination["hungry"]), destination["seen"]
+
+
 def route_states(learned: object) -> dict[str, str]:
-    """The state of each route by its endpoint; empty if `learned` holds none."""
+    """The state of each route by its endpoint; empty if `learned` holds none, or not all."""
     try:
+        if learned.get(LEFT_OUT):
+            return {}
         return {name: str(parts[0]["state"]) for name, parts in learned["routes"].items()}
     except (TypeError, KeyError, IndexError, AttributeError):
         return {}
--- a/ryestack/lifecycle/recovery.py
+++ b/ryestack/lifecycle/recovery.py
@@ -5,6 +5,7 @@
 from .. import interface
 from ..observe.log import event
 from ..store.owed import Owed, decode_terms
+from ..store.remembered import SavedState
 from . import learned_state
 from .upgrade.siblings import Siblings
 
@@ -24,15 +25,13 @@
         known: list[interface.ListUpdate],
         learnt: dict | None = None,
         beside: bool = False,
-        failed: dict[str, float] | None = None,
-        warming: dict[str, float] | None = None,
+        saved: SavedState | None = None,
     ) -> None:
         """Give the open notifications of earlier processes to the module, which decides on each.
 
         known: the list that the previous process went by, and what the registry has told since. learnt: the
         learnt state of the previous process; beside: another process is running, whether or not it sent its
-        learnt state; failed: after a time without a process, the routes that failed before it; warming: those
-        that warmed up after an outage.
+        learnt state; saved: what the folder told, after a time without a process.
         """
         self.round(known[:1])
         try:
@@ -43,17 +42,26 @@
             learnt = None
         if known[1:]:  # changes since then apply to what is learnt as in any round
             self.round(known[1:])
-        if failed is not None:
-            learned_state.assume_cold_again(self.brain, failed, warming or {})
-            if learnt is None and not failed and not warming:
-                waiting = {owed.destination for owed in self.ledger.owed.values() if not owed.notice}
-                learned_state.assume_unknown(self.brain, waiting)
+        if saved is not None:
+            learned_state.assume_cold_again(self.brain, saved.failing, saved.warming)
+            self._assume_unknown(learnt, saved)
         if learnt is None and beside:
             learned_state.assume_cold(self.brain)
         self.brain.report_health("restored" if learnt is not None else "assumed at the start")
         self.adopt(self.replication.actionable(list(self.ledger.owed.values())))
         self.round(self.take_queue())
 
+    def _assume_unknown(self, learnt: dict | None, saved: SavedState) -> None:
+        """Destinations for which notifications wait may be cold where nothing tells that they are not."""
+        told = {*saved.failing, *saved.warming}
+        knows_all = learnt is not None and not learnt.get(learned_state.LEFT_OUT)
+        if knows_all or (saved.complete and (told or learnt is not None)):
+            return
+        routes = self.brain.routes
+        known = {routes[name].dest.number for name in told & routes.keys()}
+        waiting = {owed.destination for owed in self.ledger.owed.values() if not owed.notice}
+        learned_state.assume_unknown(self.brain, waiting - known)
+
     def adopt(self, taken_over: list[Owed]) -> None:
         """Queue open notifications for the module, and send the notices of those that have ended."""
         topics, known = {topic.name for topic in self.settings.topic_types}, []
--- a/ryestack/lifecycle/starting.py
+++ b/ryestack/lifecycle/starting.py
@@ -18,10 +18,10 @@
         learnt, calls_in_flight = await self.predecessor_state() if self.channel else (None, [])
         await self.open_ledger()
         beside = bool(self.ledger.journal.sibling_files())
-        failed = warming = None
+        saved = None
         if learnt is None and not beside and not self.channel:
             saved = self.saved_state()
-            learnt, failed, warming = saved.learnt, saved.failing, saved.warming
+            learnt = saved.learnt
         if beside or self.channel:
             self.succession.on_predecessor("found")
             self.share()
@@ -37,7 +37,7 @@
         if self.parts.list_saver:
             self.parts.list_saver.save_initial(self.succession.predecessor != "none")
         known = [initial, *await self.parts.directory.fetch_initial()]
-        self.owner.recover(known, learnt, beside, failed, warming)
+        self.owner.recover(known, learnt, beside, saved)
 
     async def open_ledger(self) -> None:
         """Read the ledger; retries while the folder fails, since a relay must know what it owes to serve."""
--- a/ryestack/lifecycle/state_saver.py
+++ b/ryestack/lifecycle/state_saver.py
@@ -4,9 +4,10 @@
 import zlib
 from collections.abc import Callable
 
-from ..store import remembered
+from ..store import folder_shares, remembered
+from ..store.folder_shares import FolderShares
 from ..store.remembered import Moment, SavedState
-from .learned_state import export, failing, mark_text, warming
+from .learned_state import export, failing, mark_text, most_relevant_first, warming
 
 SAVE_LEARNT_INTERVAL_S = 2.0  # the learnt state covers tens of seconds, and saving it takes a moment
 SAVE_FAILING_INTERVAL_S = 0.1  # the list of failing routes is small
@@ -38,7 +39,8 @@
             self.owner.failing_changed.clear()
             if not self.has_successor():
                 brain = self.owner.brain
-                state = self.config.state, failing(brain), self.moment(), warming(brain)
+                times = failing(brain), self.moment(), warming(brain)
+                state = self.config.state, *times, self.folder_shares().failing
                 await asyncio.to_thread(remembered.save_failing, *state)
             await asyncio.sleep(SAVE_FAILING_INTERVAL_S)
 
@@ -49,8 +51,9 @@
     async def save_state(self) -> None:
         """Save the learnt state, unless another process is running: that one gets it over the channel."""
         if not self.channels:
-            learnt = export(self.owner.brain)
-            state = self.config.state, learnt, self.settings_checksum(), self.moment()
+            learnt = most_relevant_first(export(self.owner.brain))
+            belongs_to = self.settings_checksum(), self.moment()
+            state = self.config.state, learnt, *belongs_to, self.folder_shares().learnt
             await self.save_on_thread(remembered.save, *state)
 
     async def save_on_thread(self, save: Callable, *arguments) -> None:
@@ -58,6 +61,10 @@
         async with self.saving:
             await asyncio.to_thread(save, *arguments)
 
+    def folder_shares(self) -> FolderShares:
+        """The bytes that each file of the folder may have."""
+        return folder_shares.divide(self.config.disk, bool(self.config.operator.control.cluster))
+
     def settings_checksum(self) -> str:
         """Identifies the settings and the format that the learnt state depends on."""
         return str(zlib.crc32(mark_text(self.config.settings).encode()))
--- a/ryestack/observe/registry_faults.py
+++ b/ryestack/observe/registry_faults.py
@@ -32,6 +32,23 @@
         "check the disk: hand-ins and calls wait for it",
         "operation",
     ),
+    (
+        "learnt.partial",
+        "WARNING",
+        "file kept of most",
+        "what is learnt has no room in the state folder: `kept` of `of` rows fit the `most` bytes of `file`; "
+        "a start after a kill knows nothing of the others",
+        "raise `limits.disk_mb`",
+        "file",
+    ),
+    (
+        "learnt.unsaved",
+        "WARNING",
+        "file why",
+        "what is learnt cannot be written to `file` in the state folder; the one of before stays",
+        "check the state folder",
+        "file",
+    ),
     (
         "loop.broken",
         "DEBUG",
--- a/ryestack/store/folder_shares.py
+++ b/ryestack/store/folder_shares.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 
 from . import list_file, remembered, stale_file
+from .remembered import COPIES
 
-COPIES = 2  # of a file, while its replacement is written
 JOURNAL_DIVISOR = 2  # the least part of the folder that the journal has
 # Parts of the folder that one copy of a file has at most. The endpoint list has what they leave of the half.
 LEARNT_DIVISOR, FAILING_DIVISOR = 40, 128
@@ -30,8 +30,8 @@
 def divide(folder_bytes: int, scoped: bool = False) -> FolderShares:
     """scoped: whether the relay follows control machines, whose scope takes the place of the list."""
     least_journal = folder_bytes // JOURNAL_DIVISOR
-    learnt = min(remembered.MAX_FILE_BYTES[remembered.LEARNT] // COPIES, folder_bytes // LEARNT_DIVISOR)
-    failing = min(remembered.MAX_FILE_BYTES[remembered.FAILING] // COPIES, folder_bytes // FAILING_DIVISOR)
+    learnt = min(remembered.max_file_bytes(remembered.LEARNT), folder_bytes // LEARNT_DIVISOR)
+    failing = min(remembered.max_file_bytes(remembered.FAILING), folder_bytes // FAILING_DIVISOR)
     others = COPIES * (learnt + failing)
     if scoped:
         scope = folder_bytes // SCOPE_DIVISOR
