A registry that answers late is followed: its answers are news

With a registry whose answers take 1.4 s, each message of a destination whose endpoint was replaced was sent to another destination's endpoint, for as long as the registry was slow; drains were not heard of.

Cause: the six seconds in which a change has to be known were divided as if an answer that takes over 1.0 s never came. The request was given up, its answer thrown away, and the next had as little time.

Change: a request begins at most 3.0 s after the one before it, an answer may take 2.5 s, half a second is our own: six. A missing answer is reported to the decision module after 1.0 s as before, but its request stays open beside the next two; what was requested before the last answer in force is dropped. While an answer keeps arriving nothing more is requested. In the decision module a failure puts off what an earlier one wanted, and waits are 3.0 s at most (3.5 before). The schedule is pure (membership/following.py).

--- a/ryestack/brain/rounds.py
+++ b/ryestack/brain/rounds.py
@@ -45,7 +45,7 @@
         self.short_until, self.refusal_costs = {}, defaultdict(RefusalCostDetector)  # by kind
         if settings.asks_for_list:
             # At a random time, as all relays of a fleet may start at once.
-            self.schedule(self.rng.uniform(0.0, self.LIST_RETRY_S), Outcomes.request_list, None)
+            self.request_list_at(self.rng.uniform(0.0, self.LIST_RETRY_S))
 
     def index_settings(self, settings):
         """Indexes topic types, kinds and share caps by name; counts against a share cap go on."""
--- a/ryestack/brain/routes.py
+++ b/ryestack/brain/routes.py
@@ -125,7 +125,7 @@
     OPEN_S, OPEN_SHORT_S = 5.0, 1.5
     # Seconds over which requests for the list spread: at first, the maximum after failures, of an agent on
     # this machine.
-    LIST_RETRY_S, MAX_LIST_RETRY_S, AGENT_RETRY_S = 1.0, 3.5, 0.5
+    LIST_RETRY_S, MAX_LIST_RETRY_S, AGENT_RETRY_S = 1.0, 3.0, 0.5
     # Seconds of the platform's clock after which a change that a registry did not deliver counts as known:
     # nothing new is sent on a list that was not confirmed for so long.
     MAX_LIST_AGE_S = 6.0
@@ -150,9 +150,7 @@
                 min(self.MAX_LIST_RETRY_S, self.list_retry * 2.0) if asks else self.AGENT_RETRY_S
             )
             self.list_confirmed = min(self.list_confirmed, update.confirmed_at) if asks else inf
-            return self.schedule(
-                self.now + self.list_retry * self.rng.uniform(0.5, 1.0), CircuitBreakers.request_list, None
-            )
+            return self.request_list_at(self.now + self.list_retry * self.rng.uniform(0.5, 1.0))
         self.list_retry, self.list_confirmed = self.LIST_RETRY_S, inf
         self.changed = {id(dest): dest for _, dest in sorted(self.waiting.items())}
         listed = {e.id: e for e in update.endpoints}
@@ -183,9 +181,15 @@
         route.dest.route_list.remove(route)
         self.routeless.update({} if route.dest.route_list else {route.dest.number: route.dest})
 
-    def request_list(self, _):
-        """Asks for the endpoint list."""
-        self.actions.append(interface.AskForList())
+    def request_list_at(self, due):
+        """Asks for the endpoint list at that time, and not at an earlier one."""
+        self.list_due = due
+        self.schedule(due, CircuitBreakers.request_list, due)
+
+    def request_list(self, due):
+        """Asks for the endpoint list, unless that was put off."""
+        if due == self.list_due:
+            self.actions.append(interface.AskForList())
 
     def add_destination(self, number):
         """Adds a destination, numbered in the order of creation."""
--- a/ryestack/observe/registry_list.py
+++ b/ryestack/observe/registry_list.py
@@ -36,6 +36,14 @@
         "as for `list.unsaved`",
         "*",
     ),
+    (
+        "list.slow",
+        "WARNING",
+        "seconds",
+        "the registry answered only after `seconds`; the answer is in force",
+        "check the registry: changes are known later, within six seconds while it takes less than 2.5",
+        "*",
+    ),
     ("list.changed", "INFO", "version entries whole", "the registry reported a change", "nothing", "*"),
     ("list.flowing", "INFO", "", "the registry answers again"),
     (
--- a/ryestack/wire/platform.py
+++ b/ryestack/wire/platform.py
@@ -1,6 +1,7 @@
 """A client for the registry and the platform: one address, which may change while the relay serves."""
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 
@@ -37,17 +38,25 @@
                 timeout.reschedule(0.0)
         return True
 
-    async def request(self, method: str, path: str, timeout_s: float, **options) -> tuple[int, bytes]:
+    async def request(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        arriving: Callable[[], None] = lambda: None,
+        **options,
+    ) -> tuple[int, bytes]:
         """Status and body; raises aiohttp.ClientError, OSError or TimeoutError.
 
-        While this machine lacks what a connection takes, it is tried again.
+        While this machine lacks what a connection takes, it is tried again. arriving: called for each part of
+        the answer.
         """
         async with asyncio.timeout(timeout_s) as timeout:
             self.timeouts.add(timeout)
             try:
                 while True:
                     try:
-                        return await self.exchange(method, path, options)
+                        return await self.exchange(method, path, arriving, options)
                     except aiohttp.ClientConnectorError as error:
                         if not is_local_fault(error):
                             raise
@@ -55,12 +64,16 @@
             finally:
                 self.timeouts.discard(timeout)
 
-    async def exchange(self, method: str, path: str, options: dict) -> tuple[int, bytes]:
+    async def exchange(
+        self, method: str, path: str, arriving: Callable[[], None], options: dict
+    ) -> tuple[int, bytes]:
         """Status and body of one request on a new connection."""
         async with self.session.request(method, f"http://{self.address}{path}", **options) as response:
             body = bytearray()
+            arriving()
             async for chunk in response.content.iter_any():
                 body += chunk
+                arriving()
                 if len(body) > MAX_ANSWER_BYTES:
                     raise aiohttp.ClientPayloadError(f"answer longer than {MAX_ANSWER_BYTES} bytes")
             return response.status, bytes(body)
--- a/ryestack/wire/registry_directory.py
+++ b/ryestack/wire/registry_directory.py
@@ -26,9 +26,10 @@
 )
 from ..membership.stale_rows import ListId, StaleRows, choose_initial
 from ..observe.log import event
+from .list_request import REQUEST_ERRORS
 from .members import INVALID_VALUE_ERRORS, BadList, Members, read_version
 from .platform import PlatformClient
-from .registry_watch import REQUEST_ERRORS, RegistryWatch
+from .registry_watch import RegistryWatch
 from .sockets import shows_process_ended
 
 INITIAL_FETCH_TIMEOUT_S = 0.3  # at a start: an agent on the same machine answers at once, or is down
--- a/ryestack/wire/registry_watch.py
+++ b/ryestack/wire/registry_watch.py
@@ -1,22 +1,17 @@
 """Following the registry's list: the requests for it, and the watch that waits for changes."""
 
 import asyncio
-import json
 from collections.abc import Callable
-from contextlib import suppress
-
-import aiohttp
 
 from .. import interface
-from ..membership.following import WatchState
+from ..membership import following
+from ..membership.following import RequestSchedule, WatchState, believes
 from ..observe.log import event
+from .list_request import REQUEST_ERRORS, ListRequest
 from .members import BadList, Members, read_version
 from .platform import PlatformClient
 from .sockets import shows_process_ended
 
-MIN_REQUEST_INTERVAL_S = 0.1  # where answers or failures come at once; a watch continues within 200 ms
-REQUEST_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError, BadList)
-
 TakeAnswer = Callable[[dict, float, str], interface.ListUpdate]
 """Puts an answer in force: the message, when it was requested, the registry's address. Raises BadList."""
 
@@ -29,13 +24,14 @@
 class RegistryWatch:
     """The requests that follow the list.
 
-    A failed request is published, with the time of the registry's last answer. When to request again is
-    decided elsewhere (`platform.refresh_requested`): relays that all ask an overloaded registry ten times a
-    second keep it overloaded. At a new address the watch starts with the whole list: versions there need not
-    continue the old ones.
+    A request that fails, or has no answer yet, is published, with the time of the registry's last answer.
+    When to request again is decided elsewhere (`platform.refresh_requested`) up to a maximum delay: relays
+    that all ask an overloaded registry ten times a second keep it overloaded. A request without an answer
+    stays open beside the next ones for a while. At a new address the watch starts with the whole list:
+    versions there need not continue the old ones.
 
     take_answer: puts an answer in force; address: where the list in force comes from; state: of the watch at
-    its start.
+    its start. is_reported: whether a failure was published since the last answer.
     """
 
     def __init__(
@@ -50,65 +46,137 @@
         self.platform, self.members, self.publish = platform, members, publish
         self.take_answer = take_answer or (lambda message, *_: members.apply_list(message))
         self.clock = asyncio.get_running_loop().time
-        self.address, self.healthy = address or platform.address, True
+        self.address, self.healthy, self.is_reported = address or platform.address, True, False
         self.state = state or WatchState(self.clock())
+        self.schedule = RequestSchedule()
+        self.open: list[ListRequest] = []  # the oldest first
 
     async def run(self) -> None:
-        while True:
-            began, requested = self.clock(), self.platform.address
-            if self.address != requested:
-                self.address = requested
-                self.state.update("moved", began)
-            try:
-                self.apply(await self.request(), began)
-            except REQUEST_ERRORS as error:
-                await self.failed(error)
-            await asyncio.sleep(began + MIN_REQUEST_INTERVAL_S - self.clock())
-
-    async def request(self) -> dict:
-        """The registry's answer; raises one of REQUEST_ERRORS."""
-        query = {"from": str(self.members.index), "hold_ms": str(int(self.state.hold() * 1000))}
-        parameters = {} if self.state.requests_whole_list() else query
-        timeout = self.state.timeout()
-        status, body = await self.platform.request("GET", "/catalog/members", timeout, params=parameters)
-        if status != 200:
-            raise BadList(f"status {status}")
-        return json.loads(body)
-
-    def apply(self, message: dict, requested_at: float) -> None:
+        try:
+            while True:
+                await self._begin()
+                while not self._is_due():
+                    await self._wait()
+                    self._report_missing()
+        finally:
+            await self._give_up(self.open)
+
+    # -- requests -----------------------------------------------------------------------------------
+
+    async def _begin(self) -> None:
+        now = self.clock()
+        if self.address != self.platform.address:
+            self.address = self.platform.address
+            self.state.update("moved", now)
+            await self._give_up(self.open)
+        if self.open:
+            self._log_blocked(f"no answer for {now - self.schedule.began:.1f} s")
+            await self._give_up(self.open[: max(0, len(self.open) + 1 - following.MAX_OPEN_REQUESTS)])
+        self.platform.refresh_requested.clear()
+        self.schedule.begin(now, self.state.hold())
+        self.open.append(
+            ListRequest.begin(self.platform, self.state, self.members.index, now, self._arriving)
+        )
+
+    async def _give_up(self, requests: list[ListRequest]) -> None:
+        for request in list(requests):
+            self.open.remove(request)
+            await request.cancel()
+
+    def _arriving(self, request: ListRequest) -> None:
+        if self.open and request is self.open[-1]:
+            self.schedule.arriving(self.clock())
+
+    def _is_due(self) -> bool:
+        return self.address != self.platform.address or self.clock() >= self.schedule.due_at()
+
+    async def _wait(self) -> None:
+        """Until a request ends, the list is wanted, or the schedule has something due."""
+        wanted = asyncio.ensure_future(self.platform.refresh_requested.wait())
+        until = min(self.schedule.due_at(), self.schedule.report_at())
+        try:
+            tasks = [wanted, *(request.task for request in self.open)]
+            timeout = max(0.0, until - self.clock())
+            await asyncio.wait(tasks, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            wanted.cancel()
+        if self.platform.refresh_requested.is_set():
+            self.platform.refresh_requested.clear()
+            self.schedule.wanted(self.clock())
+        for request in [each for each in self.open if each.task.done()]:
+            await self._ended(request)
+
+    async def _ended(self, request: ListRequest) -> None:
+        if request not in self.open or request.address != self.platform.address:
+            return  # a later one is answered; or the address is another one now
+        is_last = request is self.open[-1]
+        try:
+            self.apply(request.message(), request)
+        except REQUEST_ERRORS as error:
+            self.open.remove(request)
+            if is_last:
+                self._failed(error)
+            return
+        await self._give_up(self.open[: self.open.index(request) + 1])  # older ones have nothing newer
+        if is_last:
+            self.schedule.answered(request.is_prompt(self.clock()))
+
+    # -- answers ------------------------------------------------------------------------------------
+
+    def apply(self, message: dict, request: ListRequest) -> None:
         """Put an answer in force and publish it, or doubt it; raises one of REQUEST_ERRORS."""
         version, whole = read_version(message)
-        if not self.state.believes(version, whole, self.members.index):
-            return self.doubt(version)
-        update = self.take_answer(message, requested_at, self.address)
-        if update.endpoints or update.whole or not self.healthy:
+        if not believes(version, whole, self.members.index, request.asked_whole):
+            return self.doubt(version, request)
+        update = self.take_answer(message, request.began, self.address)
+        if update.endpoints or update.whole:
             details = {"entries": len(update.endpoints), "whole": update.whole}
             event("list.changed", version=self.members.index, **details)
+        if update.endpoints or update.whole or self.is_reported:
             self.publish(update)
         if not self.healthy:
             event("list.flowing")
-        self.healthy = True
-        self.state.update("told", requested_at)
+        self.healthy, self.is_reported = True, False
+        self._answered(request)
         if self.members.displaced:
-            self.state.update("disputed", requested_at)
+            self.state.update("disputed", request.began)
+            self.schedule.hurry()
 
-    def doubt(self, version: int) -> None:
+    def _answered(self, request: ListRequest) -> None:
+        now = self.clock()
+        if request.is_prompt(now):
+            return self.state.update("told", request.began)
+        event("list.slow", seconds=round(now - request.began, 1))
+        self.state.update("late", request.began)
+
+    def doubt(self, version: int, request: ListRequest) -> None:
         """Have the whole list requested at once; raises BadList if that was the request answered so."""
         event("list.older", version=version, in_force=self.members.index)
-        if self.state.requests_whole_list():
+        if request.asked_whole:
             raise BadList(f"a change of version {version}, older than {self.members.index}")
         self.state.update("older", self.clock())
+        self.schedule.hurry()
+
+    # -- failures -----------------------------------------------------------------------------------
 
-    async def failed(self, error: Exception) -> None:
-        """Publish a failure at the address in force, and wait until the list is wanted again."""
+    def _report_missing(self) -> None:
+        """Report that the last request has no answer yet, once that is due."""
+        if self.clock() >= self.schedule.report_at():
+            self.state.update("failed", self.clock())
+            self.schedule.reported()
+            self._report()
+
+    def _failed(self, error: Exception) -> None:
         self.state.update("restarted" if shows_process_ended(error) else "failed", self.clock())
-        if self.address != self.platform.address:
-            return
-        if self.healthy:
-            event("list.blocked", why=repr(error))
-            self.healthy = False
-        self.platform.refresh_requested.clear()
+        self.schedule.failed()
+        self._log_blocked(repr(error))
+        self._report()
+
+    def _report(self) -> None:
+        self.is_reported = True
         self.publish(interface.ListUpdate(failed=True, confirmed_at=self.state.confirmed_at))
-        with suppress(TimeoutError):  # the list's maximum age holds whatever the decision module says
-            async with asyncio.timeout(self.state.max_retry_delay):
-                await self.platform.refresh_requested.wait()
+
+    def _log_blocked(self, why: str) -> None:
+        if self.healthy:
+            event("list.blocked", why=why)
+        self.healthy = False
--- a/tests/test_first_word.py
+++ b/tests/test_first_word.py
@@ -58,8 +58,7 @@
 
         server, address = await stand_in(agent)
         platform, endpoints = PlatformClient(address), members()
-        delays = dict.fromkeys(following.MAX_RETRY_DELAY_BY_STATE_S, 0.2)
-        with mock.patch.object(following, "MAX_RETRY_DELAY_BY_STATE_S", delays):
+        with mock.patch.object(following, "REQUEST_INTERVAL_S", 0.2):
             task = asyncio.ensure_future(watch(platform, endpoints, updates.put_nowait))
             for _ in range(3):
                 self.assertTrue((await asyncio.wait_for(updates.get(), 2.0)).failed)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+from math import ceil
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,6 +16,7 @@
 from ryestack.wire.registry_watch import watch
 
 from .helpers import brain, end, http, listed, members, pushes, settings, stand_in, take
+from .list_requests import Registry, Relay
 
 DRAIN_GRACE_S = 2.0  # that the platform gives a drain, in its tightest settings
 
@@ -22,36 +24,7 @@
 # The registry's behaviour over time: how it meets a call, and for how many seconds.
 BEHAVIOURS = st.sampled_from(["up", "refuses", "silent", "malformed", "moved"])
 PHASES = st.lists(st.tuples(BEHAVIOURS, st.floats(0.01, 9.0)), max_size=25)
-MODES, DELAYS = st.sampled_from(["push", "ask", "never"]), st.floats(0.0, following.GRACE_S - 0.01)
-
-
-class Registry:
-    """A model of the registry on simulated time. A call that overlaps a silent phase gets no answer."""
-
-    def __init__(self, phases):
-        self.phases, time = [], 0.0
-        for behaviour, seconds in phases:
-            self.phases.append((time, time := time + seconds, behaviour))
-        self.end = time
-
-    def behaviour(self, time):
-        return next((behaviour for begins, ends, behaviour in self.phases if begins <= time < ends), "up")
-
-    def up_since(self, time):
-        """Since when it can be reached without a break at that time; None if it cannot."""
-        if self.behaviour(time) not in ("up", "moved"):
-            return None
-        outages = [ends for _, ends, how in self.phases if how not in ("up", "moved") and ends <= time]
-        return max([0.0, *outages])
-
-    def call(self, time, hold, timeout):
-        """When the call ends, and whether it is answered."""
-        if self.behaviour(time) in ("refuses", "malformed"):
-            return time + 0.01, False
-        end = time + hold
-        if any(begins < end and time < ends for begins, ends, how in self.phases if how == "silent"):
-            return time + timeout, False
-        return end, True
+MODES, DELAYS = st.sampled_from(["push", "ask", "never"]), st.floats(0.0, following.ANSWER_S)
 
 
 def refresh_delay(module, now, sure_at=0.0):
@@ -63,45 +36,38 @@
     return time - now
 
 
-def list_requests(phases, seed, mode, delay):
-    """Begin, end and success of each request, with the real state machine and decision module and answers
-    after delay seconds; in the mode "never" the decision module never asks."""
-    registry, state, now, requests = Registry(phases), following.WatchState(0.0), 0.0, []
-    module = Brain(settings(asks_for_list=mode == "ask"), seed)
-    while now < registry.end + 30.0:
-        ended, answered = registry.call(now, state.hold() + delay, state.timeout())
-        requests.append((now, ended, answered))
-        state.update("told" if answered else "failed", ended)
-        wait = 0.1
-        if not answered:
-            wait = state.max_retry_delay
-            if mode != "never":
-                wait = min(wait, refresh_delay(module, ended, state.confirmed_at))
-        else:
-            module.round(ended, [interface.ListUpdate()])
-        now = max(ended + wait, requests[-1][0] + 0.1)
-    return registry, requests
-
-
 @given(PHASES, st.integers(0, 2**32), MODES, DELAYS)
 def test_a_change_is_known_within_the_maximum_age_whatever_failed_before(
     phases, seed, mode, delay
 ):
-    """A change is known MAX_AGE_S after it, or after the registry became reachable, if it stays so."""
-    registry, requests = list_requests(phases, seed, mode, delay)
+    """A change is known MAX_AGE_S after it, or after the registry became reachable, if it stays so, also
+    where each answer takes as long as a slow registry's may."""
+    registry = Registry(phases)
+    requests = Relay(registry, seed, mode, delay).play(registry.end + 30.0)
     for begins, ends, _ in [*registry.phases, (registry.end, registry.end + 12.0, "up")]:
         for change in (begins, (begins + ends) / 2, ends - 1e-3):
             since = registry.up_since(change)
             due = max(change, since if since is not None else 0.0) + following.MAX_AGE_S
             if since is None or registry.up_since(due) != since:
                 continue  # the registry was unreachable again before then
-            # A request that began once it was reachable, or that was open at the change and succeeded, brings
-            # it.
-            successful = [(began, ended) for began, ended, answered in requests if answered]
-            known = min(ended for began, ended in successful if ended >= change and began >= since - 1e-9)
+            # A request that began once it was reachable brings it, if the registry had it before it answered.
+            known = min(request.knows_at(change) for request in requests if request.began >= since - 1e-9)
             assert known <= due, (change, since, known)
 
 
+@given(st.integers(0, 2**32), MODES, st.floats(following.GRACE_S + 0.01, following.ANSWER_S))
+def test_a_slow_or_silent_registry_is_asked_more_often_than_a_prompt_one(seed, mode, delay):
+    """A prompt one is asked each time that it has held a watch. An agent on the relay's own machine, which
+    costs nothing, is asked as often as the decision module wants after an answer is missing."""
+    prompt = ceil(20.0 / following.HOLD_S)
+    agent = ceil(20.0 / (following.GRACE_S + Brain.AGENT_RETRY_S / 2))
+    for phases in ([], [("silent", 60.0)]):
+        requests = Relay(Registry(phases), seed, mode, delay, varies=False).play(60.0)
+        for start in range(5, 40):
+            began = [request for request in requests if start <= request.began < start + 20.0]
+            assert len(began) <= (agent if mode == "push" else prompt)
+
+
 @given(st.integers(0, 2**32), st.integers(2, 8))
 def test_the_requests_of_a_fleet_after_an_outage_are_spread_over_seconds(seed, fails):
     """200 relays whose requests failed together: no tenth of a second gets a fifth of their next ones."""
@@ -111,21 +77,24 @@
         module.round(5.0, [interface.TimerFired()])  # the first request of each start
         for _ in range(fails):
             delay = refresh_delay(module, now)
-            assert delay <= following.MAX_RETRY_DELAY_BY_STATE_S["unsure"] + 0.03
+            assert delay <= following.REQUEST_INTERVAL_S + 0.03
             now += delay + 1.0
         delays.append(delay)
     assert max(sum(start <= delay < start + 0.1 for delay in delays) for start in delays) < 40
 
 
-@given(st.lists(st.sampled_from(["told", "failed", "moved", "older"]), max_size=30))
-def test_a_request_is_held_only_after_a_successful_one(events):
+@given(st.lists(st.sampled_from(["told", "late", "failed", "moved", "older"]), max_size=30))
+def test_a_request_is_held_only_after_a_prompt_answer(events):
     state = following.WatchState(0.0)
     for time, event in enumerate(events, 1):
         state.update(event, float(time))
     assert (state.hold() > 0.0) == (bool(events) and events[-1] == "told")
-    answered_at = max((time for time, event in enumerate(events, 1) if event == "told"), default=0)
+    answered_at = max((time for time, event in enumerate(events, 1) if event in ("told", "late")), default=0)
     assert state.confirmed_at == float(answered_at)
-    assert state.timeout() <= following.HOLD_S + following.GRACE_S
+    schedule = following.RequestSchedule()
+    schedule.begin(0.0, state.hold())
+    assert schedule.report_at() <= following.HOLD_S + following.GRACE_S
+    assert schedule.due_at() + following.ANSWER_S + following.MARGIN_S <= following.MAX_AGE_S
 
 
 @given(st.integers(0, 2**32), st.integers(1, 30))
