What a deleted destination is owed no longer goes to the one that has its address

Cause: endpoints of a destination that left the scope stay until nothing is owed to it. Members.apply_list asks whose address an endpoint has for lists only: "there [in scopes], destinations share addresses". Evidence: the same change in an unscoped list withholds the endpoint; in a scope it doesn't, 8 s after the deletion is in force everywhere, and in the next process too, to which the saved scope hands the endpoint on.

Change: the question is asked for scopes as well, and a destination in scope may go on sharing an address (ScopedMembers.may_be_displaced: only one that has left is displaced, by an endpoint that comes up after it left or in the same change). A displaced endpoint drains, calls that were decided are not begun, what is owed ends by its notice. The saved scope leaves displaced endpoints out; an entry that lists one anew brings it back.

Why it works: a destination that has left is listed by nobody, so an address of its own can only be told from another's by what is listed there now.

--- a/ryestack/lifecycle/scope/destinations.py
+++ b/ryestack/lifecycle/scope/destinations.py
@@ -1,7 +1,8 @@
 """The destinations that a relay serves, from the entries of its scope.
 
 A destination that leaves the scope accepts no new notifications. Its endpoints stay until the relay has no
-open notifications for it, so that accepted ones are still delivered.
+open notifications for it, so that accepted ones are still delivered, unless an endpoint of a destination in
+scope comes up at their address.
 """
 
 import time
@@ -105,8 +106,17 @@
         for number in map(destination_number, removed):
             if number in self.served:
                 self.leaving[number] = (self.clock(), self.served.pop(number))
+        self.displaced -= {row["name"] for row in rows}  # they are listed anew
         return self._tell(rows, version)
 
+    def may_be_displaced(self, name: str) -> bool:
+        """Only where its destination has left the scope: those in scope may share an address."""
+        return int(self.rows[name]["group"]) in self.leaving
+
+    def leaving_entries(self) -> list[Entry]:
+        """The destinations that left the scope, with the endpoints that may still be called."""
+        return [without_endpoints(entry, self.displaced) for _, entry in self.leaving.values()]
+
     def remove_drained(self, owed: Collection[int]) -> interface.ListUpdate:
         """Remove the endpoints of destinations that left the scope. owed: destinations of open notifications,
         which are kept."""
--- a/ryestack/lifecycle/scope/directory.py
+++ b/ryestack/lifecycle/scope/directory.py
@@ -81,8 +81,9 @@
         leaving = [entry for entry in self.saved.leaving if entry.key not in served and _is_usable(entry)]
         kept, leaving = self._without_withheld(kept), self._without_withheld(leaving)
         version = self.saved.kept.version
+        self.members.change(kept, [], version)
         self.members.change(leaving, [], version)
-        self.members.change(kept, [entry.key for entry in leaving], version)
+        self.members.change([], [entry.key for entry in leaving], version)
         return self.members.apply_list(
             {"index": version, "snapshot": True, "endpoints": list(self.members.rows.values())}
         )
@@ -223,10 +224,9 @@
         if self.withheld:  # the folder tells what of the saved scope is out of date
             return
         age, now = self.age(), self.owner.clock() + self.owner.wall
-        leaving = [entry for _, entry in self.members.leaving.values()]
         confirmed_at = now - age if age < inf else 0.0
         holdings = self.client.subscriber.holdings.snapshot()
-        self.saver.save(self.session, confirmed_at, holdings, leaving)
+        self.saver.save(self.session, confirmed_at, holdings, self.members.leaving_entries())
         self._saved_at = -inf if self.saver.needs_retry else self.owner.clock()
 
 
--- a/ryestack/observe/registry_list.py
+++ b/ryestack/observe/registry_list.py
@@ -59,7 +59,8 @@
         "WARNING",
         "endpoint by address",
         "a change gave the address of `endpoint` to another destination; the endpoint gets nothing until "
-        "the whole list, which is requested at once, tells whether it has gone",
+        "the whole list, which is requested at once, tells whether it has gone; with `[control]` its "
+        "destination has left the scope, and it gets nothing more",
         "nothing after one; repeated: endpoints of several destinations share an address",
         "*",
     ),
--- a/ryestack/wire/members.py
+++ b/ryestack/wire/members.py
@@ -115,7 +115,7 @@
             rows[name] = {**self.rows[name], "status": "removed"}
         if update.whole:
             self.displaced.clear()
-        elif not self.scoped:  # there, destinations share addresses
+        else:
             displaced = self.find_displaced(rows)
             rows |= displaced
             update = replace(update, endpoints=(*update.endpoints, *map(read_row, displaced.values())))
@@ -131,12 +131,17 @@
         displaced = {}
         listed = {name: target_of(row) for name, row in rows.items() if row["status"] != "removed"}
         for name, target in listed.items():
-            for other in self.owners.displaced_by(name, target) - rows.keys():
+            taken = self.owners.displaced_by(name, target) - rows.keys()
+            for other in filter(self.may_be_displaced, taken):
                 displaced[other] = {**self.rows[other], "status": "draining"}
                 event("list.address_taken", endpoint=other, by=name, address=target.address)
         self.displaced |= displaced.keys()
         return displaced
 
+    def may_be_displaced(self, name: str) -> bool:
+        """Whether another destination's endpoint at its address means that this endpoint may have gone."""
+        return True
+
     def put(self, name: str, row: dict) -> None:
         """Add or replace a row."""
         before = self.rows.get(name)
